--- /dev/null
+++ b/cherrykeel.go
@@ -0,0 +1,127 @@
+package cherrykeel
+
+import (
+	"net/http"
+	"sort"
+)
+
+// Exchange is one request of a caller on its way through the stages.
+type Exchange struct {
+	// ID names the request in logs, towards upstreams and in our own answers.
+	ID      string
+	Request *http.Request
+	Writer  http.ResponseWriter
+	Body    []byte
+	Service *Service
+	Key     string
+	// Partition is -1 for services without keys.
+	Partition int
+	Arrived   Instant
+	Deadline  Instant
+	// Repeatable says that running the request twice does no harm.
+	Repeatable bool
+	// RepeatKey is the caller's Idempotency-Key, or empty.
+	RepeatKey string
+}
+
+// Next runs the stages that come after the calling one.
+type Next func(exchange *Exchange) *Failure
+
+// Stage is one step of a request's way; a returned failure becomes the caller's answer.
+type Stage interface {
+	// Serve answers the exchange, refuses it, or calls next.
+	Serve(exchange *Exchange, next Next) *Failure
+}
+
+// Responder turns a failure into the caller's answer.
+type Responder interface {
+	// Respond writes the answer for a failure.
+	Respond(exchange *Exchange, failure *Failure)
+}
+
+// Router passes each request through its stages.
+type Router interface {
+	http.Handler
+}
+
+// Option changes a Router under construction.
+type Option func(*router)
+
+type prioritized struct {
+	stage    Stage
+	priority int
+}
+
+type router struct {
+	stages    []prioritized
+	responder Responder
+	clock     Clock
+	serve     Next
+}
+
+// WithStage adds a stage; lower priorities run first.
+func WithStage(stage Stage, priority int) Option {
+	return func(router *router) {
+		router.stages = append(router.stages, prioritized{stage: stage, priority: priority})
+	}
+}
+
+// WithResponder replaces the default, which writes the status and the outcome without a body.
+func WithResponder(responder Responder) Option {
+	return func(router *router) {
+		router.responder = responder
+	}
+}
+
+// WithClock replaces the system's clock.
+func WithClock(clock Clock) Option {
+	return func(router *router) {
+		router.clock = clock
+	}
+}
+
+// New returns a Router; without stages it refuses every request with 404.
+func New(options ...Option) Router {
+	router := &router{responder: plainResponder{}, clock: SystemClock()}
+	for _, option := range options {
+		option(router)
+	}
+	sort.SliceStable(router.stages, func(i, j int) bool {
+		return router.stages[i].priority < router.stages[j].priority
+	})
+	router.serve = router.chain()
+	return router
+}
+
+func (router *router) chain() Next {
+	next := refuseUnmatched
+	for i := len(router.stages) - 1; i >= 0; i-- {
+		stage := router.stages[i].stage
+		after := next
+		next = func(exchange *Exchange) *Failure {
+			return stage.Serve(exchange, after)
+		}
+	}
+	return next
+}
+
+func refuseUnmatched(exchange *Exchange) *Failure {
+	return Refuse(http.StatusNotFound, "no-stage", "no stage answers %s", exchange.Request.URL.Path)
+}
+
+// ServeHTTP implements http.Handler.
+func (router *router) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	exchange := &Exchange{Request: request, Writer: writer, Partition: -1, Arrived: router.clock.Now()}
+	failure := router.serve(exchange)
+	if failure == nil {
+		return
+	}
+	router.responder.Respond(exchange, failure)
+}
+
+type plainResponder struct{}
+
+func (plainResponder) Respond(exchange *Exchange, failure *Failure) {
+	exchange.Writer.Header().Set(HeaderOutcome, string(failure.Outcome))
+	exchange.Writer.WriteHeader(failure.Status)
+}
--- /dev/null
+++ b/cmd/cherrykeel/operate.go
@@ -0,0 +1,173 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"cherrykeel/opctl"
+)
+
+// platform says where the platform is and how to print.
+type platform struct {
+	Log     string        `help:"URL of the platform's log." env:"CHERRYKEEL_LOG" default:"http://127.0.0.1:9001"`
+	Hosts   string        `help:"URL of the platform's list of hosts." env:"CHERRYKEEL_HOSTS" default:"http://127.0.0.1:9002"`
+	Timeout time.Duration `help:"Longest wait for the platform." default:"10s"`
+	JSON    bool          `help:"Print JSON for programs."`
+}
+
+func (platform *platform) client() *opctl.Client {
+	return opctl.NewClient(platform.Log, platform.Hosts, platform.Timeout)
+}
+
+// print writes a value as JSON, or calls table.
+func (platform *platform) print(value any, table func()) error {
+	if platform.JSON {
+		return opctl.PrintJSON(os.Stdout, value)
+	}
+	table()
+	return nil
+}
+
+type checkCommand struct {
+	Dir string `arg:"" help:"Directory with firm.toml and CUSTOMER/SERVICE.toml."`
+}
+
+func (command *checkCommand) Run() error {
+	_, err := opctl.Check(os.Stdout, command.Dir)
+	return err
+}
+
+type planCommand struct {
+	platform
+	Dir   string `arg:"" help:"Directory with the settings tree."`
+	Whole bool   `help:"Remove customers that the directory does not hold."`
+}
+
+func (command *planCommand) Run() error {
+	plan, err := command.client().PlanDir(context.Background(), command.Dir, command.Whole)
+	if err != nil {
+		return err
+	}
+	return command.print(plan, func() { opctl.PrintPlan(os.Stdout, plan) })
+}
+
+type publishCommand struct {
+	platform
+	Dir    string        `arg:"" help:"Directory with the settings tree."`
+	Reason string        `help:"Why, for the audit trail." required:""`
+	Author string        `help:"Who, for the audit trail; by default the user's name."`
+	Base   int64         `help:"Refuse if another version than this is in force."`
+	Whole  bool          `help:"Remove customers that the directory does not hold."`
+	Wait   time.Duration `help:"Longest wait for the change to be in force on every host; 0s does not wait." default:"30s"`
+}
+
+func (command *publishCommand) Run() error {
+	author := command.Author
+	if author == "" {
+		author = opctl.Author()
+	}
+	options := opctl.PublishOptions{
+		Author: author,
+		Reason: command.Reason,
+		Base:   command.Base,
+		Whole:  command.Whole,
+		Wait:   command.Wait,
+	}
+	publication, err := command.client().PublishDir(context.Background(), command.Dir, options)
+	if err != nil && !command.JSON {
+		return err
+	}
+	printed := command.print(publication, func() { opctl.PrintPublication(os.Stdout, publication) })
+	if err != nil {
+		return err
+	}
+	return printed
+}
+
+type showCommand struct {
+	platform
+	Path string `arg:"" optional:"" help:"CUSTOMER or CUSTOMER/SERVICE; the firm if left out."`
+}
+
+func (command *showCommand) Run() error {
+	sources, err := command.client().Show(context.Background(), command.Path)
+	if err != nil {
+		return err
+	}
+	return command.print(sources, func() { opctl.PrintNode(os.Stdout, sources) })
+}
+
+type explainCommand struct {
+	platform
+	Path  string `arg:"" help:"CUSTOMER or CUSTOMER/SERVICE."`
+	Field string `arg:"" help:"Name of a setting."`
+}
+
+func (command *explainCommand) Run() error {
+	source, err := command.client().Explain(context.Background(), command.Path, command.Field)
+	if err != nil {
+		return err
+	}
+	return command.print(source, func() {
+		where := "is set by " + source.Path
+		switch {
+		case source.Default:
+			where = "is the default; no level sets it"
+		case source.Path == "":
+			where = "is set by the firm"
+		}
+		fmt.Printf("%s of %s is %v and %s\n", source.Field, command.Path, source.Value, where)
+	})
+}
+
+type historyCommand struct {
+	platform
+	Path string `arg:"" optional:"" help:"Only changes of this node."`
+	ID   string `help:"Tell what became of the change with this id."`
+}
+
+func (command *historyCommand) Run() error {
+	if command.ID != "" {
+		verdict, err := command.client().Outcome(context.Background(), command.ID)
+		if err != nil {
+			return err
+		}
+		return command.print(verdict, func() { fmt.Printf("accepted as version %d\n", verdict.Version) })
+	}
+	entries, err := command.client().History(context.Background(), command.Path, command.Path == "")
+	if err != nil {
+		return err
+	}
+	return command.print(entries, func() { opctl.PrintHistory(os.Stdout, entries) })
+}
+
+type statusCommand struct {
+	platform
+}
+
+func (command *statusCommand) Run() error {
+	statuses, err := command.client().Hosts(context.Background())
+	if err != nil {
+		return err
+	}
+	return command.print(statuses, func() { opctl.PrintStatus(os.Stdout, statuses) })
+}
+
+type ownerCommand struct {
+	platform
+	Service string `arg:"" help:"CUSTOMER/SERVICE."`
+	Key     string `arg:"" help:"The key, as callers give it."`
+}
+
+func (command *ownerCommand) Run() error {
+	ownership, err := command.client().Owner(context.Background(), command.Service, command.Key)
+	if err != nil {
+		return err
+	}
+	return command.print(ownership, func() {
+		fmt.Printf("%s of %s is in partition %d, owned by %s; next would be %s (keeper %s, term %d)\n",
+			ownership.Key, ownership.Service, ownership.Partition, ownership.Owner, ownership.Successor, ownership.Keeper, ownership.Term)
+	})
+}
--- /dev/null
+++ b/config/doc.go
@@ -0,0 +1,2 @@
+// Package config reads and checks the settings of one process.
+package config
--- /dev/null
+++ b/conns/conn.go
@@ -0,0 +1,63 @@
+package conns
+
+import (
+	"bufio"
+	"net"
+	"syscall"
+	"time"
+)
+
+const bufferSize = 4096
+
+type conn struct {
+	address string
+	socket  net.Conn
+	reader  *bufio.Reader
+	writer  *bufio.Writer
+	// written counts the bytes handed to the socket for the present request.
+	written int
+	since   time.Time
+}
+
+func newConn(address string, socket net.Conn) *conn {
+	conn := &conn{address: address, socket: socket}
+	conn.reader = bufio.NewReaderSize(socket, bufferSize)
+	conn.writer = bufio.NewWriterSize(countingWriter{conn}, bufferSize)
+	return conn
+}
+
+type countingWriter struct {
+	conn *conn
+}
+
+func (writer countingWriter) Write(data []byte) (int, error) {
+	// Counted before the write: bytes of a write that fails may have left all the same.
+	writer.conn.written += len(data)
+	return writer.conn.socket.Write(data)
+}
+
+// silent reports whether an idle connection is still open and has nothing to read.
+// An upstream that closed it, or sent an answer nobody asked for, must not get
+// or answer the next request: without the look, a request would be lost on a
+// closed connection, or paired with a late answer to the previous one.
+func (conn *conn) silent() bool {
+	if conn.reader.Buffered() > 0 {
+		return false
+	}
+	source, ok := conn.socket.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(descriptor uintptr) bool {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/conns/exchange.go
@@ -0,0 +1,136 @@
+package conns
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+var (
+	// ErrBroken means that the connection failed or the answer was not whole.
+	ErrBroken = errors.New("the connection to the upstream broke")
+	// ErrUnframed means that the answer does not say where it ends, so it cannot be known to be whole.
+	ErrUnframed = errors.New("the answer does not say where it ends")
+)
+
+var past = time.Unix(1, 0)
+
+// Answer is an upstream's answer whose head has arrived.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Length is -1 when the answer comes in chunks.
+	Length   int64
+	response *http.Response
+	conn     *conn
+	pool     *Pool
+	stop     func() bool
+	whole    bool
+	ended    bool
+	onClose  func()
+}
+
+// OnClose sets what Close calls once.
+func (answer *Answer) OnClose(call func()) {
+	answer.onClose = call
+}
+
+// Send writes the request and reads the head of its answer; the context's end breaks the connection.
+// When it returns an error, the connection is closed and Progress says how far the request got.
+func (pool *Pool) Send(ctx context.Context, address string, request *http.Request) (*Answer, Progress, error) {
+	conn, err := pool.take(ctx, address)
+	if err != nil {
+		return nil, NotSent, err
+	}
+	conn.written = 0
+	stop := context.AfterFunc(ctx, func() {
+		_ = conn.socket.SetDeadline(past)
+	})
+	answer, progress, err := conn.exchange(request)
+	if err != nil {
+		stop()
+		pool.discard(conn)
+		return nil, progress, err
+	}
+	answer.pool = pool
+	answer.stop = stop
+	return answer, AnswerBegun, nil
+}
+
+func (conn *conn) exchange(request *http.Request) (*Answer, Progress, error) {
+	err := request.Write(conn.writer)
+	if err == nil {
+		err = conn.writer.Flush()
+	}
+	if err != nil {
+		return nil, conn.progressOfWrite(), errors.Wrap(ErrBroken, err.Error())
+	}
+	response, err := conn.readHead(request)
+	if err != nil {
+		return nil, Sent, errors.Wrap(ErrBroken, err.Error())
+	}
+	if unframed(response) {
+		return nil, AnswerBegun, errors.WithStack(ErrUnframed)
+	}
+	answer := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, response: response, conn: conn}
+	return answer, AnswerBegun, nil
+}
+
+func (conn *conn) progressOfWrite() Progress {
+	if conn.written == 0 {
+		return NotSent
+	}
+	return SentPart
+}
+
+func (conn *conn) readHead(request *http.Request) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(conn.reader, request)
+		if err != nil {
+			return nil, err
+		}
+		informational := response.StatusCode >= 100 && response.StatusCode < 200
+		if !informational || response.StatusCode == http.StatusSwitchingProtocols {
+			return response, nil
+		}
+	}
+}
+
+// unframed reports whether only the end of the connection ends the answer.
+func unframed(response *http.Response) bool {
+	chunked := len(response.TransferEncoding) > 0
+	return response.ContentLength < 0 && !chunked || response.StatusCode == http.StatusSwitchingProtocols
+}
+
+// Read reads the body; io.EOF comes only when the whole body has been read.
+func (answer *Answer) Read(buffer []byte) (int, error) {
+	count, err := answer.response.Body.Read(buffer)
+	if err == io.EOF {
+		answer.whole = true
+	}
+	if err != nil && err != io.EOF {
+		err = errors.Wrap(ErrBroken, err.Error())
+	}
+	return count, err
+}
+
+// Close ends the exchange; the connection is used again only after a whole answer with nothing behind it.
+func (answer *Answer) Close() {
+	if answer.ended {
+		return
+	}
+	answer.ended = true
+	if answer.onClose != nil {
+		defer answer.onClose()
+	}
+	untouched := answer.stop()
+	reusable := answer.whole && untouched && !answer.response.Close && answer.conn.reader.Buffered() == 0
+	if !reusable {
+		answer.pool.discard(answer.conn)
+		return
+	}
+	answer.pool.giveBack(answer.conn)
+}
--- /dev/null
+++ b/conns/pool.go
@@ -0,0 +1,179 @@
+package conns
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+var (
+	// ErrLimit means that the upstream's share of connections is used up.
+	ErrLimit = errors.New("no connection is free")
+	// ErrConnect means that no connection could be made.
+	ErrConnect = errors.New("the upstream cannot be reached")
+)
+
+const (
+	defaultDialTimeout = time.Second
+	defaultIdleTimeout = 30 * time.Second
+	defaultLimit       = 16
+)
+
+// Pool keeps connections to upstreams, up to a limit for each.
+type Pool struct {
+	dialTimeout time.Duration
+	idleTimeout time.Duration
+	mutex       sync.Mutex
+	addresses   map[string]*address
+}
+
+type address struct {
+	limit int
+	open  int
+	idle  []*conn
+}
+
+// Option changes a Pool under construction.
+type Option func(*Pool)
+
+// WithDialTimeout sets the time that connecting may take.
+func WithDialTimeout(timeout time.Duration) Option {
+	return func(pool *Pool) {
+		pool.dialTimeout = timeout
+	}
+}
+
+// WithIdleTimeout sets the time after which an unused connection is closed.
+func WithIdleTimeout(timeout time.Duration) Option {
+	return func(pool *Pool) {
+		pool.idleTimeout = timeout
+	}
+}
+
+// NewPool returns an empty pool.
+func NewPool(options ...Option) *Pool {
+	pool := &Pool{dialTimeout: defaultDialTimeout, idleTimeout: defaultIdleTimeout, addresses: map[string]*address{}}
+	for _, option := range options {
+		option(pool)
+	}
+	return pool
+}
+
+// SetLimit sets how many connections there may be to an address.
+func (pool *Pool) SetLimit(name string, limit int) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	pool.address(name).limit = max(1, limit)
+}
+
+// Open returns how many connections there are to an address.
+func (pool *Pool) Open(name string) int {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	return pool.address(name).open
+}
+
+func (pool *Pool) address(name string) *address {
+	found, exists := pool.addresses[name]
+	if !exists {
+		found = &address{limit: defaultLimit}
+		pool.addresses[name] = found
+	}
+	return found
+}
+
+// take returns an idle connection that still stands, or makes a new one.
+func (pool *Pool) take(ctx context.Context, name string) (*conn, error) {
+	for {
+		idle, err := pool.reserve(name)
+		if err != nil {
+			return nil, err
+		}
+		if idle == nil {
+			return pool.dial(ctx, name)
+		}
+		if time.Since(idle.since) < pool.idleTimeout && idle.silent() {
+			return idle, nil
+		}
+		pool.discard(idle)
+	}
+}
+
+// reserve returns an idle connection, or nil with room for a new one counted.
+func (pool *Pool) reserve(name string) (*conn, error) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	address := pool.address(name)
+	if last := len(address.idle) - 1; last >= 0 {
+		conn := address.idle[last]
+		address.idle = address.idle[:last]
+		return conn, nil
+	}
+	if address.open >= address.limit {
+		return nil, errors.WithStack(ErrLimit)
+	}
+	address.open++
+	return nil, nil
+}
+
+func (pool *Pool) dial(ctx context.Context, name string) (*conn, error) {
+	dialer := net.Dialer{Timeout: pool.dialTimeout}
+	socket, err := dialer.DialContext(ctx, "tcp", name)
+	if err != nil {
+		pool.closed(name)
+		return nil, errors.Wrap(ErrConnect, err.Error())
+	}
+	return newConn(name, socket), nil
+}
+
+func (pool *Pool) closed(name string) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	pool.address(name).open--
+}
+
+func (pool *Pool) discard(conn *conn) {
+	_ = conn.socket.Close()
+	pool.closed(conn.address)
+}
+
+func (pool *Pool) giveBack(conn *conn) {
+	conn.since = time.Now()
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	address := pool.address(conn.address)
+	if address.open > address.limit {
+		address.open--
+		_ = conn.socket.Close()
+		return
+	}
+	address.idle = append(address.idle, conn)
+}
+
+// Sweep closes connections that have been idle for too long.
+func (pool *Pool) Sweep() {
+	for _, conn := range pool.expired() {
+		pool.discard(conn)
+	}
+}
+
+func (pool *Pool) expired() []*conn {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	var old []*conn
+	for _, address := range pool.addresses {
+		var kept []*conn
+		for _, conn := range address.idle {
+			if time.Since(conn.since) < pool.idleTimeout {
+				kept = append(kept, conn)
+				continue
+			}
+			old = append(old, conn)
+		}
+		address.idle = kept
+	}
+	return old
+}
--- /dev/null
+++ b/conns/progress.go
@@ -0,0 +1,25 @@
+package conns
+
+// Progress is how far a request got on its connection.
+type Progress int
+
+// The steps of a request, in order.
+const (
+	// NotSent means that not one byte was handed to the connection.
+	NotSent Progress = iota
+	// SentPart means that some bytes may have left, so the upstream may act.
+	SentPart
+	// Sent means that all bytes were handed over.
+	Sent
+	// AnswerBegun means that the head of an answer has arrived.
+	AnswerBegun
+	// Complete means that the whole answer has arrived.
+	Complete
+)
+
+var progressNames = [...]string{"not sent", "sent in part", "sent", "answer begun", "complete"}
+
+// String returns the name used in logs.
+func (progress Progress) String() string {
+	return progressNames[progress]
+}
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,176 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/go-resty/resty/v2"
+	"github.com/pkg/errors"
+
+	"cherrykeel"
+	"cherrykeel/config"
+	"cherrykeel/host"
+	"cherrykeel/opctl"
+)
+
+const (
+	startLimit   = 30 * time.Second
+	trafficPause = 100 * time.Millisecond
+	platformWait = 10 * time.Second
+)
+
+// request is one kind of traffic that the demo sends.
+type request struct {
+	domain string
+	method string
+	path   string
+	keyed  bool
+}
+
+var traffic = []request{
+	{domain: "hanbit.example", method: "GET", path: "/availability/hall-%d", keyed: true},
+	{domain: "hanbit.example", method: "POST", path: "/holds/hall-%d"},
+	{domain: "hanbit.example", method: "POST", path: "/deposits/booking-%d"},
+	{domain: "hanbit.example", method: "GET", path: "/archive/%d"},
+	{domain: "huon.example", method: "GET", path: "/status/licence-%d", keyed: true},
+	{domain: "huon.example", method: "POST", path: "/fees/licence-%d"},
+	{domain: "huon.example", method: "POST", path: "/lodgement/licence-%d"},
+	{domain: "huon.example", method: "GET", path: "/search/street-%d"},
+}
+
+// Run shows the system at work until the context ends, or for a time if that is not 0.
+func Run(ctx context.Context, writer io.Writer, limit time.Duration) error {
+	if limit > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, limit)
+		defer cancel()
+	}
+	world, err := newWorld()
+	if err != nil {
+		return err
+	}
+	defer world.close()
+	entry := host.New(entryConfig(world))
+	err = entry.Listen()
+	if err != nil {
+		return err
+	}
+	running, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- entry.Run(running) }()
+	err = show(ctx, writer, world, entry)
+	stop()
+	_, _ = fmt.Fprintln(writer, "stopping without cutting a request")
+	stopped := <-ended
+	if err != nil {
+		return err
+	}
+	return stopped
+}
+
+func entryConfig(world *world) config.Config {
+	entry := config.Default()
+	entry.Name = "demo-1"
+	entry.Zone = "seoul-a"
+	entry.Listen, entry.Admin, entry.Inner = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	entry.Log, entry.Hosts = "http://"+world.log, "http://"+world.hosts
+	entry.StopDelay.Duration = 0
+	return entry
+}
+
+func show(ctx context.Context, writer io.Writer, world *world, entry *host.Host) error {
+	client := opctl.NewClient("http://"+world.log, "http://"+world.hosts, platformWait)
+	state, err := client.State(ctx)
+	if err != nil {
+		return err
+	}
+	plan, err := opctl.MakePlan(state, world.nodes)
+	if err != nil {
+		return err
+	}
+	publication, err := client.Publish(ctx, plan, opctl.Author(), "demo")
+	if err != nil {
+		return err
+	}
+	err = client.AwaitForce(ctx, &publication, startLimit)
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(writer, "both trees are published as version %d, %d upstreams are running\n", publication.Version, len(world.upstreams))
+	err = awaitOwners(ctx, entry)
+	if err != nil {
+		return err
+	}
+	caller := resty.New().SetBaseURL("http://" + entry.Address())
+	for _, request := range traffic {
+		printAnswer(ctx, writer, caller, request, 7)
+	}
+	printHints(writer, world, entry)
+	send(ctx, caller)
+	return nil
+}
+
+// awaitOwners waits until every partition of the keyed services has an owner.
+func awaitOwners(ctx context.Context, entry *host.Host) error {
+	limit := time.Now().Add(startLimit)
+	for ctx.Err() == nil && time.Now().Before(limit) {
+		owned := 0
+		for _, service := range entry.Status().Services {
+			if service.Report != nil && service.Report.Settled && service.Owned[""] == 0 && len(service.Owned) > 0 {
+				owned++
+			}
+		}
+		if owned == 2 {
+			return nil
+		}
+		time.Sleep(trafficPause)
+	}
+	return errors.Errorf("the keyed services got no owners within %v", startLimit)
+}
+
+func printAnswer(ctx context.Context, writer io.Writer, caller *resty.Client, request request, number int) {
+	path := fmt.Sprintf(request.path, number)
+	response, err := ask(ctx, caller, request, path)
+	if err != nil {
+		_, _ = fmt.Fprintf(writer, "%-4s %s%s: %v\n", request.method, request.domain, path, err)
+		return
+	}
+	_, _ = fmt.Fprintf(writer, "%-4s %s%s -> %s: %s\n", request.method, request.domain, path, response.Status(), response.String())
+}
+
+func ask(ctx context.Context, caller *resty.Client, request request, path string) (*resty.Response, error) {
+	outgoing := caller.R().SetContext(ctx).SetHeader("Host", request.domain)
+	if request.method == "POST" {
+		outgoing.SetHeader(cherrykeel.HeaderIdempotencyKey, fmt.Sprintf("demo-%s-%d", path, time.Now().UnixNano()))
+		outgoing.SetBody("demo")
+	}
+	return outgoing.Execute(request.method, path)
+}
+
+func printHints(writer io.Writer, world *world, entry *host.Host) {
+	_, _ = fmt.Fprintf(writer, `
+A little traffic goes on until Ctrl-C. In another terminal, try:
+  export CHERRYKEEL_LOG=http://%s CHERRYKEEL_HOSTS=http://%s
+  cherrykeel status
+  cherrykeel owner hanbit/availability hall-7
+  cherrykeel explain hanbit/holds Timeout
+  cherrykeel history
+  curl -H 'Host: hanbit.example' http://%s/availability/hall-7
+  curl http://%s/metrics
+`, world.log, world.hosts, entry.Address(), entry.AdminAddress())
+}
+
+// send keeps a little traffic going until the context ends.
+func send(ctx context.Context, caller *resty.Client) {
+	for number := 0; ctx.Err() == nil; number++ {
+		for _, request := range traffic {
+			_, _ = ask(ctx, caller, request, fmt.Sprintf(request.path, number%100))
+		}
+		select {
+		case <-time.After(trafficPause):
+		case <-ctx.Done():
+		}
+	}
+}
--- /dev/null
+++ b/edge/attempt.go
@@ -0,0 +1,172 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cherrykeel"
+	"cherrykeel/conns"
+	"cherrykeel/retry"
+)
+
+// Sender carries one attempt to an upstream; conns.Pool is the one in use.
+type Sender interface {
+	// Send writes a request and reads the head of its answer.
+	Send(ctx context.Context, address string, request *http.Request) (*conns.Answer, conns.Progress, error)
+}
+
+// wholeBytes is the largest answer that is read to its end before any of it is passed on,
+// so that the caller of a broken answer is told what is known instead of being cut off.
+const wholeBytes = 256 << 10
+
+// result is what an attempt brought.
+type result struct {
+	ending retry.Ending
+	// answer is open when the answer is too large to be held.
+	answer   *conns.Answer
+	status   int
+	header   http.Header
+	body     []byte
+	finished finished
+}
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+func dropHopHeaders(header http.Header) {
+	for _, list := range header["Connection"] {
+		for _, name := range strings.Split(list, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+}
+
+// outgoing returns the request as the upstream gets it.
+func outgoing(exchange *cherrykeel.Exchange, attemptID string, left time.Duration) *http.Request {
+	incoming := exchange.Request
+	header := incoming.Header.Clone()
+	dropHopHeaders(header)
+	if _, given := header["User-Agent"]; !given {
+		header["User-Agent"] = []string{""}
+	}
+	header.Set(cherrykeel.HeaderRequest, attemptID)
+	header.Set(cherrykeel.HeaderService, exchange.Service.Path)
+	header.Set(cherrykeel.HeaderTimeout, strconv.FormatInt(left.Milliseconds(), 10))
+	header.Del(cherrykeel.HeaderKey)
+	header.Del(cherrykeel.HeaderPartition)
+	if exchange.Key != "" {
+		header.Set(cherrykeel.HeaderKey, exchange.Key)
+	}
+	if exchange.Partition >= 0 {
+		header.Set(cherrykeel.HeaderPartition, strconv.Itoa(exchange.Partition))
+	}
+	request := &http.Request{
+		Method: incoming.Method,
+		Host:   incoming.Host,
+		URL:    &url.URL{Path: incoming.URL.Path, RawPath: incoming.URL.RawPath, RawQuery: incoming.URL.RawQuery},
+		Header: header,
+	}
+	if len(exchange.Body) > 0 || incoming.ContentLength > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(exchange.Body))
+		request.ContentLength = int64(len(exchange.Body))
+	}
+	return request
+}
+
+// attempt sends the request once and reads its answer.
+func (forward *forward) attempt(ctx context.Context, exchange *cherrykeel.Exchange, upstream cherrykeel.UpstreamServer, number int) result {
+	begun := forward.clock.Now()
+	attemptID := exchange.ID + "." + strconv.Itoa(number)
+	request := outgoing(exchange, attemptID, exchange.Deadline.Sub(begun))
+	answer, progress, err := forward.sender.Send(ctx, upstream.Address, request)
+	var result result
+	if err != nil {
+		result = broken(progress, err)
+	} else {
+		result = forward.read(exchange, answer, attemptID)
+	}
+	result.finished.took = forward.clock.Now().Sub(begun)
+	result.finished.cancelled = exchange.Request.Context().Err() != nil
+	return result
+}
+
+func broken(progress conns.Progress, err error) result {
+	ending := retry.Ending{Evidence: retry.Uncertain, Detail: err.Error()}
+	if progress == conns.NotSent {
+		ending.Evidence = retry.NeverSent
+	}
+	// A host that has used up its own connections has learned nothing about the upstream.
+	own := errors.Is(err, conns.ErrLimit)
+	return result{ending: ending, finished: finished{reached: own, reported: -1}}
+}
+
+// read judges the head of an answer and reads its body, unless that is too large to hold.
+func (forward *forward) read(exchange *cherrykeel.Exchange, answer *conns.Answer, attemptID string) result {
+	result := result{status: answer.Status, header: answer.Header}
+	result.finished = finished{reached: true, reported: reported(answer.Header)}
+	echoed := answer.Header.Get(cherrykeel.HeaderRequest)
+	if echoed != attemptID && (echoed != "" || exchange.Service.RequireAnswer) {
+		// The answer belongs to another request, or nothing shows that it does not;
+		// closing the connection unread keeps it from answering anybody.
+		answer.Close()
+		forward.foreign(exchange, echoed)
+		result.ending = retry.Ending{Evidence: retry.Uncertain, Detail: "the upstream's answer was not to this request"}
+		return result
+	}
+	if refusal := answer.Header.Get(cherrykeel.HeaderRefused); refusal != "" && echoed == attemptID {
+		return refused(result, answer, refusal)
+	}
+	return readBody(result, answer)
+}
+
+func refused(result result, answer *conns.Answer, refusal string) result {
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer, wholeBytes))
+	answer.Close()
+	result.ending = retry.Ending{Evidence: retry.Refused, Refusal: retry.Refusal(refusal), Detail: "the upstream refused the request: " + refusal}
+	result.finished.draining = retry.Refusal(refusal) == retry.RefusedDraining
+	return result
+}
+
+func readBody(result result, answer *conns.Answer) result {
+	limit := int64(wholeBytes)
+	if answer.Length > limit {
+		result.answer = answer
+		return result
+	}
+	body, err := io.ReadAll(io.LimitReader(answer, limit+1))
+	if err != nil {
+		answer.Close()
+		result.ending = retry.Ending{Evidence: retry.Uncertain, Detail: "the upstream's answer broke off"}
+		result.finished.reached = false
+		return result
+	}
+	result.body = body
+	if int64(len(body)) > limit {
+		result.answer = answer
+		return result
+	}
+	answer.Close()
+	return result
+}
+
+func reported(header http.Header) float64 {
+	load, err := strconv.ParseFloat(header.Get(cherrykeel.HeaderLoad), 64)
+	if err != nil || !(load >= 0 && load <= 1) {
+		return -1
+	}
+	return load
+}
--- /dev/null
+++ b/edge/fleet.go
@@ -0,0 +1,253 @@
+package edge
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"cherrykeel"
+	"cherrykeel/admit"
+	"cherrykeel/demand"
+	"cherrykeel/member"
+	"cherrykeel/retry"
+	"cherrykeel/views"
+)
+
+// Owners tells who owns a key of a service whose upstreams check fences.
+type Owners interface {
+	// Owner returns the upstream that should hold the key now, or an empty string.
+	Owner(service string, partition int, key string) string
+	// Draining reports whether an upstream must get no new work.
+	Draining(service *cherrykeel.Service, upstream string) bool
+}
+
+// Fleet holds what this host knows of the upstreams of every service.
+type Fleet struct {
+	zone   string
+	boot   string
+	clock  cherrykeel.Clock
+	picker cherrykeel.Picker
+	owners Owners
+	mutex  sync.RWMutex
+	pools  map[string]*pool
+	limit  func(address string, connections int)
+}
+
+// pool is one service's upstreams.
+type pool struct {
+	fleet     *Fleet
+	mutex     sync.Mutex
+	service   *cherrykeel.Service
+	upstreams map[string]*upstream
+	// queue admits to a service without keys as a whole.
+	queue   *admit.Queue
+	budget  *retry.Budget
+	counter *demand.Counter
+	view    *views.View
+	counted cherrykeel.Instant
+}
+
+type upstream struct {
+	server   cherrykeel.UpstreamServer
+	queue    *admit.Queue
+	health   *member.Health
+	reported float64
+	inFlight int
+}
+
+// NewFleet returns a fleet without services; limit is told how many connections an address may have.
+func NewFleet(zone, boot string, clock cherrykeel.Clock, picker cherrykeel.Picker, owners Owners, limit func(address string, connections int)) *Fleet {
+	return &Fleet{
+		zone:   zone,
+		boot:   boot,
+		clock:  clock,
+		picker: picker,
+		owners: owners,
+		pools:  map[string]*pool{},
+		limit:  limit,
+	}
+}
+
+// Update takes in the services in force and the number of hosts that share the upstreams.
+func (fleet *Fleet) Update(services map[string]*cherrykeel.Service, hosts int) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	for path := range fleet.pools {
+		if services[path] == nil {
+			delete(fleet.pools, path)
+		}
+	}
+	for path, service := range services {
+		known, exists := fleet.pools[path]
+		if !exists {
+			known = newPool(fleet, service)
+			fleet.pools[path] = known
+		}
+		known.update(service, hosts, !exists)
+	}
+}
+
+func newPool(fleet *Fleet, service *cherrykeel.Service) *pool {
+	return &pool{
+		fleet:     fleet,
+		service:   service,
+		upstreams: map[string]*upstream{},
+		queue:     admit.NewQueue(1, 0),
+		budget:    retry.NewBudget(),
+		counter:   demand.NewCounter(service.Partitions),
+		view:      views.New(fleet.boot, service.Path, service.Partitions),
+		counted:   fleet.clock.Now(),
+	}
+}
+
+func share(total, hosts int) int {
+	return max(1, (total+hosts-1)/max(1, hosts))
+}
+
+func (pool *pool) update(service *cherrykeel.Service, hosts int, first bool) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	now := pool.fleet.clock.Now()
+	if service.Partitions != pool.service.Partitions {
+		pool.counter = demand.NewCounter(service.Partitions)
+		pool.view = views.New(pool.fleet.boot, service.Path, service.Partitions)
+	}
+	pool.service = service
+	listed := map[string]bool{}
+	limit := share(service.Slots, hosts)
+	for _, server := range service.Upstreams {
+		listed[server.Name] = true
+		known, exists := pool.upstreams[server.Name]
+		if !exists {
+			known = &upstream{health: member.NewHealth(now, first), queue: admit.NewQueue(limit, service.QueueLength)}
+			pool.upstreams[server.Name] = known
+		}
+		known.server = server
+		known.queue.Resize(limit, service.QueueLength, now)
+		pool.fleet.limit(server.Address, max(limit, service.Connections/max(1, hosts)))
+	}
+	for name := range pool.upstreams {
+		if !listed[name] {
+			delete(pool.upstreams, name)
+		}
+	}
+	pool.queue.Resize(limit*len(service.Upstreams), service.QueueLength*len(service.Upstreams), now)
+}
+
+func (fleet *Fleet) pool(service string) *pool {
+	fleet.mutex.RLock()
+	defer fleet.mutex.RUnlock()
+	return fleet.pools[service]
+}
+
+// Demands returns the requests a second of each keyed service since the last call.
+func (fleet *Fleet) Demands(partitionOf func(service *cherrykeel.Service) func(string) int) map[string]cherrykeel.Demand {
+	fleet.mutex.RLock()
+	defer fleet.mutex.RUnlock()
+	demands := map[string]cherrykeel.Demand{}
+	for path, pool := range fleet.pools {
+		pool.mutex.Lock()
+		if pool.service.Keyed {
+			demands[path] = pool.demand(partitionOf(pool.service))
+		}
+		pool.mutex.Unlock()
+	}
+	return demands
+}
+
+func (pool *pool) demand(partitionOf func(string) int) cherrykeel.Demand {
+	now := pool.fleet.clock.Now()
+	seconds := now.Sub(pool.counted).Seconds()
+	pool.counted = now
+	demand := pool.counter.Report(partitionOf)
+	for partition := range demand.Partitions {
+		demand.Partitions[partition] /= seconds
+	}
+	for key := range demand.HotKeys {
+		demand.HotKeys[key] /= seconds
+	}
+	return demand
+}
+
+// Unreachable names the upstreams, as service and name, that this host's requests cannot reach.
+func (fleet *Fleet) Unreachable() []string {
+	fleet.mutex.RLock()
+	defer fleet.mutex.RUnlock()
+	var names []string
+	for path, pool := range fleet.pools {
+		pool.mutex.Lock()
+		for name, upstream := range pool.upstreams {
+			if upstream.health.Unreachable() {
+				names = append(names, path+" "+name)
+			}
+		}
+		pool.mutex.Unlock()
+	}
+	return names
+}
+
+// GrantView passes a keeper's grant, or question, to this host's view of a service.
+func (fleet *Fleet) GrantView(ask bool, grant cherrykeel.Grant) (cherrykeel.Holding, bool) {
+	pool := fleet.pool(grant.Service)
+	if pool == nil {
+		return cherrykeel.Holding{}, false
+	}
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	now := pool.fleet.clock.Now()
+	if ask {
+		return pool.view.Holding(now), true
+	}
+	return pool.view.Grant(grant, now), true
+}
+
+// choose returns the upstream that a request without a key goes to, or nil.
+func (pool *pool) choose(now cherrykeel.Instant) *upstream {
+	names := make([]string, 0, len(pool.upstreams))
+	choices := make([]cherrykeel.Choice, 0, len(pool.upstreams))
+	for _, server := range pool.service.Upstreams {
+		upstream := pool.upstreams[server.Name]
+		if !upstream.health.Usable(now) || pool.fleet.owners.Draining(pool.service, server.Name) {
+			continue
+		}
+		names = append(names, server.Name)
+		choices = append(choices, cherrykeel.Choice{
+			Name:     server.Name,
+			Zone:     server.Zone,
+			InFlight: upstream.inFlight,
+			Limit:    upstream.queue.Limit(),
+			Reported: upstream.reported,
+			Warmth:   upstream.health.Warmth(now),
+		})
+	}
+	index := pool.fleet.picker.Pick(pool.fleet.zone, choices, rand.Float64())
+	if index < 0 {
+		return nil
+	}
+	return pool.upstreams[names[index]]
+}
+
+// finished is what an attempt showed of its upstream.
+type finished struct {
+	took     time.Duration
+	reached  bool
+	draining bool
+	reported float64
+	// cancelled says that the caller went away, which shows nothing of the upstream.
+	cancelled bool
+}
+
+func (pool *pool) note(upstream *upstream, finished finished, now cherrykeel.Instant) {
+	if finished.reported >= 0 {
+		upstream.reported = finished.reported
+	}
+	switch {
+	case finished.cancelled:
+	case finished.draining:
+		upstream.health.Drained(now)
+	case finished.reached:
+		upstream.health.Succeeded(now)
+	default:
+		upstream.health.Failed(now)
+	}
+}
--- /dev/null
+++ b/edge/forward.go
@@ -0,0 +1,188 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cherrykeel"
+	"cherrykeel/admit"
+	"cherrykeel/events"
+	"cherrykeel/retry"
+)
+
+// statusGone is written for callers that went away; nobody reads it but the log.
+const statusGone = 499
+
+type forward struct {
+	fleet  *Fleet
+	sender Sender
+	clock  cherrykeel.Clock
+	logger *zap.Logger
+}
+
+// NewForward returns the stage that sends requests to upstreams and passes their answers on.
+func NewForward(fleet *Fleet, sender Sender, clock cherrykeel.Clock, logger *zap.Logger) cherrykeel.Stage {
+	return &forward{fleet: fleet, sender: sender, clock: clock, logger: logger}
+}
+
+// Serve implements cherrykeel.Stage.
+func (forward *forward) Serve(exchange *cherrykeel.Exchange, _ cherrykeel.Next) *cherrykeel.Failure {
+	pool := forward.fleet.pool(exchange.Service.Path)
+	if pool == nil {
+		return cherrykeel.Refuse(http.StatusNotFound, "unknown-service", "the service has just been removed")
+	}
+	left := exchange.Deadline.Sub(forward.clock.Now())
+	ctx, cancel := context.WithTimeout(exchange.Request.Context(), left)
+	defer cancel()
+	pool.arrived(exchange)
+	mayHaveRun := false
+	for number := 1; ; number++ {
+		result, failure := forward.admitAndAttempt(ctx, pool, exchange, number)
+		if failure != nil {
+			return retry.Final(failure, mayHaveRun)
+		}
+		mayHaveRun = mayHaveRun || result.ending.Evidence == retry.Uncertain
+		verdict := retry.Decide(result.ending, forward.situation(pool, exchange, number))
+		if verdict.Pass {
+			return forward.pass(exchange, result)
+		}
+		if !verdict.Again {
+			return retry.Final(verdict.Failure, mayHaveRun)
+		}
+		if exchange.Request.Context().Err() != nil {
+			return retry.Final(cherrykeel.Refuse(statusGone, "caller-gone", "the caller went away"), mayHaveRun)
+		}
+		if verdict.Charge {
+			pool.charge()
+		}
+		pause(ctx, verdict.Wait)
+	}
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (forward *forward) situation(pool *pool, exchange *cherrykeel.Exchange, number int) retry.Situation {
+	pool.mutex.Lock()
+	left := pool.budget.Left()
+	pool.mutex.Unlock()
+	return retry.Situation{
+		Now:        forward.clock.Now(),
+		Deadline:   exchange.Deadline,
+		Attempt:    number,
+		Repeatable: exchange.Repeatable,
+		Keyed:      exchange.Service.Keyed,
+		BudgetLeft: left,
+		Random:     rand.Float64(),
+	}
+}
+
+func (pool *pool) arrived(exchange *cherrykeel.Exchange) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	pool.budget.Earn(exchange.Service.RetryShare)
+	pool.counter.Count(exchange.Partition, exchange.Key)
+}
+
+func (pool *pool) charge() {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	pool.budget.Spend()
+}
+
+// admitAndAttempt waits for a place on an upstream and makes one attempt there.
+func (forward *forward) admitAndAttempt(ctx context.Context, pool *pool, exchange *cherrykeel.Exchange, number int) (result, *cherrykeel.Failure) {
+	place, failure := forward.admit(ctx, pool, exchange)
+	if failure != nil {
+		return result{}, failure
+	}
+	if place.upstream == nil {
+		ending := retry.Ending{Evidence: retry.Refused, Refusal: retry.RefusedOwner, Detail: "no upstream can take the request now"}
+		return result{ending: ending}, nil
+	}
+	result := forward.attempt(ctx, exchange, place.upstream.server, number)
+	if result.answer == nil {
+		place.leave(result.finished)
+		return result, nil
+	}
+	// A large answer keeps its place until it has been passed on; pass closes it.
+	result.answer.OnClose(func() { place.leave(result.finished) })
+	return result, nil
+}
+
+// place is an admitted request's place on an upstream; upstream is nil if there is none after all.
+type place struct {
+	pool     *pool
+	queue    *admit.Queue
+	upstream *upstream
+	clock    cherrykeel.Clock
+	begun    cherrykeel.Instant
+	// viewed is the partition that the host's view counts, or -1.
+	viewed int
+}
+
+func (place *place) leave(finished finished) {
+	pool := place.pool
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	now := place.clock.Now()
+	place.queue.Done(now.Sub(place.begun), now)
+	if place.upstream == nil {
+		return
+	}
+	place.upstream.inFlight--
+	if place.viewed >= 0 {
+		pool.view.Leave(place.upstream.server.Name, place.viewed)
+	}
+	pool.note(place.upstream, finished, now)
+}
+
+// pass writes the answer to the caller.
+func (forward *forward) pass(exchange *cherrykeel.Exchange, result result) *cherrykeel.Failure {
+	header := exchange.Writer.Header()
+	dropHopHeaders(result.header)
+	for name, values := range result.header {
+		header[name] = values
+	}
+	header.Del(cherrykeel.HeaderLoad)
+	// Only the router's own answers may speak of outcomes.
+	header.Del(cherrykeel.HeaderOutcome)
+	header.Set(cherrykeel.HeaderRequest, exchange.ID)
+	exchange.Writer.WriteHeader(result.status)
+	_, _ = exchange.Writer.Write(result.body)
+	if result.answer == nil {
+		return nil
+	}
+	defer result.answer.Close()
+	forward.stream(exchange, result)
+	return nil
+}
+
+// stream passes on what has not been read yet; when that breaks off, the caller's connection
+// is broken too, since nothing else can tell the caller that the answer is not whole.
+func (forward *forward) stream(exchange *cherrykeel.Exchange, result result) {
+	err := copyAnswer(exchange.Writer, result.answer)
+	if err == nil {
+		return
+	}
+	result.answer.Close()
+	events.Log(forward.logger, events.AnswerBroke, zap.String("Request", exchange.ID), zap.Error(err))
+	panic(http.ErrAbortHandler)
+}
+
+func (forward *forward) foreign(exchange *cherrykeel.Exchange, echoed string) {
+	events.Log(forward.logger, events.AnswerForeign,
+		zap.String("Request", exchange.ID),
+		zap.String("Answered", echoed),
+		zap.String("Service", exchange.Service.Path))
+}
--- /dev/null
+++ b/edge/identify.go
@@ -0,0 +1,96 @@
+package edge
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+
+	"cherrykeel"
+	"cherrykeel/route"
+)
+
+// Priorities of the stages; new ones fit in between.
+const (
+	PriorityIdentify = 100
+	PriorityMatch    = 200
+	PriorityBody     = 300
+	PriorityRepeat   = 400
+	PriorityForward  = 500
+)
+
+type identify struct {
+	prefix string
+	count  atomic.Uint64
+}
+
+// NewIdentify returns the stage that names each request.
+func NewIdentify() cherrykeel.Stage {
+	return &identify{prefix: strconv.FormatUint(rand.Uint64(), 36) + "-"}
+}
+
+// Serve implements cherrykeel.Stage.
+func (identify *identify) Serve(exchange *cherrykeel.Exchange, next cherrykeel.Next) *cherrykeel.Failure {
+	exchange.ID = identify.prefix + strconv.FormatUint(identify.count.Add(1), 36)
+	return next(exchange)
+}
+
+// Tables gives the route table in force, or nil while there is none.
+type Tables interface {
+	// Table returns the routes in force.
+	Table() *route.Table
+}
+
+type match struct {
+	tables Tables
+}
+
+// NewMatch returns the stage that finds a request's service, key and deadline.
+func NewMatch(tables Tables) cherrykeel.Stage {
+	return &match{tables: tables}
+}
+
+// Serve implements cherrykeel.Stage.
+func (match *match) Serve(exchange *cherrykeel.Exchange, next cherrykeel.Next) *cherrykeel.Failure {
+	table := match.tables.Table()
+	if table == nil {
+		return cherrykeel.Refuse(http.StatusServiceUnavailable, "no-settings", "this host has no settings yet")
+	}
+	request := exchange.Request
+	service := table.Match(request.Host, request.URL.Path)
+	if service == nil && !table.HasCustomer(request.Host) {
+		return cherrykeel.Refuse(http.StatusNotFound, "unknown-customer", "no customer is reached by the host name %q", request.Host)
+	}
+	if service == nil {
+		return cherrykeel.Refuse(http.StatusNotFound, "unknown-service", "no service of this customer has the path %q", request.URL.Path)
+	}
+	exchange.Service = service
+	exchange.Repeatable = route.Repeatable(service.Idempotent, request.Method)
+	exchange.RepeatKey = request.Header.Get(cherrykeel.HeaderIdempotencyKey)
+	exchange.Deadline = exchange.Arrived.Add(timeout(exchange))
+	if failure := findKey(exchange); failure != nil {
+		return failure
+	}
+	return next(exchange)
+}
+
+func findKey(exchange *cherrykeel.Exchange) *cherrykeel.Failure {
+	service := exchange.Service
+	if service.KeyFrom == "" {
+		return nil
+	}
+	request := exchange.Request
+	parts := route.Parts{Path: request.URL.Path, Header: request.Header.Get}
+	if request.URL.RawQuery != "" {
+		parts.Query = request.URL.Query()
+	}
+	exchange.Key = route.Key(service.KeyFrom, service.PathPrefix, parts)
+	if !service.Keyed {
+		return nil
+	}
+	if exchange.Key == "" {
+		return cherrykeel.Refuse(http.StatusBadRequest, "missing-key", "the service %s needs a key from %s", service.Path, service.KeyFrom)
+	}
+	exchange.Partition = route.Partition(exchange.Key, service.Partitions)
+	return nil
+}
--- /dev/null
+++ b/events/doc.go
@@ -0,0 +1,2 @@
+// Package events numbers what the programs log; docs/EVENTS.md is the catalogue.
+package events
--- /dev/null
+++ b/events/events.go
@@ -0,0 +1,77 @@
+package events
+
+import (
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Event is one kind of log line.
+type Event struct {
+	// Number is stable and never used again for something else.
+	Number int
+	Level  zapcore.Level
+	Text   string
+}
+
+// All lists every event in order of number.
+var All []Event
+
+func define(number int, level zapcore.Level, text string) Event {
+	event := Event{Number: number, Level: level, Text: text}
+	All = append(All, event)
+	return event
+}
+
+// The events of an entry host's life.
+var (
+	HostStarted  = define(100, zap.InfoLevel, "host started")
+	HostReady    = define(101, zap.InfoLevel, "host is ready for callers")
+	HostUnready  = define(102, zap.WarnLevel, "host is not ready for callers")
+	HostStopping = define(103, zap.InfoLevel, "host is stopping")
+	HostStopped  = define(104, zap.InfoLevel, "host has stopped")
+	HostCut      = define(105, zap.WarnLevel, "requests were cut at the end of the stop's time")
+)
+
+// The events of the platform's log and list.
+var (
+	LogLost       = define(200, zap.WarnLevel, "the platform's log does not answer")
+	LogBack       = define(201, zap.InfoLevel, "the platform's log answers again")
+	ListLost      = define(202, zap.WarnLevel, "the platform's list does not answer")
+	CheckpointPut = define(203, zap.InfoLevel, "checkpoint appended")
+	CheckpointNot = define(204, zap.WarnLevel, "checkpoint could not be appended")
+	FoldDiverged  = define(205, zap.ErrorLevel, "this host's fold differs from a peer's")
+)
+
+// The events of settings.
+var (
+	SettingsInForce = define(300, zap.InfoLevel, "settings are in force")
+	SettingsRefused = define(301, zap.ErrorLevel, "settings in the log cannot be used by this program")
+)
+
+// The events of ownership.
+var (
+	TermWon      = define(400, zap.InfoLevel, "this host is now keeper")
+	TermLost     = define(401, zap.InfoLevel, "this host is no longer keeper")
+	ClaimRefused = define(402, zap.InfoLevel, "claim was refused")
+	Assigned     = define(403, zap.InfoLevel, "placement changed")
+	AssignOpen   = define(404, zap.WarnLevel, "placement change is not confirmed by the log")
+	Promoted     = define(405, zap.WarnLevel, "successors promoted without the log")
+	UpstreamLost = define(406, zap.WarnLevel, "upstream lost its lease for want of answers")
+	UpstreamBack = define(407, zap.InfoLevel, "upstream answers again")
+)
+
+// The events of requests.
+var (
+	RequestFailed = define(500, zap.WarnLevel, "request was answered by the router itself")
+	AnswerBroke   = define(501, zap.WarnLevel, "answer broke off after its head was passed on")
+	AnswerForeign = define(502, zap.ErrorLevel, "upstream answered another request")
+)
+
+// Log writes one line for the event.
+func Log(logger *zap.Logger, event Event, fields ...zap.Field) {
+	entry := logger.Check(event.Level, event.Text)
+	if entry == nil {
+		return
+	}
+	entry.Write(append(fields, zap.Int("Event", event.Number))...)
+}
--- /dev/null
+++ b/fold/apply.go
@@ -0,0 +1,189 @@
+package fold
+
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cherrykeel"
+	"cherrykeel/tree"
+)
+
+// Apply folds one record into the state and tells whether it was accepted.
+// A record that cannot be read is passed over, the same on every host.
+func (state *State) Apply(offset int64, data []byte) (Verdict, error) {
+	record, err := Decode(data)
+	if err != nil && record.Format > Format {
+		return Verdict{}, err
+	}
+	state.Next = offset + 1
+	if err != nil {
+		verdict := Verdict{Version: offset + 1, Reason: err.Error()}
+		state.link(verdict, data)
+		return verdict, nil
+	}
+	verdict := Verdict{ID: record.ID, Version: offset + 1}
+	switch {
+	case record.Change != nil:
+		state.applyChange(&verdict, record)
+	case record.Claim != nil:
+		state.applyClaim(&verdict, record)
+	case record.Assign != nil:
+		state.applyAssign(&verdict, *record.Assign)
+	case record.Checkpoint != nil:
+		verdict.Accepted = true
+		state.CheckpointAt = offset
+	default:
+		verdict.Reason = "the record is empty"
+	}
+	state.link(verdict, data)
+	return verdict, nil
+}
+
+func (state *State) link(verdict Verdict, data []byte) {
+	digest := xxhash.New()
+	_, _ = fmt.Fprintf(digest, "%d %d %t ", state.Chain, verdict.Version, verdict.Accepted)
+	_, _ = digest.Write(data)
+	state.Chain = digest.Sum64()
+}
+
+func (state *State) applyChange(verdict *Verdict, record Record) {
+	for _, edit := range record.Change.Edits {
+		current := state.Nodes[edit.Path].Version
+		if current == edit.Base {
+			continue
+		}
+		verdict.LostTo = current
+		verdict.Reason = fmt.Sprintf("%q is at version %d, the change replaces version %d", edit.Path, current, edit.Base)
+		return
+	}
+	for _, edit := range record.Change.Edits {
+		state.applyEdit(verdict.Version, record, edit)
+	}
+	state.Version = verdict.Version
+	verdict.Accepted = true
+}
+
+func (state *State) applyEdit(version int64, record Record, edit tree.Edit) {
+	entry := Entry{
+		ID:      record.ID,
+		Version: version,
+		Author:  record.Author,
+		Time:    record.Time,
+		Reason:  record.Change.Reason,
+		Path:    edit.Path,
+		Before:  state.Nodes[edit.Path].Fields,
+		After:   edit.Fields,
+	}
+	state.Audit = append(state.Audit, entry)
+	if excess := len(state.Audit) - auditLength; excess > 0 {
+		state.Audit = append([]Entry(nil), state.Audit[excess:]...)
+	}
+	if edit.Removed {
+		delete(state.Nodes, edit.Path)
+		return
+	}
+	state.Nodes[edit.Path] = tree.Node{Path: edit.Path, Version: version, Fields: edit.Fields}
+}
+
+func (state *State) applyClaim(verdict *Verdict, record Record) {
+	claim := *record.Claim
+	block := state.Blocks[claim.Service]
+	if block.Term != claim.Term {
+		verdict.LostTo = block.Term
+		verdict.Reason = fmt.Sprintf("the term is %d, held by %s", block.Term, block.Keeper)
+		return
+	}
+	if block.Term != 0 {
+		replaced := EarlierTerm{Term: block.Term, LeaseLength: block.LeaseLength, Witnesses: block.Witnesses}
+		block.Earlier = append(append([]EarlierTerm(nil), block.Earlier...), replaced)
+	}
+	block.Term = verdict.Version
+	block.Keeper = record.Author
+	block.ClaimID = record.ID
+	block.LeaseLength = claim.LeaseLength
+	block.Witnesses = claim.Witnesses
+	state.Blocks[claim.Service] = block
+	verdict.Accepted = true
+}
+
+func (state *State) applyAssign(verdict *Verdict, assign Assign) {
+	block := state.Blocks[assign.Service]
+	if block.Term != assign.Term || block.Sequence != assign.Base {
+		verdict.LostTo = block.Term
+		verdict.Reason = fmt.Sprintf("the block is at term %d, sequence %d", block.Term, block.Sequence)
+		return
+	}
+	block.Sequence = verdict.Version
+	if assign.Settled {
+		block.Earlier = nil
+	}
+	block.Placement = Place(block.Placement, assign)
+	state.Blocks[assign.Service] = block
+	verdict.Accepted = true
+}
+
+// Place returns the placement that an assignment makes of the last one.
+func Place(last cherrykeel.Placement, assign Assign) cherrykeel.Placement {
+	next := cherrykeel.Placement{
+		Owners:     place(last.Owners, assign.Partitions, assign.Owners),
+		Successors: place(last.Successors, assign.Partitions, assign.Successors),
+		HotKeys:    map[string]string{},
+	}
+	for key, owner := range last.HotKeys {
+		next.HotKeys[key] = owner
+	}
+	for key, owner := range assign.HotKeys {
+		next.HotKeys[key] = owner
+		if owner == "" {
+			delete(next.HotKeys, key)
+		}
+	}
+	return next
+}
+
+func place(last []string, partitions int, moves map[string][]int) []string {
+	next := make([]string, partitions)
+	copy(next, last)
+	for name, list := range moves {
+		for _, partition := range list {
+			if partition >= 0 && partition < partitions {
+				next[partition] = name
+			}
+		}
+	}
+	return next
+}
+
+// Difference returns the assignment that turns one placement into another, without term and base.
+func Difference(service string, last, next cherrykeel.Placement) Assign {
+	assign := Assign{
+		Service:    service,
+		Partitions: len(next.Owners),
+		Owners:     moved(last.Owners, next.Owners),
+		Successors: moved(last.Successors, next.Successors),
+		HotKeys:    map[string]string{},
+	}
+	for key, owner := range next.HotKeys {
+		if last.HotKeys[key] != owner {
+			assign.HotKeys[key] = owner
+		}
+	}
+	for key := range last.HotKeys {
+		if _, kept := next.HotKeys[key]; !kept {
+			assign.HotKeys[key] = ""
+		}
+	}
+	return assign
+}
+
+func moved(last, next []string) map[string][]int {
+	moves := map[string][]int{}
+	for partition, name := range next {
+		if partition < len(last) && last[partition] == name {
+			continue
+		}
+		moves[name] = append(moves[name], partition)
+	}
+	return moves
+}
--- /dev/null
+++ b/host/duty.go
@@ -0,0 +1,285 @@
+package host
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"cherrykeel"
+	"cherrykeel/demand"
+	"cherrykeel/events"
+	"cherrykeel/fold"
+	"cherrykeel/follow"
+	"cherrykeel/keeper"
+	"cherrykeel/lease"
+	"cherrykeel/route"
+)
+
+const (
+	tickPause      = 20 * time.Millisecond
+	proposeTimeout = 2 * time.Second
+	// orderShare is the share of a lease that an order may take before it counts as failed.
+	orderShare = 0.3
+)
+
+// duty is this host's part in the ownership of keys: its keepers' decisions and its witness.
+type duty struct {
+	host     *Host
+	mutex    sync.Mutex
+	state    *fold.State
+	witness  *lease.Witness
+	keepers  map[string]*keeper.Keeper
+	mergers  map[string]*demand.Merger
+	overlays map[string]keeper.Overlay
+	// claims are the ids of the claims that this process has made.
+	claims map[string]bool
+}
+
+func newDuty(host *Host) *duty {
+	return &duty{
+		host:     host,
+		state:    fold.NewState(),
+		witness:  lease.NewWitness(host.clock.Now()),
+		keepers:  map[string]*keeper.Keeper{},
+		mergers:  map[string]*demand.Merger{},
+		overlays: map[string]keeper.Overlay{},
+		claims:   map[string]bool{},
+	}
+}
+
+func partitionOf(service *cherrykeel.Service) func(string) int {
+	return func(key string) int {
+		return route.Partition(key, service.Partitions)
+	}
+}
+
+func (duty *duty) caughtUp(begun cherrykeel.Instant) {
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	duty.witness.CaughtUp(begun)
+}
+
+// onState takes in a new state of the fold.
+func (duty *duty) onState(state *fold.State) {
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	duty.state = state
+	for service, block := range state.Blocks {
+		duty.witness.Learn(service, block.Term)
+	}
+}
+
+// owner returns who should hold a key: by the keeper's word while the log lacks it, else by the log.
+func (duty *duty) owner(service string, partition int, key string) string {
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	placement := duty.placement(service)
+	if owner, hot := placement.HotKeys[key]; hot {
+		return owner
+	}
+	if partition < 0 || partition >= len(placement.Owners) {
+		return ""
+	}
+	return placement.Owners[partition]
+}
+
+func (duty *duty) placement(service string) cherrykeel.Placement {
+	block := duty.state.Blocks[service]
+	overlay, exists := duty.overlays[service]
+	if exists && overlay.Term == block.Term && overlay.Base == block.Sequence {
+		return overlay.Placement
+	}
+	return block.Placement
+}
+
+func (duty *duty) applyOverlay(overlay keeper.Overlay) {
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	current, exists := duty.overlays[overlay.Service]
+	if !exists || overlay.Term >= current.Term {
+		duty.overlays[overlay.Service] = overlay
+	}
+}
+
+func (duty *duty) holdsAny() bool {
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	for service, kept := range duty.keepers {
+		current := duty.state.Blocks[service].Keeper == duty.host.config.Name
+		if kept.Holds() && current {
+			return true
+		}
+	}
+	return false
+}
+
+// tick decides for every keyed service and carries the actions out.
+func (duty *duty) tick(context.Context) {
+	table := duty.host.table.Load()
+	if table == nil || !duty.host.follower.Status().CaughtUp {
+		return
+	}
+	confirms := map[string]map[string]int64{}
+	for path, service := range table.Services() {
+		if !service.Keyed {
+			continue
+		}
+		input := duty.input(service)
+		actions := duty.decide(path, &input)
+		duty.carryOut(service, input, actions)
+		for _, witness := range actions.Confirm {
+			if confirms[witness] == nil {
+				confirms[witness] = map[string]int64{}
+			}
+			confirms[witness][path] = input.Block.Term
+		}
+	}
+	for witness, terms := range confirms {
+		duty.confirm(witness, terms)
+	}
+}
+
+// input gathers what a decision rests on, apart from what the duty's lock guards.
+func (duty *duty) input(service *cherrykeel.Service) keeper.Input {
+	host := duty.host
+	input := keeper.Input{
+		Now:      host.clock.Now(),
+		Service:  service,
+		Hosts:    host.roster.hosts(),
+		Gone:     host.roster.gone(),
+		Leaving:  host.stopping.Load(),
+		Draining: map[string]bool{},
+		Down:     map[string]bool{},
+	}
+	for _, server := range service.Upstreams {
+		input.Draining[server.Name] = host.Draining(service, server.Name)
+		input.Down[server.Name] = host.roster.down(service.Path, server.Name, input.Now)
+	}
+	return input
+}
+
+func (duty *duty) decide(path string, input *keeper.Input) keeper.Actions {
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	duty.witness.Ran(input.Now)
+	input.Block = duty.state.Blocks[path]
+	if duty.claims[input.Block.ClaimID] {
+		input.Won = input.Block.Term
+	}
+	kept := duty.keeper(path)
+	if kept.Holds() {
+		input.Demand = duty.merger(input.Service).Demand(input.Now)
+	}
+	held := kept.Holds()
+	actions := kept.Tick(*input)
+	duty.noteRole(path, held, kept.Holds(), input.Block.Term)
+	return actions
+}
+
+func (duty *duty) noteRole(path string, before, after bool, term int64) {
+	if before == after {
+		return
+	}
+	event := events.TermLost
+	if after {
+		event = events.TermWon
+	} else {
+		delete(duty.mergers, path)
+	}
+	events.Log(duty.host.logger, event, zap.String("Service", path), zap.Int64("Term", term))
+}
+
+func (duty *duty) keeper(path string) *keeper.Keeper {
+	kept, exists := duty.keepers[path]
+	if !exists {
+		kept = keeper.New(duty.host.config.Name, path, duty.witness, duty.host.placer)
+		duty.keepers[path] = kept
+	}
+	return kept
+}
+
+func (duty *duty) merger(service *cherrykeel.Service) *demand.Merger {
+	merger, exists := duty.mergers[service.Path]
+	if !exists {
+		merger = demand.NewMerger(service.Partitions, partitionOf(service))
+		duty.mergers[service.Path] = merger
+	}
+	return merger
+}
+
+func (duty *duty) hearDemand(host, path string, demand cherrykeel.Demand) {
+	table := duty.host.table.Load()
+	if table == nil || table.Services()[path] == nil {
+		return
+	}
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	if duty.keeper(path).Holds() {
+		duty.merger(table.Services()[path]).Hear(host, demand, duty.host.clock.Now())
+	}
+}
+
+// carryOut hands the actions to the workers.
+func (duty *duty) carryOut(service *cherrykeel.Service, input keeper.Input, actions keeper.Actions) {
+	for _, order := range actions.Orders {
+		duty.submit(func() { duty.send(service, input.Block.LeaseLength, order) })
+	}
+	for _, teaching := range actions.Teach {
+		duty.submit(func() { duty.teach(service.Path, teaching) })
+	}
+	for _, name := range actions.AskSilence {
+		duty.submit(func() { duty.askSilence(service.Path, name, input.Block.LeaseLength) })
+	}
+	if actions.Claim != nil {
+		record := duty.record()
+		record.Claim = actions.Claim
+		duty.submit(func() { duty.propose(record, service.Path) })
+	}
+	if actions.Assign != nil {
+		record := duty.record()
+		record.Assign = actions.Assign
+		duty.submit(func() { duty.propose(record, service.Path) })
+	}
+	if actions.Overlay != nil {
+		duty.spread(*actions.Overlay)
+	}
+}
+
+func (duty *duty) submit(task func()) {
+	_ = duty.host.workers.Go(task)
+}
+
+func (duty *duty) record() fold.Record {
+	return fold.Record{
+		Format: fold.Format,
+		ID:     uuid.NewString(),
+		Author: duty.host.config.Name,
+		Time:   duty.host.clock.Wall(),
+	}
+}
+
+func (duty *duty) propose(record fold.Record, service string) {
+	if record.Claim != nil {
+		duty.mutex.Lock()
+		duty.claims[record.ID] = true
+		duty.mutex.Unlock()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
+	defer cancel()
+	verdict, err := duty.host.follower.Propose(ctx, record)
+	logger := duty.host.logger.With(zap.String("Service", service))
+	switch {
+	case errors.Is(err, follow.ErrOutcomeUnknown):
+		events.Log(logger, events.AssignOpen, zap.Error(err))
+	case err != nil:
+		events.Log(logger, events.AssignOpen, zap.Error(err))
+	case record.Claim != nil && !verdict.Accepted:
+		events.Log(logger, events.ClaimRefused, zap.String("Reason", verdict.Reason))
+	case record.Assign != nil && verdict.Accepted:
+		events.Log(logger, events.Assigned, zap.Int64("Version", verdict.Version))
+	}
+}
--- /dev/null
+++ b/host/host.go
@@ -0,0 +1,309 @@
+package host
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"cherrykeel"
+	"cherrykeel/config"
+	"cherrykeel/conns"
+	"cherrykeel/edge"
+	"cherrykeel/events"
+	"cherrykeel/fold"
+	"cherrykeel/follow"
+	"cherrykeel/member"
+	"cherrykeel/picker"
+	"cherrykeel/place"
+	"cherrykeel/remote"
+	"cherrykeel/route"
+	"cherrykeel/tree"
+	"cherrykeel/wire"
+)
+
+// Stream is the name of the log's stream that hosts and operators share.
+const Stream = "cherrykeel"
+
+const (
+	poolWorkers = 64
+	// goneWait is how long connections may take to end after the last request.
+	goneWait = 2 * time.Second
+)
+
+// Host is one entry host.
+type Host struct {
+	config   config.Config
+	logger   *zap.Logger
+	scope    tally.Scope
+	metrics  http.Handler
+	clock    cherrykeel.Clock
+	boot     string
+	log      cherrykeel.Log
+	list     cherrykeel.HostList
+	granter  cherrykeel.Granter
+	placer   cherrykeel.Placer
+	picker   cherrykeel.Picker
+	follower *follow.Follower
+	roster   *roster
+	duty     *duty
+	conns    *conns.Pool
+	fleet    *edge.Fleet
+	peers    *wire.Client
+	workers  pond.Pool
+	table    atomic.Pointer[route.Table]
+	refused  atomic.Pointer[string]
+	requests requestGauge
+	stopping atomic.Bool
+	started  time.Time
+	// lastReason and logWasUp are what watch last logged.
+	lastReason atomic.Pointer[string]
+	logWasUp   atomic.Bool
+
+	inner       *wire.Server
+	front       *http.Server
+	admin       *http.Server
+	frontSocket net.Listener
+	adminSocket net.Listener
+}
+
+// Option changes a Host under construction.
+type Option func(*Host)
+
+// WithLogger sets the logger; the default writes nothing.
+func WithLogger(logger *zap.Logger) Option {
+	return func(host *Host) {
+		host.logger = logger
+	}
+}
+
+// WithMetrics sets the scope of the metrics and the handler that shows them.
+func WithMetrics(scope tally.Scope, handler http.Handler) Option {
+	return func(host *Host) {
+		host.scope = scope
+		host.metrics = handler
+	}
+}
+
+// WithClock replaces the system's clock.
+func WithClock(clock cherrykeel.Clock) Option {
+	return func(host *Host) {
+		host.clock = clock
+	}
+}
+
+// WithLog replaces the platform's log that the configuration names.
+func WithLog(log cherrykeel.Log) Option {
+	return func(host *Host) {
+		host.log = log
+	}
+}
+
+// WithPlacer replaces the default placer.
+func WithPlacer(placer cherrykeel.Placer) Option {
+	return func(host *Host) {
+		host.placer = placer
+	}
+}
+
+// WithPicker replaces the default picker.
+func WithPicker(picker cherrykeel.Picker) Option {
+	return func(host *Host) {
+		host.picker = picker
+	}
+}
+
+// New returns a host that does nothing yet.
+func New(config config.Config, options ...Option) *Host {
+	host := &Host{
+		config:  config,
+		logger:  zap.NewNop(),
+		scope:   tally.NoopScope,
+		metrics: http.NotFoundHandler(),
+		clock:   cherrykeel.SystemClock(),
+		boot:    uuid.NewString(),
+		log:     remote.NewLog(config.Log, Stream),
+		list:    remote.NewHostList(config.Hosts),
+		granter: remote.NewGranter(),
+		placer:  place.New(),
+		picker:  picker.NewLeastLoaded(),
+		peers:   wire.NewClient(),
+		conns:   conns.NewPool(),
+		started: time.Now(),
+	}
+	for _, option := range options {
+		option(host)
+	}
+	host.workers = pond.NewPool(poolWorkers)
+	host.roster = &roster{view: member.NewRoster(host.member())}
+	host.duty = newDuty(host)
+	host.fleet = edge.NewFleet(config.Zone, host.boot, host.clock, host.picker, host, host.conns.SetLimit)
+	host.follower = follow.New(host.log, host.clock,
+		follow.WithPeers(host),
+		follow.OnState(host.onState),
+		follow.OnFresh(host.duty.caughtUp))
+	return host
+}
+
+func (host *Host) member() cherrykeel.Member {
+	inner := host.config.Inner
+	if host.inner != nil {
+		inner = host.inner.Address()
+	}
+	if host.config.AnnounceInner != "" {
+		inner = host.config.AnnounceInner
+	}
+	return cherrykeel.Member{
+		Name:    host.config.Name,
+		Role:    cherrykeel.RoleEntry,
+		Zone:    host.config.Zone,
+		Leaving: host.stopping.Load(),
+		Address: address(host.frontSocket, host.config.Listen),
+		Inner:   inner,
+		Admin:   address(host.adminSocket, host.config.Admin),
+	}
+}
+
+func address(socket net.Listener, configured string) string {
+	if socket == nil {
+		return configured
+	}
+	return socket.Addr().String()
+}
+
+// Listen opens the host's sockets.
+func (host *Host) Listen() error {
+	var err error
+	host.frontSocket, err = net.Listen("tcp", host.config.Listen)
+	if err != nil {
+		return errors.Wrap(err, "Listen")
+	}
+	host.adminSocket, err = net.Listen("tcp", host.config.Admin)
+	if err != nil {
+		return errors.Wrap(err, "Admin")
+	}
+	host.inner, err = wire.Listen(host.config.Inner, host.methods())
+	if err != nil {
+		return errors.Wrap(err, "Inner")
+	}
+	host.roster.replaceSelf(host.member())
+	return nil
+}
+
+// Address returns where the host takes callers.
+func (host *Host) Address() string {
+	return host.frontSocket.Addr().String()
+}
+
+// AdminAddress returns where the host takes operators.
+func (host *Host) AdminAddress() string {
+	return host.adminSocket.Addr().String()
+}
+
+// onState takes a new state into force.
+func (host *Host) onState(state *fold.State) {
+	services, err := tree.Services(state.Nodes)
+	if err != nil {
+		// Going on with the old settings would serve old values silently; so the host
+		// says why and turns unready until a program that knows the settings replaces it.
+		text := err.Error()
+		host.refused.Store(&text)
+		events.Log(host.logger, events.SettingsRefused, zap.Error(err), zap.Int64("Version", state.Version))
+		return
+	}
+	host.refused.Store(nil)
+	previous := host.table.Load()
+	table := route.Build(services)
+	host.table.Store(table)
+	host.updateFleet()
+	host.duty.onState(state)
+	if previous == nil || versionOf(previous) != state.Version {
+		events.Log(host.logger, events.SettingsInForce, zap.Int64("Version", state.Version))
+	}
+}
+
+func versionOf(table *route.Table) int64 {
+	version := int64(0)
+	for _, service := range table.Services() {
+		version = max(version, service.Version)
+	}
+	return version
+}
+
+func (host *Host) updateFleet() {
+	table := host.table.Load()
+	if table != nil {
+		host.fleet.Update(table.Services(), host.roster.activeHosts())
+	}
+}
+
+// Table implements edge.Tables.
+func (host *Host) Table() *route.Table {
+	return host.table.Load()
+}
+
+// Owner implements edge.Owners.
+func (host *Host) Owner(service string, partition int, key string) string {
+	return host.duty.owner(service, partition, key)
+}
+
+// Draining implements edge.Owners.
+func (host *Host) Draining(service *cherrykeel.Service, upstream string) bool {
+	for _, name := range service.Drain {
+		if name == upstream {
+			return true
+		}
+	}
+	return host.roster.left(upstream)
+}
+
+// Run serves until the context ends, then stops gracefully.
+func (host *Host) Run(ctx context.Context) error {
+	work, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	failed := host.serve()
+	host.startLoops(work)
+	events.Log(host.logger, events.HostStarted,
+		zap.String("Name", host.config.Name),
+		zap.String("Address", host.Address()),
+		zap.String("Admin", host.AdminAddress()))
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	host.stop()
+	stopWork()
+	host.close()
+	return err
+}
+
+func (host *Host) startLoops(ctx context.Context) {
+	go host.follower.Run(ctx)
+	go every(ctx, listPause, host.readList)
+	go every(ctx, announcePause, host.announce)
+	go every(ctx, helloPause, host.sayHello)
+	go every(ctx, tickPause, host.duty.tick)
+	go every(ctx, checkpointPause, host.checkpoint)
+	go every(ctx, watchPause, host.watch)
+}
+
+// every calls a step at once and then again after each pause, until the context ends.
+func every(ctx context.Context, pause time.Duration, step func(ctx context.Context)) {
+	ticker := time.NewTicker(pause)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		step(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+}
--- /dev/null
+++ b/host/inner.go
@@ -0,0 +1,212 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cherrykeel/events"
+	"cherrykeel/follow"
+	"cherrykeel/member"
+	"cherrykeel/wire"
+
+	"go.uber.org/zap"
+)
+
+const (
+	helloPause   = time.Second
+	helloTimeout = 800 * time.Millisecond
+	// peerAge is how long a peer counts as reachable after it last spoke.
+	peerAge      = 5 * time.Second
+	fetchTimeout = time.Second
+)
+
+// methods are what peers may call.
+func (host *Host) methods() map[string]wire.Method {
+	return map[string]wire.Method{
+		wire.MethodHello:   host.onHello,
+		wire.MethodConfirm: host.onConfirm,
+		wire.MethodTeach:   host.onTeach,
+		wire.MethodSilence: host.onSilence,
+		wire.MethodOverlay: host.onOverlay,
+		wire.MethodRelay:   host.onRelay,
+		wire.MethodView:    host.onView,
+		wire.MethodFetch:   host.onFetch,
+	}
+}
+
+func (host *Host) onHello(_ context.Context, params json.RawMessage) (any, error) {
+	var hello wire.Hello
+	err := json.Unmarshal(params, &hello)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	host.hear(hello)
+	status := host.follower.Status()
+	return wire.HelloReply{Host: host.config.Name, Next: status.Next, Chain: status.Chain}, nil
+}
+
+func (host *Host) hear(hello wire.Hello) {
+	host.roster.hear(member.Word{
+		Host:        hello.Host,
+		Leaving:     hello.Leaving,
+		Next:        hello.Next,
+		Chain:       hello.Chain,
+		Version:     hello.Version,
+		LogUp:       hello.LogUp,
+		Unreachable: hello.Unreachable,
+	}, host.clock.Now())
+	for service, demand := range hello.Demands {
+		host.duty.hearDemand(hello.Host, service, demand)
+	}
+	if host.follower.Differs(hello.Next, hello.Chain) {
+		events.Log(host.logger, events.FoldDiverged, zap.String("Peer", hello.Host), zap.Int64("Next", hello.Next))
+	}
+}
+
+func (host *Host) onConfirm(_ context.Context, params json.RawMessage) (any, error) {
+	var confirm wire.Confirm
+	err := json.Unmarshal(params, &confirm)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	host.duty.mutex.Lock()
+	defer host.duty.mutex.Unlock()
+	return wire.ConfirmReply{Confirmed: host.duty.confirmable(confirm.Terms, host.clock.Now())}, nil
+}
+
+func (host *Host) onTeach(_ context.Context, params json.RawMessage) (any, error) {
+	var teach wire.Teach
+	err := json.Unmarshal(params, &teach)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	host.duty.learn(teach.Service, teach.Term)
+	return wire.Done{}, nil
+}
+
+func (host *Host) onSilence(_ context.Context, params json.RawMessage) (any, error) {
+	var silence wire.Silence
+	err := json.Unmarshal(params, &silence)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	host.duty.mutex.Lock()
+	defer host.duty.mutex.Unlock()
+	asked := host.duty.witness.Asked(silence.Service)
+	return wire.SilenceReply{Silence: host.clock.Now().Sub(asked)}, nil
+}
+
+func (host *Host) onOverlay(_ context.Context, params json.RawMessage) (any, error) {
+	var overlay wire.Overlay
+	err := json.Unmarshal(params, &overlay)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	host.duty.applyOverlay(overlay.Overlay)
+	return wire.Done{}, nil
+}
+
+func (host *Host) onRelay(ctx context.Context, params json.RawMessage) (any, error) {
+	var relay wire.Relay
+	err := json.Unmarshal(params, &relay)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	return host.grantOrAsk(ctx, relay)
+}
+
+func (host *Host) onView(_ context.Context, params json.RawMessage) (any, error) {
+	var view wire.View
+	err := json.Unmarshal(params, &view)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	holding, known := host.fleet.GrantView(view.Ask, view.Grant)
+	if !known {
+		return nil, errors.Errorf("no service %s here", view.Grant.Service)
+	}
+	return holding, nil
+}
+
+func (host *Host) onFetch(_ context.Context, params json.RawMessage) (any, error) {
+	var fetch wire.Fetch
+	err := json.Unmarshal(params, &fetch)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if !host.follower.Status().CaughtUp {
+		return nil, errors.New("this host has not caught up itself")
+	}
+	relay, err := host.follower.Relay(fetch.From)
+	return wire.FetchReply{Relay: relay}, err
+}
+
+// sayHello tells every peer how this host fares.
+func (host *Host) sayHello(context.Context) {
+	status := host.follower.Status()
+	hello := wire.Hello{
+		Host:        host.config.Name,
+		Zone:        host.config.Zone,
+		Leaving:     host.stopping.Load(),
+		Next:        status.Next,
+		Chain:       status.Chain,
+		Version:     host.follower.State().Version,
+		LogUp:       status.LogUp,
+		Unreachable: host.fleet.Unreachable(),
+	}
+	demands := host.fleet.Demands(partitionOf)
+	for _, peer := range host.roster.peers() {
+		own := hello
+		own.Demands = host.duty.demandsFor(peer.Name, demands)
+		if peer.Name == host.config.Name {
+			host.hear(own)
+			continue
+		}
+		_ = host.workers.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), helloTimeout)
+			defer cancel()
+			var reply wire.HelloReply
+			_ = host.peers.Call(ctx, peer.Inner, wire.MethodHello, own, &reply)
+		})
+	}
+}
+
+// Fetch implements follow.Peers.
+func (host *Host) Fetch(ctx context.Context, from int64, quorum bool) (follow.Relay, error) {
+	others := host.others()
+	needed := 1
+	if quorum {
+		// A host that has never been shown to be up to date must not believe one peer that
+		// may itself be behind: of most peers, one at least has read the newest acknowledged record.
+		needed = len(others)/2 + 1
+	}
+	best := follow.Relay{Next: -1}
+	answers := 0
+	for _, name := range others {
+		relay, err := host.fetchFrom(ctx, name, from)
+		if err != nil {
+			continue
+		}
+		answers++
+		if relay.Next > best.Next {
+			best = relay
+		}
+		if answers >= needed {
+			return best, nil
+		}
+	}
+	return follow.Relay{}, errors.Errorf("%d of %d peers answered, %d are needed", answers, len(others), needed)
+}
+
+func (host *Host) fetchFrom(ctx context.Context, name string, from int64) (follow.Relay, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	var reply wire.FetchReply
+	err := host.call(ctx, name, wire.MethodFetch, wire.Fetch{From: from}, &reply)
+	return reply.Relay, err
+}
--- /dev/null
+++ b/host/serve.go
@@ -0,0 +1,114 @@
+package host
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cherrykeel"
+	"cherrykeel/edge"
+	"cherrykeel/events"
+)
+
+const (
+	headTimeout = 10 * time.Second
+	idleTimeout = 90 * time.Second
+	stopPoll    = 20 * time.Millisecond
+)
+
+// requestGauge counts the callers' requests in flight.
+type requestGauge struct {
+	count atomic.Int64
+}
+
+func (host *Host) router() cherrykeel.Router {
+	return cherrykeel.New(
+		cherrykeel.WithClock(host.clock),
+		cherrykeel.WithResponder(edge.NewResponder(host.logger)),
+		cherrykeel.WithStage(edge.NewIdentify(), edge.PriorityIdentify),
+		cherrykeel.WithStage(edge.NewMeter(host.scope, host.clock), edge.PriorityMeter),
+		cherrykeel.WithStage(edge.NewMatch(host), edge.PriorityMatch),
+		cherrykeel.WithStage(edge.NewBody(host.clock), edge.PriorityBody),
+		cherrykeel.WithStage(edge.NewForward(host.fleet, host.conns, host.clock, host.logger), edge.PriorityForward),
+	)
+}
+
+// counted tracks requests in flight, and asks callers to leave once the host is stopping.
+func (host *Host) counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		host.requests.count.Add(1)
+		defer host.requests.count.Add(-1)
+		if host.stopping.Load() {
+			// A keep-alive caller is told with its answer, so that its next request goes to another host.
+			writer.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(writer, request)
+	})
+}
+
+// serve answers callers and operators; the channel gives the error of a server that fails.
+func (host *Host) serve() chan error {
+	quiet, _ := zap.NewStdLogAt(host.logger, zap.DebugLevel)
+	host.front = &http.Server{
+		Handler:           host.counted(host.router()),
+		ReadHeaderTimeout: headTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    host.config.MaxHeaderBytes,
+		ErrorLog:          quiet,
+	}
+	host.admin = &http.Server{Handler: host.adminHandler(), ReadHeaderTimeout: headTimeout, ErrorLog: quiet}
+	failed := make(chan error, 2)
+	start := func(server *http.Server, serve func() error) {
+		err := serve()
+		if err != http.ErrServerClosed {
+			failed <- err
+		}
+	}
+	go start(host.front, func() error { return host.front.Serve(host.frontSocket) })
+	go start(host.admin, func() error { return host.admin.Serve(host.adminSocket) })
+	return failed
+}
+
+// stop leaves without cutting a request: readiness goes off first, callers are still taken while the
+// balancer notices, the keeper's roles are handed over, and the requests in flight end.
+func (host *Host) stop() {
+	host.stopping.Store(true)
+	events.Log(host.logger, events.HostStopping)
+	limit := time.Now().Add(host.config.StopTimeout.Duration)
+	ctx, cancel := context.WithDeadline(context.Background(), limit)
+	defer cancel()
+	host.roster.setLeaving()
+	host.announce(ctx)
+	host.sayHello(ctx)
+	pauseUntil(ctx, time.Now().Add(host.config.StopDelay.Duration))
+	for host.duty.holdsAny() && host.hasSuccessor() && ctx.Err() == nil {
+		pauseUntil(ctx, time.Now().Add(stopPoll))
+	}
+	err := host.front.Shutdown(ctx)
+	if err != nil {
+		events.Log(host.logger, events.HostCut, zap.Int64("Requests", host.requests.count.Load()))
+		_ = host.front.Close()
+	}
+}
+
+func pauseUntil(ctx context.Context, until time.Time) {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (host *Host) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), goneWait)
+	defer cancel()
+	_ = host.admin.Shutdown(ctx)
+	host.inner.Close()
+	host.peers.Close()
+	host.workers.StopAndWait()
+	events.Log(host.logger, events.HostStopped)
+}
--- /dev/null
+++ b/host/watch.go
@@ -0,0 +1,137 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cherrykeel"
+	"cherrykeel/events"
+	"cherrykeel/keeper"
+)
+
+const (
+	watchPause      = time.Second
+	checkpointPause = 2 * time.Second
+	// staleAfter is how long a host that hears neither the log nor any peer stays ready.
+	staleAfter = 5 * time.Second
+)
+
+// demandsFor returns what a peer must know as the keeper of services.
+func (duty *duty) demandsFor(peer string, demands map[string]cherrykeel.Demand) map[string]cherrykeel.Demand {
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	part := map[string]cherrykeel.Demand{}
+	for service, demand := range demands {
+		if duty.state.Blocks[service].Keeper == peer {
+			part[service] = demand
+		}
+	}
+	return part
+}
+
+// Readiness returns why the host should get no callers, or an empty string.
+func (host *Host) Readiness() string {
+	if host.stopping.Load() {
+		return "the host is stopping"
+	}
+	if refused := host.refused.Load(); refused != nil {
+		return "the settings in the log cannot be used: " + *refused
+	}
+	status := host.follower.Status()
+	if !status.CaughtUp {
+		return "not caught up with the log: " + status.Reason
+	}
+	if host.cutOff(status.LogSilence) {
+		return "cut off from the log and from all peers, so the settings may be old"
+	}
+	return ""
+}
+
+// cutOff reports whether the host hears nobody who could tell it of new settings.
+// A log that is out for all is no reason: then nothing new can be in force anywhere.
+func (host *Host) cutOff(silence time.Duration) bool {
+	if silence < staleAfter {
+		return false
+	}
+	others := 0
+	now := host.clock.Now()
+	for _, peer := range host.roster.peers() {
+		if peer.Name == host.config.Name {
+			continue
+		}
+		others++
+		if peer.Heard != 0 && now.Sub(peer.Heard) < staleAfter {
+			return false
+		}
+	}
+	return others > 0
+}
+
+// watch logs changes of the host's own condition and sweeps idle connections.
+func (host *Host) watch(context.Context) {
+	host.conns.Sweep()
+	host.noteReadiness(host.Readiness())
+	host.noteLog(host.follower.Status().LogUp)
+	host.scope.Gauge("requests_in_flight").Update(float64(host.requests.count.Load()))
+	host.scope.Gauge("log_next_offset").Update(float64(host.follower.Status().Next))
+}
+
+func (host *Host) noteReadiness(reason string) {
+	last := host.lastReason.Swap(&reason)
+	if last != nil && *last == reason {
+		return
+	}
+	if reason == "" {
+		events.Log(host.logger, events.HostReady)
+		return
+	}
+	events.Log(host.logger, events.HostUnready, zap.String("Reason", reason))
+}
+
+func (host *Host) noteLog(up bool) {
+	if host.logWasUp.Swap(up) == up {
+		return
+	}
+	event := events.LogLost
+	if up {
+		event = events.LogBack
+	}
+	events.Log(host.logger, event)
+}
+
+// checkpoint appends the fold again before the log's retention can drop what made it.
+// Hosts take turns by rank, so that as a rule one of them writes.
+func (host *Host) checkpoint(ctx context.Context) {
+	state := host.follower.State()
+	status := host.follower.Status()
+	since := state.Next - max(state.CheckpointAt, 0)
+	rank := host.checkpointRank()
+	if !status.CaughtUp || !status.LogUp || since < int64(host.config.CheckpointRecords)*int64(2+rank)/2 {
+		return
+	}
+	snapshot, err := state.Snapshot()
+	if err == nil {
+		record := host.duty.record()
+		record.Checkpoint = &snapshot
+		ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+		defer cancel()
+		_, err = host.follower.Propose(ctx, record)
+	}
+	if err != nil {
+		events.Log(host.logger, events.CheckpointNot, zap.Error(err))
+		return
+	}
+	events.Log(host.logger, events.CheckpointPut, zap.Int64("Next", state.Next))
+}
+
+func (host *Host) checkpointRank() int {
+	names := append(host.others(), host.config.Name)
+	for rank, name := range keeper.Ranked("checkpoint", names) {
+		if name == host.config.Name {
+			return rank
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/keeper/term.go
@@ -0,0 +1,236 @@
+package keeper
+
+import (
+	"sort"
+	"time"
+
+	"cherrykeel"
+	"cherrykeel/fold"
+	"cherrykeel/lease"
+)
+
+const (
+	// renewShare is the share of a lease after which it is renewed.
+	renewShare = 0.25
+	teachAgain = 150 * time.Millisecond
+	// assignPatience is how long the log may take before a lost upstream's successors are promoted without it.
+	assignPatience = 200 * time.Millisecond
+	assignAgain    = time.Second
+	overlayAgain   = 500 * time.Millisecond
+	// balanceEvery is the time between rounds that move work for the sake of balance.
+	balanceEvery = 2 * time.Second
+	// moveShare is the share of partitions that one round may move by choice.
+	moveShare = 1.0 / 32
+	// returnPatience is how long a lost upstream must answer before it gets work again; it doubles with each loss.
+	returnPatience    = 3 * time.Second
+	maxReturnPatience = 5 * time.Minute
+)
+
+// term is what a keeper knows while its term lasts.
+type term struct {
+	number    int64
+	service   string
+	self      string
+	placer    cherrykeel.Placer
+	ledger    *lease.Ledger
+	quorum    *lease.Quorum
+	earlier   []*earlier
+	failures  map[string]int
+	lost      map[string]cherrykeel.Instant
+	losses    map[string]int
+	renewedAt cherrykeel.Instant
+	taughtAt  cherrykeel.Instant
+
+	// sequence is the block's at which proposed was computed.
+	sequence   int64
+	proposed   *cherrykeel.Placement
+	proposedAt cherrykeel.Instant
+	overlay    *cherrykeel.Placement
+	overlayAt  cherrykeel.Instant
+	balancedAt cherrykeel.Instant
+	reclaimAt  cherrykeel.Instant
+	adopted    bool
+}
+
+// earlier is a term whose witnesses must learn of the new one.
+type earlier struct {
+	fold.EarlierTerm
+	taught map[string]cherrykeel.Instant
+}
+
+func newTerm(keeper *Keeper, input Input) *term {
+	service := input.Service
+	options := []lease.Option{}
+	if !service.ChecksFences {
+		options = append(options, lease.ToHosts(service.Timeout))
+	}
+	term := &term{
+		number:   input.Block.Term,
+		service:  keeper.service,
+		self:     keeper.self,
+		placer:   keeper.placer,
+		ledger:   lease.NewLedger(keeper.service, input.Block.Term, input.Block.LeaseLength, partitionOf(service.Partitions), options...),
+		quorum:   lease.NewQuorum(input.Block.Witnesses),
+		failures: map[string]int{},
+		lost:     map[string]cherrykeel.Instant{},
+		losses:   map[string]int{},
+	}
+	for _, replaced := range input.Block.Earlier {
+		term.earlier = append(term.earlier, &earlier{EarlierTerm: replaced, taught: map[string]cherrykeel.Instant{}})
+	}
+	return term
+}
+
+// issued reports whether an order was made in this term.
+func (term *term) issued(order lease.Order) bool {
+	return order.Ask || order.Grant.Fence.Term == term.number
+}
+
+func (term *term) failed(order lease.Order) {
+	term.failures[order.Lessee]++
+	term.ledger.Failed(order)
+}
+
+func (term *term) tick(input Input, actions *Actions) {
+	term.teach(input, actions)
+	term.free(input)
+	term.ledger.Lessees(term.lessees(input))
+	term.watchUpstreams(input)
+	term.place(input, actions)
+	term.renew(input, actions)
+	term.refreshWitnesses(input, actions)
+}
+
+func (term *term) lessees(input Input) []string {
+	var names []string
+	if !input.Service.ChecksFences {
+		for _, host := range input.Hosts {
+			names = append(names, host.Name)
+		}
+		return names
+	}
+	for _, server := range input.Service.Upstreams {
+		names = append(names, server.Name)
+	}
+	return names
+}
+
+// teach tells the witnesses of earlier terms that they are over.
+func (term *term) teach(input Input, actions *Actions) {
+	if term.ledger.FreeAt() != lease.Never || input.Now.Sub(term.taughtAt) < teachAgain && term.taughtAt != 0 {
+		return
+	}
+	term.taughtAt = input.Now
+	for _, earlier := range term.earlier {
+		for _, host := range earlier.Witnesses {
+			if earlier.taught[host] != 0 {
+				continue
+			}
+			if input.Gone[host] {
+				// A host that the platform has taken off the list for long is destroyed,
+				// or was paused so long that it abstains when it wakes.
+				earlier.taught[host] = input.Now
+				continue
+			}
+			actions.Teach = append(actions.Teach, Teaching{Host: host, Earlier: earlier.Term, Term: term.number})
+		}
+	}
+}
+
+func (term *term) taught(teaching Teaching, now cherrykeel.Instant) {
+	for _, earlier := range term.earlier {
+		if earlier.Term == teaching.Earlier && earlier.taught[teaching.Host] == 0 {
+			earlier.taught[teaching.Host] = now
+		}
+	}
+}
+
+// free works out when the leases of all earlier terms have ended: a lease's length
+// after a majority of each term's witnesses stopped confirming it.
+func (term *term) free(input Input) {
+	if term.ledger.FreeAt() != lease.Never {
+		return
+	}
+	freeAt := cherrykeel.Instant(0)
+	for _, earlier := range term.earlier {
+		learned := earlier.learnedAt()
+		if learned == 0 {
+			return
+		}
+		longest := time.Duration(float64(earlier.LeaseLength) * (1 + lease.DefaultDrift))
+		if !input.Service.ChecksFences {
+			longest += input.Service.Timeout
+		}
+		freeAt = max(freeAt, learned.Add(longest))
+	}
+	term.ledger.Free(freeAt)
+}
+
+// learnedAt returns when a majority had learned, or 0.
+func (earlier *earlier) learnedAt() cherrykeel.Instant {
+	var at []cherrykeel.Instant
+	for _, host := range earlier.Witnesses {
+		if earlier.taught[host] != 0 {
+			at = append(at, earlier.taught[host])
+		}
+	}
+	sort.Slice(at, func(i, j int) bool { return at[i] < at[j] })
+	needed := len(earlier.Witnesses)/2 + 1
+	if len(at) < needed {
+		return 0
+	}
+	return at[needed-1]
+}
+
+// renew asks the witnesses and sends the leases.
+func (term *term) renew(input Input, actions *Actions) {
+	every := time.Duration(renewShare * float64(input.Block.LeaseLength))
+	settled := term.ledger.Settled(input.Now)
+	if settled && term.renewedAt != 0 && input.Now.Sub(term.renewedAt) < every {
+		return
+	}
+	if term.renewedAt == 0 || input.Now.Sub(term.renewedAt) >= every {
+		term.renewedAt = input.Now
+		actions.Confirm = input.Block.Witnesses
+	}
+	actions.Orders = term.ledger.Orders(input.Now, term.quorum.At())
+}
+
+// refreshWitnesses claims the term anew when the witnesses have become too few.
+func (term *term) refreshWitnesses(input Input, actions *Actions) {
+	staying := map[string]bool{}
+	for _, host := range input.Hosts {
+		staying[host.Name] = !host.Leaving
+	}
+	missing := 0
+	for _, name := range input.Block.Witnesses {
+		if !staying[name] {
+			missing++
+		}
+	}
+	better := Witnesses(term.service, term.self, input.Hosts)
+	grown := len(better) > len(input.Block.Witnesses)
+	recent := term.reclaimAt != 0 && input.Now.Sub(term.reclaimAt) < listPatience
+	if missing == 0 && !grown || recent || input.Leaving || !term.ledger.Settled(input.Now) {
+		return
+	}
+	term.reclaimAt = input.Now
+	actions.Claim = &fold.Claim{
+		Service:     term.service,
+		Term:        term.number,
+		LeaseLength: input.Service.LeaseLength,
+		Witnesses:   better,
+	}
+}
+
+func (term *term) report(now cherrykeel.Instant) Report {
+	report := Report{Term: term.number, Settled: term.ledger.Settled(now), Confirmed: now.Sub(term.quorum.At())}
+	for name := range term.lost {
+		report.Lost = append(report.Lost, name)
+	}
+	sort.Strings(report.Lost)
+	if term.overlay != nil {
+		report.Promoted = len(term.overlay.Owners)
+	}
+	return report
+}
--- /dev/null
+++ b/layout_test.go
@@ -0,0 +1,59 @@
+package cherrykeel_test
+
+import (
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestCherrykeel(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "cherrykeel")
+}
+
+// deciding are the packages whose decisions take time, randomness and input as arguments.
+var deciding = []string{"admit", "demand", "fold", "keeper", "lease", "member", "picker", "place", "retry", "route", "views"}
+
+// worldly are the imports with which a package could read a clock, wait, or do I/O.
+var worldly = []string{"context", "crypto/rand", "io", "math/rand", "math/rand/v2", "net", "net/http", "os", "sync"}
+
+var _ = Describe("the packages that decide", func() {
+	for _, name := range deciding {
+		It("imports nothing worldly in "+name, func() {
+			files, err := filepath.Glob(filepath.Join(name, "*.go"))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(files).NotTo(BeEmpty())
+			for _, file := range files {
+				if !strings.HasSuffix(file, "_test.go") {
+					Expect(importsOf(file)).NotTo(ContainElement(BeElementOf(worldly)), file)
+				}
+			}
+		})
+		It("reads no clock in "+name, func() {
+			files, _ := filepath.Glob(filepath.Join(name, "*.go"))
+			for _, file := range files {
+				source, err := os.ReadFile(file)
+				Expect(err).NotTo(HaveOccurred())
+				if !strings.HasSuffix(file, "_test.go") {
+					Expect(string(source)).NotTo(MatchRegexp(`time\.(Now|Since|Sleep|After|NewTimer)|\bgo func`), file)
+				}
+			}
+		})
+	}
+})
+
+func importsOf(file string) []string {
+	parsed, err := parser.ParseFile(token.NewFileSet(), file, nil, parser.ImportsOnly)
+	Expect(err).NotTo(HaveOccurred())
+	var paths []string
+	for _, spec := range parsed.Imports {
+		paths = append(paths, strings.Trim(spec.Path.Value, `"`))
+	}
+	return paths
+}
--- /dev/null
+++ b/lease/witness.go
@@ -0,0 +1,117 @@
+package lease
+
+import (
+	"time"
+
+	"cherrykeel"
+)
+
+// Witness remembers, in memory only, the newest term of each service that its host has
+// heard of. It lets a keeper go on without the log, and stops one that has been replaced.
+type Witness struct {
+	started cherrykeel.Instant
+	lastRan cherrykeel.Instant
+	ready   bool
+	terms   map[string]int64
+	asked   map[string]cherrykeel.Instant
+}
+
+// maxPause is how long a witness may stand still and still be relied on by a keeper's successor.
+const maxPause = time.Second
+
+// NewWitness returns a witness that abstains until it has caught up with the log.
+// It may have promised, before its host was replaced, to stop a keeper; the claim
+// that it promised to obey was in the log by then, so having read the log makes
+// up for what it has forgotten.
+func NewWitness(now cherrykeel.Instant) *Witness {
+	return &Witness{
+		started: now,
+		lastRan: now,
+		terms:   map[string]int64{},
+		asked:   map[string]cherrykeel.Instant{},
+	}
+}
+
+// Ran records that the host is running, not paused; it is called many times a second.
+// After a long pause the witness abstains again: a successor may have counted it as gone.
+func (witness *Witness) Ran(now cherrykeel.Instant) {
+	if now.Sub(witness.lastRan) > maxPause {
+		witness.ready = false
+		witness.started = now
+	}
+	witness.lastRan = now
+}
+
+// CaughtUp records that a read of the log, begun at an instant, found nothing that was not learned.
+func (witness *Witness) CaughtUp(begun cherrykeel.Instant) {
+	if begun >= witness.started {
+		witness.ready = true
+	}
+}
+
+// Ready reports whether the witness confirms at all.
+func (witness *Witness) Ready() bool {
+	return witness.ready
+}
+
+// Learn records a term; a lower one is never confirmed again.
+func (witness *Witness) Learn(service string, term int64) {
+	witness.terms[service] = max(witness.terms[service], term)
+}
+
+// Confirm answers a keeper that asks whether its term is the newest.
+func (witness *Witness) Confirm(service string, term int64, now cherrykeel.Instant) bool {
+	witness.Ran(now)
+	known := witness.terms[service]
+	if term >= known {
+		witness.asked[service] = now
+	}
+	return witness.ready && known == term
+}
+
+// Asked returns when the keeper of a service last asked, or the witness's start.
+func (witness *Witness) Asked(service string) cherrykeel.Instant {
+	return max(witness.asked[service], witness.started)
+}
+
+// Quorum collects the confirmations of a keeper's term.
+type Quorum struct {
+	confirmed map[string]cherrykeel.Instant
+}
+
+// NewQuorum returns a quorum of the named witnesses, none of which has confirmed yet.
+func NewQuorum(witnesses []string) *Quorum {
+	quorum := &Quorum{confirmed: map[string]cherrykeel.Instant{}}
+	for _, name := range witnesses {
+		quorum.confirmed[name] = 0
+	}
+	return quorum
+}
+
+// Confirm records that a witness answered a question that was sent at an instant.
+func (quorum *Quorum) Confirm(witness string, sent cherrykeel.Instant) {
+	if last, named := quorum.confirmed[witness]; named {
+		quorum.confirmed[witness] = max(last, sent)
+	}
+}
+
+// At returns the latest instant at which a majority had confirmed, or 0.
+func (quorum *Quorum) At() cherrykeel.Instant {
+	return majorityInstant(quorum.confirmed)
+}
+
+func majorityInstant(instants map[string]cherrykeel.Instant) cherrykeel.Instant {
+	best := cherrykeel.Instant(0)
+	for _, candidate := range instants {
+		count := 0
+		for _, other := range instants {
+			if other >= candidate {
+				count++
+			}
+		}
+		if 2*count > len(instants) {
+			best = max(best, candidate)
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/member/health.go
@@ -0,0 +1,97 @@
+package member
+
+import (
+	"time"
+
+	"cherrykeel"
+)
+
+const (
+	// failuresToEject is how many attempts in a row must fail before an upstream is passed over.
+	failuresToEject = 3
+	firstEjection   = time.Second
+	maxEjection     = 30 * time.Second
+	// warmUp is how long an upstream that has joined or come back takes to get its full share.
+	warmUp = 10 * time.Second
+	// drainMemory is how long an upstream's own word that it is draining counts.
+	drainMemory = 10 * time.Second
+)
+
+// Health is what this host's own requests show of one upstream.
+type Health struct {
+	failures     int
+	ejections    int
+	ejectedUntil cherrykeel.Instant
+	probing      bool
+	warmSince    cherrykeel.Instant
+	drainedAt    cherrykeel.Instant
+	draining     bool
+	lastSuccess  cherrykeel.Instant
+}
+
+// NewHealth returns the health of an upstream first seen at an instant; one known from the start is warm.
+func NewHealth(now cherrykeel.Instant, warm bool) *Health {
+	health := &Health{warmSince: now}
+	if warm {
+		health.warmSince = now - cherrykeel.Instant(warmUp)
+	}
+	return health
+}
+
+// Succeeded takes in an answer.
+func (health *Health) Succeeded(now cherrykeel.Instant) {
+	if health.ejections > 0 && health.probing {
+		health.warmSince = now
+		health.ejections = 0
+	}
+	health.failures = 0
+	health.probing = false
+	health.lastSuccess = now
+}
+
+// Failed takes in an attempt that got no answer; it ejects the upstream after several in a row.
+func (health *Health) Failed(now cherrykeel.Instant) {
+	health.failures++
+	if health.failures < failuresToEject && !health.probing {
+		return
+	}
+	pause := firstEjection << min(health.ejections, 10)
+	health.ejections++
+	health.probing = false
+	health.ejectedUntil = now.Add(min(pause, maxEjection))
+}
+
+// Drained takes in the upstream's own word that it takes no new work.
+func (health *Health) Drained(now cherrykeel.Instant) {
+	health.draining = true
+	health.drainedAt = now
+}
+
+// Usable reports whether a request may go to the upstream. When an ejection ends, one
+// request goes first as a probe: a probe of our own would cost several times as much.
+func (health *Health) Usable(now cherrykeel.Instant) bool {
+	if health.draining && now.Sub(health.drainedAt) < drainMemory {
+		return false
+	}
+	if health.ejections == 0 {
+		return true
+	}
+	return now >= health.ejectedUntil && !health.probing
+}
+
+// Chosen notes that a request goes to the upstream.
+func (health *Health) Chosen() {
+	if health.ejections > 0 {
+		health.probing = true
+	}
+}
+
+// Unreachable reports whether the upstream has been ejected and has not answered since.
+func (health *Health) Unreachable() bool {
+	return health.ejections > 0
+}
+
+// Warmth goes from 0 for an upstream that has just come to 1.
+func (health *Health) Warmth(now cherrykeel.Instant) float64 {
+	return min(1, float64(now.Sub(health.warmSince))/float64(warmUp))
+}
--- /dev/null
+++ b/member/roster.go
@@ -0,0 +1,158 @@
+package member
+
+import (
+	"sort"
+	"time"
+
+	"cherrykeel"
+)
+
+const (
+	// goneAfter is how long a host must be off the list to count as destroyed.
+	goneAfter = 10 * time.Second
+	// wordAge is how long a peer's word counts.
+	wordAge = 5 * time.Second
+)
+
+// Peer is an entry host as this host sees it.
+type Peer struct {
+	Name    string
+	Zone    string
+	Inner   string
+	Admin   string
+	Leaving bool
+	// Heard is when the peer itself last spoke to this host, or 0.
+	Heard cherrykeel.Instant
+	Next  int64
+	Chain uint64
+	// Version is the settings version in force on the peer.
+	Version int64
+	LogUp   bool
+}
+
+// Word is what a peer says of itself and of upstreams.
+type Word struct {
+	Host        string
+	Leaving     bool
+	Next        int64
+	Chain       uint64
+	Version     int64
+	LogUp       bool
+	Unreachable []string
+}
+
+type heard struct {
+	word Word
+	at   cherrykeel.Instant
+}
+
+// Roster is one host's view of all hosts. It is not safe for use by several goroutines.
+type Roster struct {
+	self    string
+	members map[string]cherrykeel.Member
+	seen    map[string]cherrykeel.Instant
+	words   map[string]heard
+	listed  cherrykeel.Instant
+	// upstreams remembers every upstream that the list has ever shown.
+	upstreams map[string]bool
+}
+
+// NewRoster returns a roster that knows only the host itself.
+func NewRoster(self cherrykeel.Member) *Roster {
+	return &Roster{
+		self:      self.Name,
+		members:   map[string]cherrykeel.Member{self.Name: self},
+		seen:      map[string]cherrykeel.Instant{},
+		words:     map[string]heard{},
+		upstreams: map[string]bool{},
+	}
+}
+
+// List takes in the platform's list.
+func (roster *Roster) List(members []cherrykeel.Member, now cherrykeel.Instant) {
+	own := roster.members[roster.self]
+	roster.members = map[string]cherrykeel.Member{roster.self: own}
+	for _, member := range members {
+		roster.seen[member.Name] = now
+		if member.Role == cherrykeel.RoleUpstream {
+			roster.upstreams[member.Name] = true
+		}
+		if member.Name != roster.self {
+			roster.members[member.Name] = member
+		}
+	}
+	roster.listed = now
+}
+
+// Hear takes in a peer's word.
+func (roster *Roster) Hear(word Word, now cherrykeel.Instant) {
+	roster.words[word.Host] = heard{word: word, at: now}
+}
+
+// SetLeaving marks this host itself as leaving.
+func (roster *Roster) SetLeaving() {
+	own := roster.members[roster.self]
+	own.Leaving = true
+	roster.members[roster.self] = own
+}
+
+// Peers returns the entry hosts on the list, this one included, by name.
+func (roster *Roster) Peers() []Peer {
+	var peers []Peer
+	for _, member := range roster.members {
+		if member.Role != cherrykeel.RoleEntry {
+			continue
+		}
+		peer := Peer{Name: member.Name, Zone: member.Zone, Inner: member.Inner, Admin: member.Admin, Leaving: member.Leaving}
+		if said, known := roster.words[member.Name]; known {
+			peer.Heard = said.at
+			peer.Leaving = peer.Leaving || said.word.Leaving
+			peer.Next = said.word.Next
+			peer.Chain = said.word.Chain
+			peer.Version = said.word.Version
+			peer.LogUp = said.word.LogUp
+		}
+		peers = append(peers, peer)
+	}
+	sort.Slice(peers, func(i, j int) bool { return peers[i].Name < peers[j].Name })
+	return peers
+}
+
+// Gone returns hosts that were on the list once and have been off it for long, while the list itself was fresh.
+func (roster *Roster) Gone() map[string]bool {
+	gone := map[string]bool{}
+	for name, seen := range roster.seen {
+		if roster.listed.Sub(seen) >= goneAfter {
+			gone[name] = true
+		}
+	}
+	return gone
+}
+
+// Left reports whether an upstream is marked as leaving on the list, or has vanished from it.
+func (roster *Roster) Left(upstream string) bool {
+	member, present := roster.members[upstream]
+	if present {
+		return member.Leaving
+	}
+	return roster.upstreams[upstream]
+}
+
+// Down reports whether most of the hosts that have spoken of late, this one included, cannot reach an upstream.
+// One host's bad view moves nothing.
+func (roster *Roster) Down(service, upstream string, now cherrykeel.Instant) bool {
+	name := service + " " + upstream
+	votes, voters := 0, 0
+	for _, said := range roster.words {
+		if now.Sub(said.at) > wordAge {
+			continue
+		}
+		voters++
+		for _, unreachable := range said.word.Unreachable {
+			if unreachable == name {
+				votes++
+			}
+		}
+	}
+	return 2*votes > voters
+}
--- /dev/null
+++ b/ownership.go
@@ -0,0 +1,68 @@
+package cherrykeel
+
+import (
+	"context"
+	"time"
+)
+
+// Fence orders grants of ownership: a server refuses any that is lower than one it has seen.
+type Fence struct {
+	// Term is the version of the keeper's accepted claim in the log.
+	Term int64
+	// Sequence counts a keeper's grants within its term.
+	Sequence int64
+}
+
+// Less reports whether fence is older than other.
+func (fence Fence) Less(other Fence) bool {
+	if fence.Term != other.Term {
+		return fence.Term < other.Term
+	}
+	return fence.Sequence < other.Sequence
+}
+
+// Grant makes an upstream the owner of partitions and hot keys until a time on its own clock.
+type Grant struct {
+	Service string
+	Fence   Fence
+	// Boot is the start of the upstream process that the grant is meant for; another one refuses it.
+	Boot string
+	// Until is in the upstream's own monotonic time.
+	Until      time.Duration
+	Partitions []int
+	// HotKeys are owned apart from the partitions they hash to.
+	HotKeys []string
+	// ExceptKeys hash to the partitions but are owned by another upstream.
+	ExceptKeys []string
+	// Owners maps upstreams to the partitions that an entry host may send them; it replaces
+	// Partitions towards hosts, which hold the leases of upstreams that do not check fences.
+	Owners map[string][]int
+	// Partial says that what is held stays as the last grant set it, if its lease has not lapsed.
+	Partial bool
+}
+
+// Holding is what an upstream answers to a grant or a question: what it now holds.
+type Holding struct {
+	Service string
+	Boot    string
+	// Now is the upstream's monotonic time when it answered.
+	Now      time.Duration
+	Accepted bool
+	Reason   string
+	Fence    Fence
+	Until    time.Duration
+
+	// Partitions and the keys are what the next request would find, and what is still worked on.
+	Partitions []int
+	HotKeys    []string
+	ExceptKeys []string
+	Owners     map[string][]int
+}
+
+// Granter gives ownership to upstreams and asks them what they hold.
+type Granter interface {
+	// Grant sends a grant; an error leaves open whether it was taken.
+	Grant(ctx context.Context, address string, grant Grant) (Holding, error)
+	// Holding asks an upstream what it holds for a service.
+	Holding(ctx context.Context, address, service string) (Holding, error)
+}
--- /dev/null
+++ b/picker/least.go
@@ -0,0 +1,51 @@
+package picker
+
+import (
+	"cherrykeel"
+)
+
+const (
+	// otherZone is added to the load of an upstream in another availability zone, in shares of its limit.
+	otherZone = 0.25
+	// reportWeight bounds what a report can do: a lying upstream gains or loses at most this share of its limit.
+	reportWeight = 0.25
+	minWarmth    = 0.05
+)
+
+type leastLoaded struct{}
+
+// NewLeastLoaded returns a Picker that goes by this host's own requests in flight.
+// Reports only break near ties, since they lag and may lie; among equals the
+// choice is random, so that hosts do not herd onto the same upstream.
+func NewLeastLoaded() cherrykeel.Picker {
+	return leastLoaded{}
+}
+
+// Pick implements cherrykeel.Picker.
+func (leastLoaded) Pick(zone string, choices []cherrykeel.Choice, random float64) int {
+	best := -1
+	bestScore := 0.0
+	offset := int(random * float64(len(choices)))
+	for i := range choices {
+		index := (i + offset) % len(choices)
+		choice := choices[index]
+		if choice.InFlight >= choice.Limit {
+			continue
+		}
+		score := score(zone, choice)
+		if best < 0 || score < bestScore {
+			best = index
+			bestScore = score
+		}
+	}
+	return best
+}
+
+func score(zone string, choice cherrykeel.Choice) float64 {
+	score := float64(choice.InFlight+1) / float64(choice.Limit) / max(choice.Warmth, minWarmth)
+	score += reportWeight * min(max(choice.Reported, 0), 1)
+	if choice.Zone != zone {
+		score += otherZone
+	}
+	return score
+}
--- /dev/null
+++ b/place/load.go
@@ -0,0 +1,166 @@
+package place
+
+import (
+	"sort"
+
+	"cherrykeel"
+)
+
+func (plan *plan) meanLoad() float64 {
+	total := 0.0
+	for _, load := range plan.load {
+		total += load
+	}
+	for key, load := range plan.demand.HotKeys {
+		if _, placed := plan.hotKeys[key]; !placed {
+			total += load
+		}
+	}
+	return total / float64(len(plan.candidates))
+}
+
+// placeHotKeys keeps hot keys where they are while their upstreams live, and gives new ones to the least loaded.
+// Demand.Partitions does not count the load of the keys in Demand.HotKeys.
+func (plan *plan) placeHotKeys(last cherrykeel.Placement) {
+	mean := plan.meanLoad()
+	for _, key := range byLoad(plan.demand.HotKeys, last.HotKeys) {
+		load := plan.demand.HotKeys[key]
+		previous, wasHot := last.HotKeys[key]
+		if load < coolShare*mean || !wasHot && load < hotShare*mean {
+			continue
+		}
+		owner, live := plan.index[previous]
+		if !live {
+			owner = plan.leastLoaded()
+		}
+		plan.hotKeys[key] = plan.candidates[owner].Name
+		plan.load[owner] += load
+	}
+}
+
+// byLoad returns the keys of both sets, the heaviest first.
+func byLoad(loads map[string]float64, placed map[string]string) []string {
+	keys := make([]string, 0, len(loads)+len(placed))
+	for key := range loads {
+		keys = append(keys, key)
+	}
+	for key := range placed {
+		if _, counted := loads[key]; !counted {
+			keys = append(keys, key)
+		}
+	}
+	sort.Slice(keys, func(i, j int) bool {
+		if loads[keys[i]] != loads[keys[j]] {
+			return loads[keys[i]] > loads[keys[j]]
+		}
+		return keys[i] < keys[j]
+	})
+	return keys
+}
+
+func (plan *plan) leastLoaded() int {
+	best := 0
+	for i := range plan.candidates {
+		if plan.load[i] < plan.load[best] {
+			best = i
+		}
+	}
+	return best
+}
+
+func (plan *plan) mostLoaded() int {
+	best := 0
+	for i := range plan.candidates {
+		if plan.load[i] > plan.load[best] {
+			best = i
+		}
+	}
+	return best
+}
+
+// evenLoad moves work from the most to the least loaded until the target is met or nothing helps.
+func (plan *plan) evenLoad() {
+	mean := plan.meanLoad()
+	if mean == 0 || plan.load[plan.mostLoaded()] < imbalanceTrigger*mean {
+		return
+	}
+	for plan.budget > 0 && plan.load[plan.mostLoaded()] > imbalanceTarget*mean {
+		if !plan.relieve(plan.mostLoaded(), plan.leastLoaded()) {
+			return
+		}
+		plan.budget--
+	}
+}
+
+// relieve moves or swaps one partition, or moves a hot key, so that the gap between two upstreams shrinks.
+func (plan *plan) relieve(from, to int) bool {
+	gap := plan.load[from] - plan.load[to]
+	if plan.moveHotKey(from, to, gap) {
+		return true
+	}
+	heavy := plan.bestBelow(from, gap)
+	if heavy < 0 {
+		return false
+	}
+	mean := float64(len(plan.owners)) / float64(len(plan.candidates))
+	if float64(plan.count[to]+1) <= mean*countSlack {
+		plan.give(heavy, to)
+		return true
+	}
+	return plan.swap(heavy, from, to)
+}
+
+// moveHotKey moves the heaviest hot key that more than halves nothing: its load must be less than the gap.
+func (plan *plan) moveHotKey(from, to int, gap float64) bool {
+	best := ""
+	for _, key := range byLoad(plan.demand.HotKeys, nil) {
+		if plan.hotKeys[key] == plan.candidates[from].Name && plan.demand.HotKeys[key] <= gap/2 {
+			best = key
+			break
+		}
+	}
+	if best == "" {
+		return false
+	}
+	load := plan.demand.HotKeys[best]
+	if load < gap/8 {
+		return false
+	}
+	plan.hotKeys[best] = plan.candidates[to].Name
+	plan.load[from] -= load
+	plan.load[to] += load
+	return true
+}
+
+// bestBelow returns the heaviest partition of the owner that is at most half the gap, or -1.
+func (plan *plan) bestBelow(owner int, gap float64) int {
+	name := plan.candidates[owner].Name
+	best := -1
+	for partition, holder := range plan.owners {
+		weight := plan.weight(partition)
+		if holder != name || weight > gap/2 || weight == 0 {
+			continue
+		}
+		if best < 0 || weight > plan.weight(best) {
+			best = partition
+		}
+	}
+	return best
+}
+
+// swap exchanges a heavy partition for the lightest of the other upstream, which keeps the counts.
+func (plan *plan) swap(heavy, from, to int) bool {
+	name := plan.candidates[to].Name
+	light := -1
+	for partition, holder := range plan.owners {
+		if holder == name && (light < 0 || plan.weight(partition) < plan.weight(light)) {
+			light = partition
+		}
+	}
+	if light < 0 || plan.weight(light) >= plan.weight(heavy) {
+		return false
+	}
+	plan.give(heavy, to)
+	plan.give(light, from)
+	return true
+}
--- /dev/null
+++ b/place/place.go
@@ -0,0 +1,177 @@
+package place
+
+import (
+	"sort"
+
+	"cherrykeel"
+)
+
+const (
+	// imbalanceTrigger is the load, over the mean, from which partitions move for load's sake.
+	imbalanceTrigger = 1.20
+	// imbalanceTarget is where such moves stop; the gap to the trigger keeps noisy reports from moving anything.
+	imbalanceTarget = 1.10
+	// countSlack is how far the count of partitions may exceed the mean for the sake of load.
+	countSlack = 1.06
+	// hotShare is the load of a key, as a share of an upstream's mean load, from which it is placed alone.
+	hotShare = 0.10
+	// coolShare is where a hot key goes back to its partition.
+	coolShare = 0.03
+)
+
+type placer struct{}
+
+// New returns the default Placer.
+func New() cherrykeel.Placer {
+	return placer{}
+}
+
+// plan is a placement under construction.
+type plan struct {
+	candidates []cherrykeel.Candidate
+	index      map[string]int
+	owners     []string
+	demand     cherrykeel.Demand
+	hotKeys    map[string]string
+	count      []int
+	load       []float64
+	budget     int
+}
+
+// Place implements cherrykeel.Placer.
+func (placer) Place(last cherrykeel.Placement, partitions int, candidates []cherrykeel.Candidate, demand cherrykeel.Demand, budget int) cherrykeel.Placement {
+	if len(candidates) == 0 {
+		return last
+	}
+	plan := newPlan(last, partitions, candidates, demand, budget)
+	plan.placeOrphans(last)
+	plan.evenCounts()
+	plan.placeHotKeys(last)
+	plan.evenLoad()
+	return cherrykeel.Placement{
+		Owners:     plan.owners,
+		Successors: successors(plan.owners, last.Successors, plan.candidates),
+		HotKeys:    plan.hotKeys,
+	}
+}
+
+func newPlan(last cherrykeel.Placement, partitions int, candidates []cherrykeel.Candidate, demand cherrykeel.Demand, budget int) *plan {
+	sorted := append([]cherrykeel.Candidate(nil), candidates...)
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i].Name < sorted[j].Name })
+	plan := &plan{
+		candidates: sorted,
+		index:      map[string]int{},
+		owners:     make([]string, partitions),
+		demand:     demand,
+		hotKeys:    map[string]string{},
+		count:      make([]int, len(sorted)),
+		load:       make([]float64, len(sorted)),
+		budget:     budget,
+	}
+	for i, candidate := range sorted {
+		plan.index[candidate.Name] = i
+	}
+	for partition := 0; partition < partitions && partition < len(last.Owners); partition++ {
+		if owner, live := plan.index[last.Owners[partition]]; live {
+			plan.give(partition, owner)
+		}
+	}
+	return plan
+}
+
+func (plan *plan) weight(partition int) float64 {
+	if partition < len(plan.demand.Partitions) {
+		return plan.demand.Partitions[partition]
+	}
+	return 0
+}
+
+func (plan *plan) give(partition, owner int) {
+	if previous, owned := plan.index[plan.owners[partition]]; owned {
+		plan.count[previous]--
+		plan.load[previous] -= plan.weight(partition)
+	}
+	plan.owners[partition] = plan.candidates[owner].Name
+	plan.count[owner]++
+	plan.load[owner] += plan.weight(partition)
+}
+
+func (plan *plan) most() int {
+	return (len(plan.owners) + len(plan.candidates) - 1) / len(plan.candidates)
+}
+
+// placeOrphans gives partitions without a live owner to their successor if it has room, else to the least filled.
+func (plan *plan) placeOrphans(last cherrykeel.Placement) {
+	for partition, owner := range plan.owners {
+		if owner != "" {
+			continue
+		}
+		heir := plan.fewest()
+		if partition < len(last.Successors) {
+			named, live := plan.index[last.Successors[partition]]
+			if live && plan.count[named] < plan.most() {
+				heir = named
+			}
+		}
+		plan.give(partition, heir)
+	}
+}
+
+func (plan *plan) fewest() int {
+	best := 0
+	for i := range plan.candidates {
+		fewer := plan.count[i] < plan.count[best]
+		lighter := plan.count[i] == plan.count[best] && plan.load[i] < plan.load[best]
+		if fewer || lighter {
+			best = i
+		}
+	}
+	return best
+}
+
+// evenCounts moves partitions from the fullest to the emptiest until they differ
+// by no more than the slack; upstreams that join fill up by the budget, round by round.
+func (plan *plan) evenCounts() {
+	slack := float64(len(plan.owners)) / float64(len(plan.candidates)) * (countSlack - 1)
+	allowed := max(1, int(slack))
+	for plan.budget > 0 {
+		full, empty := plan.fullest(), plan.fewest()
+		if plan.count[full]-plan.count[empty] <= allowed {
+			return
+		}
+		plan.give(plan.lightest(full), empty)
+		plan.budget--
+	}
+}
+
+func (plan *plan) fullest() int {
+	best := 0
+	for i := range plan.candidates {
+		if plan.count[i] > plan.count[best] {
+			best = i
+		}
+	}
+	return best
+}
+
+// lightest returns a partition of the owner whose load is nearest to the owner's mean, so that counts and load even out together.
+func (plan *plan) lightest(owner int) int {
+	name := plan.candidates[owner].Name
+	mean := plan.load[owner] / float64(max(1, plan.count[owner]))
+	best := -1
+	bestGap := 0.0
+	for partition, holder := range plan.owners {
+		if holder != name {
+			continue
+		}
+		gap := plan.weight(partition) - mean
+		if gap < 0 {
+			gap = -gap
+		}
+		if best < 0 || gap < bestGap {
+			best = partition
+			bestGap = gap
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/remote/grant.go
@@ -0,0 +1,47 @@
+package remote
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+
+	"github.com/go-resty/resty/v2"
+	"github.com/pkg/errors"
+
+	"cherrykeel"
+)
+
+// ErrUpstreamControl means that an upstream's control endpoint did not answer.
+var ErrUpstreamControl = errors.New("the upstream's control endpoint did not answer")
+
+const ownershipPath = "/.well-known/ownership"
+
+type granter struct {
+	client *resty.Client
+}
+
+// NewGranter returns a Granter that speaks to the upstreams over HTTP.
+func NewGranter() cherrykeel.Granter {
+	return &granter{client: newClient("", controlTimeout)}
+}
+
+// Grant implements cherrykeel.Granter.
+func (granter *granter) Grant(ctx context.Context, address string, grant cherrykeel.Grant) (cherrykeel.Holding, error) {
+	var holding cherrykeel.Holding
+	err := exchange(ctx, granter.client, http.MethodPut, "http://"+address+ownershipPath, grant, &holding)
+	if err != nil {
+		return holding, errors.Wrap(ErrUpstreamControl, err.Error())
+	}
+	return holding, nil
+}
+
+// Holding implements cherrykeel.Granter.
+func (granter *granter) Holding(ctx context.Context, address, service string) (cherrykeel.Holding, error) {
+	var holding cherrykeel.Holding
+	target := "http://" + address + ownershipPath + "?service=" + url.QueryEscape(service)
+	err := exchange(ctx, granter.client, http.MethodGet, target, nil, &holding)
+	if err != nil {
+		return holding, errors.Wrap(ErrUpstreamControl, err.Error())
+	}
+	return holding, nil
+}
--- /dev/null
+++ b/retry/decide.go
@@ -0,0 +1,173 @@
+package retry
+
+import (
+	"time"
+
+	"cherrykeel"
+)
+
+// Evidence says what is known about whether an attempt ran.
+type Evidence int
+
+// The kinds of evidence, from the surest.
+const (
+	// Answered means that a whole answer to this very request arrived.
+	Answered Evidence = iota
+	// NeverSent means that no byte of the request left.
+	NeverSent
+	// Refused means that the upstream itself said that it did not act.
+	Refused
+	// Uncertain means that some of the request left and no whole answer came.
+	Uncertain
+)
+
+// Refusal is the reason that an upstream gives for not acting.
+type Refusal string
+
+// The refusals that upstreams send in the header Cherrykeel-Refused.
+const (
+	RefusedOwner    Refusal = "owner"
+	RefusedShed     Refusal = "shed"
+	RefusedDraining Refusal = "draining"
+)
+
+// Ending is how an attempt ended.
+type Ending struct {
+	Evidence Evidence
+	Refusal  Refusal
+	// Detail is for the caller and the log.
+	Detail string
+}
+
+// Situation is what else the decision rests on.
+type Situation struct {
+	Now      cherrykeel.Instant
+	Deadline cherrykeel.Instant
+	// Attempt counts from 1.
+	Attempt    int
+	Repeatable bool
+	Keyed      bool
+	// BudgetLeft says that the service's retry budget has room.
+	BudgetLeft bool
+	// Random is uniform in [0, 1).
+	Random float64
+}
+
+// Verdict is the decision; Failure is nil when Again or Pass is true.
+type Verdict struct {
+	// Pass passes the answer on.
+	Pass bool
+	// Again starts another attempt after Wait.
+	Again bool
+	Wait  time.Duration
+	// Charge takes the attempt from the retry budget.
+	Charge  bool
+	Failure *cherrykeel.Failure
+}
+
+const (
+	maxAttempts      = 4
+	maxOwnerAttempts = 200
+	ownerBackoff     = 4 * time.Millisecond
+	maxOwnerBackoff  = 64 * time.Millisecond
+	retryBackoff     = 2 * time.Millisecond
+	shedRetryAfter   = time.Second
+	statusBadGateway = 502
+	statusBusy       = 503
+	statusTimeout    = 504
+)
+
+// Decide returns what follows an attempt.
+func Decide(ending Ending, situation Situation) Verdict {
+	switch ending.Evidence {
+	case Answered:
+		return Verdict{Pass: true}
+	case NeverSent:
+		return afterNotRun(ending, situation)
+	case Refused:
+		return afterRefusal(ending, situation)
+	default:
+		return afterDoubt(ending, situation)
+	}
+}
+
+func afterRefusal(ending Ending, situation Situation) Verdict {
+	if ending.Refusal == RefusedOwner {
+		return afterWrongOwner(ending, situation)
+	}
+	if situation.Keyed && ending.Refusal == RefusedShed {
+		// The only server for the key is overloaded; asking again at once would feed the overload.
+		return refuse(statusBusy, "upstream-shed", ending)
+	}
+	return afterNotRun(ending, situation)
+}
+
+// afterWrongOwner waits for a move to end. It is not charged to the budget: the
+// refusal costs the upstream next to nothing, and a budget spent by one move
+// would leave none for the faults it is kept for.
+func afterWrongOwner(ending Ending, situation Situation) Verdict {
+	wait := backoff(ownerBackoff, maxOwnerBackoff, situation)
+	if situation.Attempt >= maxOwnerAttempts || !situation.fits(wait) {
+		return refuse(statusBusy, "no-owner", ending)
+	}
+	return Verdict{Again: true, Wait: wait}
+}
+
+func afterNotRun(ending Ending, situation Situation) Verdict {
+	wait := backoff(retryBackoff, maxOwnerBackoff, situation)
+	switch {
+	case situation.Attempt >= maxAttempts || !situation.fits(wait):
+		return refuse(statusBusy, "upstream-unreachable", ending)
+	case !situation.BudgetLeft:
+		return refuse(statusBusy, "retry-budget-spent", ending)
+	default:
+		return Verdict{Again: true, Wait: wait, Charge: true}
+	}
+}
+
+func afterDoubt(ending Ending, situation Situation) Verdict {
+	if situation.Now >= situation.Deadline {
+		return doubt(statusTimeout, "upstream-timeout", ending)
+	}
+	wait := backoff(retryBackoff, maxOwnerBackoff, situation)
+	mayRepeat := situation.Repeatable && situation.BudgetLeft && situation.Attempt < maxAttempts
+	if mayRepeat && situation.fits(wait) {
+		return Verdict{Again: true, Wait: wait, Charge: true}
+	}
+	return doubt(statusBadGateway, "upstream-broke", ending)
+}
+
+func (situation Situation) fits(wait time.Duration) bool {
+	return situation.Now.Add(wait) < situation.Deadline
+}
+
+// backoff doubles with each attempt and is spread by half, so that callers do not come back together.
+func backoff(first, most time.Duration, situation Situation) time.Duration {
+	wait := first
+	for attempt := 1; attempt < situation.Attempt && wait < most; attempt++ {
+		wait *= 2
+	}
+	wait = min(wait, most)
+	return wait/2 + time.Duration(situation.Random*float64(wait/2))
+}
+
+func refuse(status int, code string, ending Ending) Verdict {
+	failure := cherrykeel.Refuse(status, code, "%s", ending.Detail)
+	failure.RetryAfter = shedRetryAfter
+	return Verdict{Failure: failure}
+}
+
+func doubt(status int, code string, ending Ending) Verdict {
+	return Verdict{Failure: cherrykeel.Doubt(status, code, "%s", ending.Detail)}
+}
+
+// Final returns the failure for a request whose time ran out, given whether an earlier attempt may have run.
+func Final(failure *cherrykeel.Failure, mayHaveRun bool) *cherrykeel.Failure {
+	if failure == nil || !mayHaveRun || failure.Outcome == cherrykeel.OutcomeUnknown {
+		return failure
+	}
+	// An attempt that may have run cannot be taken back by a later one that did not.
+	doubtful := *failure
+	doubtful.Outcome = cherrykeel.OutcomeUnknown
+	return &doubtful
+}
--- /dev/null
+++ b/route/table.go
@@ -0,0 +1,65 @@
+package route
+
+import (
+	"sort"
+	"strings"
+
+	"cherrykeel"
+)
+
+// Table finds services by host name and path; it never changes once built.
+type Table struct {
+	customers map[string][]*cherrykeel.Service
+	services  map[string]*cherrykeel.Service
+}
+
+// Build returns the table for the services in force.
+func Build(services []*cherrykeel.Service) *Table {
+	table := &Table{customers: map[string][]*cherrykeel.Service{}, services: map[string]*cherrykeel.Service{}}
+	for _, service := range services {
+		table.services[service.Path] = service
+		for _, domain := range service.Domains {
+			table.customers[domain] = append(table.customers[domain], service)
+		}
+	}
+	for _, list := range table.customers {
+		sort.SliceStable(list, func(i, j int) bool {
+			return len(list[i].PathPrefix) > len(list[j].PathPrefix)
+		})
+	}
+	return table
+}
+
+// Services returns all services by path.
+func (table *Table) Services() map[string]*cherrykeel.Service {
+	return table.services
+}
+
+// HasCustomer reports whether a host name belongs to a customer.
+func (table *Table) HasCustomer(host string) bool {
+	return len(table.customers[domain(host)]) > 0
+}
+
+// Match returns the service with the longest prefix of the path, or nil.
+func (table *Table) Match(host, path string) *cherrykeel.Service {
+	for _, service := range table.customers[domain(host)] {
+		if hasPrefix(path, service.PathPrefix) {
+			return service
+		}
+	}
+	return nil
+}
+
+// hasPrefix takes "/halls" as a prefix of "/halls/7" but not of "/hallsofar".
+func hasPrefix(path, prefix string) bool {
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
+}
+
+// domain drops the port; customers' domains are names, never IPv6 addresses.
+func domain(host string) string {
+	name, _, _ := strings.Cut(host, ":")
+	return strings.ToLower(strings.TrimSuffix(name, "."))
+}
--- /dev/null
+++ b/service.go
@@ -0,0 +1,60 @@
+package cherrykeel
+
+import "time"
+
+// Idempotency says which requests of a service may run twice without harm.
+type Idempotency string
+
+// The values of the setting Idempotent.
+const (
+	IdempotentByMethod Idempotency = "method"
+	IdempotentAlways   Idempotency = "always"
+	IdempotentNever    Idempotency = "never"
+)
+
+// RepeatGuard names what protects a service against a caller that repeats an Idempotency-Key.
+type RepeatGuard string
+
+// The values of the setting RepeatGuard.
+const (
+	// RepeatGuardNone passes the caller's key on to the upstream and promises nothing else.
+	RepeatGuardNone RepeatGuard = "none"
+	// RepeatGuardLog writes the intent to the platform's log before the request is sent.
+	RepeatGuardLog RepeatGuard = "log"
+)
+
+// UpstreamServer is one server that a service may use.
+type UpstreamServer struct {
+	Name string
+	// Address is an IP and a port.
+	Address string
+	Zone    string
+}
+
+// Service holds the settings in force for one service, after inheritance.
+type Service struct {
+	// Path is "customer/service".
+	Path    string
+	Version int64
+
+	Domains       []string
+	PathPrefix    string
+	Keyed         bool
+	KeyFrom       string
+	Partitions    int
+	Upstreams     []UpstreamServer
+	Drain         []string
+	Slots         int
+	Connections   int
+	Timeout       time.Duration
+	Priority      int
+	Idempotent    Idempotency
+	RepeatGuard   RepeatGuard
+	RetryShare    float64
+	QueueLength   int
+	MaxBodyBytes  int
+	ChecksFences  bool
+	LeaseLength   time.Duration
+	DrainTimeout  time.Duration
+	RequireAnswer bool
+}
--- /dev/null
+++ b/tree/node.go
@@ -0,0 +1,82 @@
+package tree
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+)
+
+// Node is one level's own settings, without what it inherits.
+type Node struct {
+	// Path is empty for the firm, "customer", or "customer/service".
+	Path string
+	// Version is that of the change that last set the node; 0 for one that is not published.
+	Version int64
+	Fields  map[string]any
+}
+
+// Nodes maps paths to nodes.
+type Nodes map[string]Node
+
+// LevelOf returns the level of a path.
+func LevelOf(path string) Level {
+	switch {
+	case path == "":
+		return LevelFirm
+	case !strings.Contains(path, "/"):
+		return LevelCustomer
+	default:
+		return LevelService
+	}
+}
+
+// Parent returns the path one level up; the firm is its own parent.
+func Parent(path string) string {
+	index := strings.LastIndex(path, "/")
+	if index < 0 {
+		return ""
+	}
+	return path[:index]
+}
+
+// Same reports whether two sets of fields hold the same values.
+func Same(one, other map[string]any) bool {
+	return bytes.Equal(Canonical(one), Canonical(other))
+}
+
+// Canonical returns fields as JSON with sorted names, the same on every host.
+func Canonical(fields map[string]any) []byte {
+	data, err := json.Marshal(fields)
+	if err != nil {
+		// Parse and JSON give only values that can be written back.
+		panic(err)
+	}
+	return data
+}
+
+// Edit is the difference between two versions of one node.
+type Edit struct {
+	Path string
+	// Base is the version of the node that the edit replaces, 0 if there was none.
+	Base    int64
+	Removed bool
+	Fields  map[string]any
+}
+
+// Diff returns the edits that turn the nodes in force into the wanted ones, in order of path.
+func Diff(inForce, wanted Nodes) []Edit {
+	var edits []Edit
+	for _, path := range sortedNames(wanted) {
+		old, exists := inForce[path]
+		if exists && Same(old.Fields, wanted[path].Fields) {
+			continue
+		}
+		edits = append(edits, Edit{Path: path, Base: old.Version, Fields: wanted[path].Fields})
+	}
+	for _, path := range sortedNames(inForce) {
+		if _, kept := wanted[path]; !kept {
+			edits = append(edits, Edit{Path: path, Base: inForce[path].Version, Removed: true})
+		}
+	}
+	return edits
+}
--- /dev/null
+++ b/wire/client.go
@@ -0,0 +1,102 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// ErrPeer means that a peer did not answer.
+var ErrPeer = errors.New("the peer did not answer")
+
+const dialTimeout = 300 * time.Millisecond
+
+// Client calls peers over one connection to each.
+type Client struct {
+	mutex sync.Mutex
+	conns map[string]*jsonrpc2.Conn
+}
+
+// NewClient returns a client without connections.
+func NewClient() *Client {
+	return &Client{conns: map[string]*jsonrpc2.Conn{}}
+}
+
+// Call sends a message to the peer at an address and waits for its reply until the context ends.
+func (client *Client) Call(ctx context.Context, address, method string, message, reply any) error {
+	conn, err := client.conn(ctx, address)
+	if err != nil {
+		return err
+	}
+	err = conn.Call(ctx, method, message, reply)
+	if err == nil {
+		return nil
+	}
+	var remote *jsonrpc2.Error
+	if !errors.As(err, &remote) && ctx.Err() == nil {
+		client.drop(address, conn)
+	}
+	return errors.Wrapf(ErrPeer, "%s at %s: %v", method, address, err)
+}
+
+func (client *Client) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+	client.mutex.Lock()
+	found, exists := client.conns[address]
+	client.mutex.Unlock()
+	if exists {
+		return found, nil
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	socket, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(ErrPeer, err.Error())
+	}
+	return client.keep(address, socket), nil
+}
+
+func (client *Client) keep(address string, socket net.Conn) *jsonrpc2.Conn {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	if other, exists := client.conns[address]; exists {
+		_ = socket.Close()
+		return other
+	}
+	stream := jsonrpc2.NewBufferedStream(socket, jsonrpc2.VarintObjectCodec{})
+	conn := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(refuse))
+	client.conns[address] = conn
+	go client.watch(address, conn)
+	return conn
+}
+
+func (client *Client) watch(address string, conn *jsonrpc2.Conn) {
+	<-conn.DisconnectNotify()
+	client.drop(address, conn)
+}
+
+func (client *Client) drop(address string, conn *jsonrpc2.Conn) {
+	client.mutex.Lock()
+	if client.conns[address] == conn {
+		delete(client.conns, address)
+	}
+	client.mutex.Unlock()
+	_ = conn.Close()
+}
+
+// Close breaks all connections.
+func (client *Client) Close() {
+	client.mutex.Lock()
+	conns := client.conns
+	client.conns = map[string]*jsonrpc2.Conn{}
+	client.mutex.Unlock()
+	for _, conn := range conns {
+		_ = conn.Close()
+	}
+}
+
+func refuse(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "peers answer, they do not ask on this connection"}
+}
--- /dev/null
+++ b/wire/messages.go
@@ -0,0 +1,102 @@
+package wire
+
+import (
+	"time"
+
+	"cherrykeel"
+	"cherrykeel/follow"
+	"cherrykeel/keeper"
+)
+
+// The methods of the inner protocol.
+const (
+	MethodHello   = "Host.Hello"
+	MethodConfirm = "Keeper.Confirm"
+	MethodTeach   = "Keeper.Teach"
+	MethodSilence = "Keeper.Silence"
+	MethodOverlay = "Keeper.Overlay"
+	MethodRelay   = "Grant.Relay"
+	MethodView    = "Grant.View"
+	MethodFetch   = "Log.Fetch"
+	MethodSlots   = "Slots.Ask"
+)
+
+// Hello tells a peer how its sender fares, about once a second.
+type Hello struct {
+	Host    string
+	Zone    string
+	Leaving bool
+	Next    int64
+	Chain   uint64
+	// Version is the settings version in force on the sender.
+	Version int64
+	LogUp   bool
+	// Unreachable are upstreams, as service and name, that the sender's own requests could not reach of late.
+	Unreachable []string
+	// Demands are the requests a second by service, sent to the service's keeper only.
+	Demands map[string]cherrykeel.Demand
+}
+
+// HelloReply tells the sender of a Hello about its receiver.
+type HelloReply struct {
+	Host  string
+	Next  int64
+	Chain uint64
+}
+
+// Confirm asks a witness whether terms are the newest that it knows.
+type Confirm struct {
+	Terms map[string]int64
+}
+
+// ConfirmReply names the services whose terms are.
+type ConfirmReply struct {
+	Confirmed []string
+}
+
+// Teach tells a witness a service's new term.
+type Teach struct {
+	Service string
+	Term    int64
+}
+
+// Silence asks a witness how long a service's keeper has not asked it.
+type Silence struct {
+	Service string
+}
+
+// SilenceReply is the answer to Silence.
+type SilenceReply struct {
+	Silence time.Duration
+}
+
+// Overlay carries a placement that the log does not hold yet.
+type Overlay struct {
+	keeper.Overlay
+}
+
+// Relay asks a peer to pass a grant, or a question, on to an upstream.
+type Relay struct {
+	Address string
+	Ask     bool
+	Grant   cherrykeel.Grant
+}
+
+// View gives a host a lease on sending to upstreams that do not check fences.
+type View struct {
+	Ask   bool
+	Grant cherrykeel.Grant
+}
+
+// Fetch asks for the log's records from an offset on.
+type Fetch struct {
+	From int64
+}
+
+// FetchReply is the answer to Fetch.
+type FetchReply struct {
+	follow.Relay
+}
+
+// Done is the answer of methods that return nothing.
+type Done struct{}
