Prove sole ownership: adversarial worlds, and a second owner found and mended

Cause: a property test drives the real keeper, witness, ledger and fold decisions through pauses, cuts, lost and late messages, log outages, replaced hosts, drains and hot keys. Ruled out: late grants (their end is on the upstream's clock) and fences (the receiving upstream had seen no newer one). Change: a ledger frees what a lost upstream held only after the witnesses confirmed the term after the lease's end; a new keeper extends nothing before a majority of the old witnesses has learned its term; keys held alone stay excepted while any lessee has not said what it holds; a keeper whose witnesses are mostly lost claims its term anew, without which keys stayed without an owner for good (found by the test that ends the faults and looks for owners).

--- a/fakes/owned.go
+++ b/fakes/owned.go
@@ -7,8 +7,10 @@
 	"cherrykeel"
 )
 
-// owned is what an upstream holds for one service.
-type owned struct {
+// Ownership is what an upstream holds for one service. It reads no clock and takes no lock.
+type Ownership struct {
+	boot       string
+	service    string
 	fence      cherrykeel.Fence
 	until      time.Duration
 	partitions map[int]bool
@@ -18,34 +20,70 @@
 	inFlight map[int]int
 }
 
-func newOwned() *owned {
-	return &owned{partitions: map[int]bool{}, hotKeys: map[string]bool{}, exceptKeys: map[string]bool{}, inFlight: map[int]int{}}
+// NewOwnership returns an ownership of nothing; boot names the upstream's process.
+func NewOwnership(boot, service string) *Ownership {
+	return &Ownership{
+		boot:       boot,
+		service:    service,
+		partitions: map[int]bool{},
+		hotKeys:    map[string]bool{},
+		exceptKeys: map[string]bool{},
+		inFlight:   map[int]int{},
+	}
 }
 
-func (owned *owned) owns(now time.Duration, partition int, key string) bool {
-	if now >= owned.until {
+// Owns reports whether the upstream may act for a key at its own time now.
+func (ownership *Ownership) Owns(now time.Duration, partition int, key string) bool {
+	if now >= ownership.until {
 		return false
 	}
-	if owned.hotKeys[key] {
+	if ownership.hotKeys[key] {
 		return true
 	}
-	return owned.partitions[partition] && !owned.exceptKeys[key]
+	return ownership.partitions[partition] && !ownership.exceptKeys[key]
+}
+
+// Lapsed reports whether the lease has ended at the upstream's own time now.
+func (ownership *Ownership) Lapsed(now time.Duration) bool {
+	return now >= ownership.until
+}
+
+// Term returns the term of the newest grant.
+func (ownership *Ownership) Term() int64 {
+	return ownership.fence.Term
+}
+
+// Grant takes a grant, or refuses it if it is for another process or has an old fence.
+func (ownership *Ownership) Grant(grant cherrykeel.Grant, now time.Duration) cherrykeel.Holding {
+	reason := ""
+	switch {
+	case grant.Boot != ownership.boot:
+		reason = "the grant is for another start of this process"
+	case grant.Fence.Less(ownership.fence):
+		reason = "the fence is older than the one held"
+	default:
+		ownership.take(now, grant)
+	}
+	holding := ownership.Holding(now)
+	holding.Accepted = reason == ""
+	holding.Reason = reason
+	return holding
 }
 
-func (owned *owned) take(now time.Duration, grant cherrykeel.Grant) {
-	lapsed := now >= owned.until
-	owned.fence = grant.Fence
-	owned.until = grant.Until
+func (ownership *Ownership) take(now time.Duration, grant cherrykeel.Grant) {
+	lapsed := now >= ownership.until
+	ownership.fence = grant.Fence
+	ownership.until = grant.Until
 	if grant.Partial && !lapsed {
 		return
 	}
 	// A lapsed lease has nothing left to extend: others may own its keys by now.
-	owned.partitions = map[int]bool{}
+	ownership.partitions = map[int]bool{}
 	for _, partition := range grant.Partitions {
-		owned.partitions[partition] = true
+		ownership.partitions[partition] = true
 	}
-	owned.hotKeys = textSet(grant.HotKeys)
-	owned.exceptKeys = textSet(grant.ExceptKeys)
+	ownership.hotKeys = textSet(grant.HotKeys)
+	ownership.exceptKeys = textSet(grant.ExceptKeys)
 }
 
 func textSet(list []string) map[string]bool {
@@ -56,22 +94,30 @@
 	return set
 }
 
-// holding lists what is owned, and what has been taken away but is still worked on.
-func (owned *owned) holding(holding *cherrykeel.Holding) {
-	for partition := range owned.partitions {
+// Holding lists what is owned, and what has been taken away but is still worked on.
+func (ownership *Ownership) Holding(now time.Duration) cherrykeel.Holding {
+	holding := cherrykeel.Holding{
+		Service: ownership.service,
+		Boot:    ownership.boot,
+		Now:     now,
+		Fence:   ownership.fence,
+		Until:   ownership.until,
+	}
+	for partition := range ownership.partitions {
 		holding.Partitions = append(holding.Partitions, partition)
 	}
-	for partition, count := range owned.inFlight {
-		if count > 0 && !owned.partitions[partition] {
+	for partition, count := range ownership.inFlight {
+		if count > 0 && !ownership.partitions[partition] {
 			holding.Partitions = append(holding.Partitions, partition)
 		}
 	}
-	for key := range owned.hotKeys {
+	for key := range ownership.hotKeys {
 		holding.HotKeys = append(holding.HotKeys, key)
 	}
-	for key := range owned.exceptKeys {
+	for key := range ownership.exceptKeys {
 		holding.ExceptKeys = append(holding.ExceptKeys, key)
 	}
+	return holding
 }
 
 func (upstream *Upstream) grant(writer http.ResponseWriter, request *http.Request) {
@@ -82,44 +128,24 @@
 	}
 	upstream.mutex.Lock()
 	defer upstream.mutex.Unlock()
-	held := upstream.owned(grant.Service)
-	reason := ""
-	switch {
-	case grant.Boot != upstream.boot:
-		reason = "the grant is for another start of this process"
-	case grant.Fence.Less(held.fence):
-		reason = "the fence is older than the one held"
-	default:
-		held.take(upstream.now(), grant)
-		if !grant.Partial {
-			upstream.options.Registers.forget(upstream)
-		}
+	holding := upstream.owned(grant.Service).Grant(grant, upstream.now())
+	if holding.Accepted && !grant.Partial {
+		upstream.options.Registers.forget(upstream)
 	}
-	upstream.answerHolding(writer, grant.Service, reason)
+	writeJSON(writer, holding)
 }
 
 func (upstream *Upstream) holding(writer http.ResponseWriter, request *http.Request) {
 	upstream.frozen()
 	upstream.mutex.Lock()
 	defer upstream.mutex.Unlock()
-	upstream.answerHolding(writer, request.URL.Query().Get("service"), "")
-}
-
-func (upstream *Upstream) answerHolding(writer http.ResponseWriter, service, reason string) {
-	held := upstream.owned(service)
-	holding := cherrykeel.Holding{
-		Service: service, Boot: upstream.boot, Now: upstream.now(),
-		Accepted: reason == "", Reason: reason,
-		Fence: held.fence, Until: held.until,
-	}
-	held.holding(&holding)
-	writeJSON(writer, holding)
+	writeJSON(writer, upstream.owned(request.URL.Query().Get("service")).Holding(upstream.now()))
 }
 
-func (upstream *Upstream) owned(service string) *owned {
+func (upstream *Upstream) owned(service string) *Ownership {
 	held, exists := upstream.services[service]
 	if !exists {
-		held = newOwned()
+		held = NewOwnership(upstream.boot, service)
 		upstream.services[service] = held
 	}
 	return held
--- a/fakes/upstream.go
+++ b/fakes/upstream.go
@@ -64,7 +64,7 @@
 	slots    chan struct{}
 	mux      *http.ServeMux
 	mutex    sync.Mutex
-	services map[string]*owned
+	services map[string]*Ownership
 	faults   UpstreamFaults
 	thawed   time.Time
 	waiting  int
@@ -85,7 +85,7 @@
 		start:    time.Now(),
 		slots:    make(chan struct{}, options.Slots),
 		mux:      http.NewServeMux(),
-		services: map[string]*owned{},
+		services: map[string]*Ownership{},
 		faults:   UpstreamFaults{Load: -1},
 		runs:     map[string]int{},
 		repeats:  map[string]int{},
@@ -266,7 +266,7 @@
 	if call.partition < 0 || !upstream.options.EnforceFences || upstream.faults.IgnoreFences {
 		return true
 	}
-	return upstream.owned(call.service).owns(upstream.now(), call.partition, call.key)
+	return upstream.owned(call.service).Owns(upstream.now(), call.partition, call.key)
 }
 
 // work holds a slot for the time of the work; false means that the caller went away first.
@@ -292,7 +292,7 @@
 	upstream.mutex.Lock()
 	defer upstream.mutex.Unlock()
 	held := upstream.owned(call.service)
-	lapsed := upstream.now() >= held.until
+	lapsed := held.Lapsed(upstream.now())
 	if call.partition >= 0 && upstream.options.EnforceFences && !upstream.faults.IgnoreFences && lapsed {
 		return nil, "owner"
 	}
@@ -300,7 +300,7 @@
 	if call.repeatKey != "" {
 		upstream.repeats[call.repeatKey]++
 	}
-	value := upstream.options.Registers.access(upstream, held.fence.Term, call)
+	value := upstream.options.Registers.access(upstream, held.Term(), call)
 	answer := strings.Join([]string{upstream.options.Name, call.id, call.key, value}, " ") + "\n"
 	return []byte(answer), ""
 }
--- a/keeper/term.go
+++ b/keeper/term.go
@@ -189,29 +189,25 @@
 	if settled && term.renewedAt != 0 && input.Now.Sub(term.renewedAt) < every {
 		return
 	}
-	if term.renewedAt == 0 || input.Now.Sub(term.renewedAt) >= every {
+	if term.renewedAt == 0 || !settled || input.Now.Sub(term.renewedAt) >= every {
+		// While something changes hands, the witnesses are asked at every tick: what a lost
+		// upstream held is free only once they have confirmed the term after its lease's end.
 		term.renewedAt = input.Now
 		actions.Confirm = input.Block.Witnesses
 	}
 	actions.Orders = term.ledger.Orders(input.Now, term.quorum.At())
 }
 
-// refreshWitnesses claims the term anew when the witnesses have become too few.
+// refreshWitnesses claims the term anew when witnesses have left: at leisure while most of them
+// are there, and at once when most are lost, since nothing can be renewed without them.
 func (term *term) refreshWitnesses(input Input, actions *Actions) {
-	staying := map[string]bool{}
-	for _, host := range input.Hosts {
-		staying[host.Name] = !host.Leaving
-	}
-	missing := 0
-	for _, name := range input.Block.Witnesses {
-		if !staying[name] {
-			missing++
-		}
-	}
+	missing := term.missingWitnesses(input)
 	better := Witnesses(term.service, term.self, input.Hosts)
 	grown := len(better) > len(input.Block.Witnesses)
+	stuck := 2*missing > len(input.Block.Witnesses)
+	wanted := missing > 0 || grown
 	recent := term.reclaimAt != 0 && input.Now.Sub(term.reclaimAt) < listPatience
-	if missing == 0 && !grown || recent || input.Leaving || !term.ledger.Settled(input.Now) {
+	if !wanted || recent || input.Leaving || !stuck && !term.ledger.Settled(input.Now) {
 		return
 	}
 	term.reclaimAt = input.Now
@@ -223,6 +219,20 @@
 	}
 }
 
+func (term *term) missingWitnesses(input Input) int {
+	staying := map[string]bool{}
+	for _, host := range input.Hosts {
+		staying[host.Name] = !host.Leaving
+	}
+	missing := 0
+	for _, name := range input.Block.Witnesses {
+		if !staying[name] {
+			missing++
+		}
+	}
+	return missing
+}
+
 func (term *term) report(now cherrykeel.Instant) Report {
 	report := Report{Term: term.number, Settled: term.ledger.Settled(now), Confirmed: now.Sub(term.quorum.At())}
 	for name := range term.lost {
--- a/lease/ledger.go
+++ b/lease/ledger.go
@@ -208,7 +208,7 @@
 	if ledger.deposed {
 		return nil
 	}
-	ledger.expire(now)
+	ledger.expire(min(now, confirmed))
 	var orders []Order
 	for _, name := range ledger.names() {
 		lessee := ledger.lessees[name]
@@ -238,10 +238,14 @@
 	return names
 }
 
-// expire forgets what lessees held whose leases have ended.
-func (ledger *Ledger) expire(now cherrykeel.Instant) {
+// expire forgets what lessees held whose leases had ended when the witnesses last confirmed the term.
+// That the time has passed is not enough: the keeper of a newer term may have extended the
+// lease meanwhile, and this one would give the keys to a second owner. A newer keeper extends
+// only after a majority of witnesses has learned its term, so a confirmation that was asked
+// for after the lease's end shows that nobody extended it in time.
+func (ledger *Ledger) expire(confirmed cherrykeel.Instant) {
 	for name, lessee := range ledger.lessees {
-		if now < lessee.bound.Add(ledger.linger) {
+		if confirmed < lessee.bound.Add(ledger.linger) {
 			continue
 		}
 		lessee.possible = nil
@@ -256,7 +260,9 @@
 		return Order{Lessee: name, Ask: true}, true
 	}
 	end := min(confirmed, lessee.readAt).Add(ledger.length)
-	if end <= now {
+	if end <= now || ledger.freeAt == Never {
+		// Before the witnesses of earlier terms have learned of this one, an earlier
+		// keeper may still give away what this one would extend.
 		return Order{}, false
 	}
 	order := Order{Lessee: name}
@@ -323,8 +329,8 @@
 	held := lessee.held()
 	next := NewTenure()
 	for upstream, wanted := range target.Partitions {
-		blocked, all := ledger.blocked(upstream)
-		if all {
+		blocked := ledger.blocked(upstream)
+		if ledger.anybodyUnknown() {
 			blocked = wanted
 		}
 		if own, holds := held.Partitions[upstream]; holds {
@@ -341,15 +347,31 @@
 		next.ExceptKeys[key] = true
 	}
 	ledger.exceptCoolingKeys(next)
+	if ledger.anybodyUnknown() {
+		// A key that was held alone may still be, by a lessee that has not said what it holds.
+		for key := range held.ExceptKeys {
+			next.ExceptKeys[key] = true
+		}
+	}
 	return next
 }
 
+func (ledger *Ledger) anybodyUnknown() bool {
+	for _, lessee := range ledger.lessees {
+		for _, possession := range lessee.possible {
+			if possession.anything {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // blocked returns the partitions that somebody may hold for an upstream other than this one.
-func (ledger *Ledger) blocked(upstream string) (blocked *bitset.BitSet, all bool) {
-	blocked = &bitset.BitSet{}
+func (ledger *Ledger) blocked(upstream string) *bitset.BitSet {
+	blocked := &bitset.BitSet{}
 	for _, lessee := range ledger.lessees {
 		for _, possession := range lessee.possible {
-			all = all || possession.anything
 			for other, set := range possession.tenure.Partitions {
 				if other != upstream {
 					blocked.InPlaceUnion(set)
@@ -357,7 +379,7 @@
 			}
 		}
 	}
-	return blocked, all
+	return blocked
 }
 
 func (ledger *Ledger) keyHeldElsewhere(owner, key string) bool {
--- /dev/null
+++ b/trial/adversary.go
@@ -0,0 +1,240 @@
+package trial
+
+import (
+	"strconv"
+	"time"
+)
+
+// Adversary makes things go wrong in a world, from the world's own randomness.
+type Adversary struct {
+	world   *World
+	blocked map[[2]string]time.Duration
+	// Lost and Late are the shares of messages that are lost, or take up to MaxDelay longer.
+	Lost     float64
+	Late     float64
+	MaxDelay time.Duration
+	// Pause is the mean time between two faults, MaxFault the longest that one lasts.
+	Pause    time.Duration
+	MaxFault time.Duration
+	hosts    int
+	faults   []func()
+	stopped  bool
+}
+
+// NewAdversary returns an adversary that has taken over the world's network.
+func NewAdversary(world *World) *Adversary {
+	adversary := &Adversary{
+		world:    world,
+		blocked:  map[[2]string]time.Duration{},
+		Lost:     0.02,
+		Late:     0.02,
+		MaxDelay: 30 * time.Second,
+		Pause:    400 * time.Millisecond,
+		MaxFault: 6 * time.Second,
+	}
+	adversary.faults = []func(){
+		adversary.pauseHost, adversary.pauseKeeper, adversary.pauseUpstream,
+		adversary.cut, adversary.cutKeeper, adversary.strand, adversary.stopLog, adversary.cutFromLog,
+		adversary.replaceHost, adversary.restartUpstream, adversary.leave,
+		adversary.drain, adversary.heat,
+	}
+	world.Network = adversary.network
+	return adversary
+}
+
+// Hasty makes the adversary drain and bring back upstreams in quick succession, over a network
+// on which many messages take up to a lease's length, and do nothing else.
+func (adversary *Adversary) Hasty() {
+	adversary.Lost = 0.1
+	adversary.Late = 0.3
+	adversary.MaxDelay = adversary.world.Options.LeaseLength
+	adversary.Pause = 100 * time.Millisecond
+	adversary.MaxFault = 600 * time.Millisecond
+	adversary.faults = []func(){adversary.drain}
+}
+
+// Stranding makes the adversary do nothing but leave keepers alone with one upstream.
+func (adversary *Adversary) Stranding() {
+	adversary.Pause = 3 * time.Second
+	adversary.faults = []func(){adversary.strand}
+}
+
+// Start begins to cause faults after a calm time.
+func (adversary *Adversary) Start(calm time.Duration) {
+	adversary.world.At(calm, adversary.strike)
+}
+
+func (adversary *Adversary) network(from, to string) (time.Duration, bool) {
+	random := adversary.world.Random
+	if adversary.world.Now() < adversary.blocked[[2]string{from, to}] || random.Float64() < adversary.Lost {
+		return 0, true
+	}
+	if random.Float64() < adversary.Late {
+		// Half of the late messages come within about a lease, where they can do most harm.
+		most := adversary.MaxDelay
+		if random.Intn(2) == 0 {
+			most = adversary.world.Options.LeaseLength
+		}
+		return time.Duration(random.Int63n(int64(most))), false
+	}
+	return time.Duration(random.Int63n(int64(5 * time.Millisecond))), false
+}
+
+// Stop ends all faults that the adversary would still cause; those that last end by themselves.
+func (adversary *Adversary) Stop() {
+	adversary.stopped = true
+	adversary.Lost = 0
+	adversary.Late = 0
+}
+
+func (adversary *Adversary) strike() {
+	if adversary.stopped {
+		return
+	}
+	adversary.faults[adversary.world.Random.Intn(len(adversary.faults))]()
+	pause := adversary.duration(2 * adversary.Pause)
+	adversary.world.At(adversary.world.Now()+pause, adversary.strike)
+}
+
+func (adversary *Adversary) duration(most time.Duration) time.Duration {
+	return time.Duration(adversary.world.Random.Int63n(int64(most)))
+}
+
+func (adversary *Adversary) later(call func()) {
+	adversary.world.At(adversary.world.Now()+adversary.duration(adversary.MaxFault), call)
+}
+
+func (adversary *Adversary) anyHost() *Host {
+	hosts := adversary.world.Hosts
+	return hosts[adversary.world.Random.Intn(len(hosts))]
+}
+
+func (adversary *Adversary) anyUpstream() *Upstream {
+	upstreams := adversary.world.Upstreams
+	return upstreams[adversary.world.Random.Intn(len(upstreams))]
+}
+
+func (adversary *Adversary) pause(process *Process) {
+	process.PausedUntil = adversary.world.Now() + adversary.duration(adversary.MaxFault)
+}
+
+func (adversary *Adversary) pauseHost() { adversary.pause(&adversary.anyHost().Process) }
+
+func (adversary *Adversary) pauseKeeper() {
+	if keeper := adversary.world.KeeperHost(); keeper != nil {
+		adversary.pause(&keeper.Process)
+	}
+}
+
+func (adversary *Adversary) pauseUpstream() { adversary.pause(&adversary.anyUpstream().Process) }
+
+// cut blocks messages between two processes, one way or both.
+func (adversary *Adversary) cut() {
+	adversary.block(adversary.anyHost().Name, adversary.anyUpstream().Name)
+	adversary.block(adversary.anyHost().Name, adversary.anyHost().Name)
+}
+
+func (adversary *Adversary) block(one, other string) {
+	until := adversary.world.Now() + adversary.duration(adversary.MaxFault)
+	adversary.blocked[[2]string{one, other}] = until
+	if adversary.world.Random.Intn(2) == 0 {
+		adversary.blocked[[2]string{other, one}] = until
+	}
+}
+
+// cutKeeper leaves the keeper with the upstreams and takes the other hosts away from it.
+func (adversary *Adversary) cutKeeper() {
+	keeper := adversary.world.KeeperHost()
+	if keeper == nil {
+		return
+	}
+	for _, host := range adversary.world.Hosts {
+		adversary.block(host.Name, keeper.Name)
+	}
+}
+
+// strand leaves the keeper alone with one upstream for a long time, without the log,
+// and lets the other hosts reach the keeper, but not the upstream, again after a while.
+func (adversary *Adversary) strand() {
+	keeper := adversary.world.KeeperHost()
+	if keeper == nil {
+		return
+	}
+	now := adversary.world.Now()
+	upstream := adversary.anyUpstream()
+	keeper.CutFromLog = true
+	adversary.world.At(now+adversary.MaxFault, func() { keeper.CutFromLog = false })
+	apart := now + adversary.duration(3*time.Second)
+	for _, host := range adversary.world.Hosts {
+		if host == keeper {
+			continue
+		}
+		adversary.blocked[[2]string{host.Name, keeper.Name}] = apart
+		adversary.blocked[[2]string{keeper.Name, host.Name}] = apart
+		adversary.blocked[[2]string{host.Name, upstream.Name}] = now + adversary.MaxFault
+	}
+}
+
+func (adversary *Adversary) stopLog() {
+	adversary.world.LogOut = true
+	adversary.later(func() { adversary.world.LogOut = false })
+}
+
+func (adversary *Adversary) cutFromLog() {
+	host := adversary.anyHost()
+	host.CutFromLog = true
+	adversary.later(func() { host.CutFromLog = false })
+}
+
+func (adversary *Adversary) replaceHost() {
+	host := adversary.anyHost()
+	if host.Dead {
+		return
+	}
+	adversary.world.Kill(&host.Process)
+	adversary.later(adversary.addHost)
+}
+
+func (adversary *Adversary) addHost() {
+	adversary.hosts++
+	adversary.world.AddHost("new-"+strconv.Itoa(adversary.hosts), adversary.hosts%adversary.world.Options.Zones)
+}
+
+func (adversary *Adversary) restartUpstream() {
+	upstream := adversary.anyUpstream()
+	if upstream.Dead {
+		return
+	}
+	adversary.world.Kill(&upstream.Process)
+	adversary.later(func() { adversary.world.Restart(upstream) })
+}
+
+func (adversary *Adversary) leave() {
+	host := adversary.anyHost()
+	if host.Dead || host.Leaving {
+		return
+	}
+	adversary.world.Leave(host)
+	adversary.addHost()
+}
+
+func (adversary *Adversary) drain() {
+	upstream := adversary.anyUpstream()
+	upstream.Draining = true
+	adversary.later(func() { upstream.Draining = false })
+}
+
+// heat makes some keys hot and lets others cool.
+func (adversary *Adversary) heat() {
+	demand := &adversary.world.Demand
+	demand.Partitions = make([]float64, adversary.world.Options.Partitions)
+	demand.HotKeys = map[string]float64{}
+	for partition := range demand.Partitions {
+		demand.Partitions[partition] = adversary.world.Random.Float64() * 10
+	}
+	for key := range 4 {
+		if adversary.world.Random.Intn(2) == 0 {
+			demand.HotKeys["key-"+strconv.Itoa(key)] = adversary.world.Random.Float64() * 100
+		}
+	}
+}
--- /dev/null
+++ b/trial/host.go
@@ -0,0 +1,266 @@
+package trial
+
+import (
+	"strconv"
+	"time"
+
+	"cherrykeel"
+	"cherrykeel/fakes"
+	"cherrykeel/fold"
+	"cherrykeel/keeper"
+	"cherrykeel/lease"
+)
+
+// orderTimeout is after how long an order without an answer counts as failed.
+const orderTimeout = 270 * time.Millisecond
+
+// Kill ends a process for good.
+func (world *World) Kill(process *Process) {
+	process.Dead = true
+	for _, host := range world.Hosts {
+		if &host.Process == process {
+			host.diedAt = world.now
+		}
+	}
+}
+
+// Restart brings an upstream back as a new process that owns nothing.
+func (world *World) Restart(upstream *Upstream) {
+	upstream.Dead = false
+	// The new process's clock starts over.
+	upstream.offset = time.Second - time.Duration(float64(world.now)*upstream.rate)
+	upstream.Ownership = fakes.NewOwnership(upstream.Name+" "+strconv.Itoa(world.Steps), Service)
+}
+
+// Leave begins a host's planned stop; it dies once it keeps nothing.
+func (world *World) Leave(host *Host) {
+	host.Leaving = true
+	host.leftAt = world.now
+	world.awaitHandover(host)
+}
+
+func (world *World) awaitHandover(host *Host) {
+	world.at(&host.Process, tickPause, func() {
+		if host.Keeper.Holds() {
+			world.awaitHandover(host)
+			return
+		}
+		world.Kill(&host.Process)
+	})
+}
+
+func (world *World) tick(host *Host) {
+	world.at(&host.Process, tickPause, func() {
+		world.decide(host)
+		world.tick(host)
+	})
+}
+
+func (world *World) decide(host *Host) {
+	input := world.input(host)
+	host.Witness.Ran(input.Now)
+	actions := host.Keeper.Tick(input)
+	for _, order := range actions.Orders {
+		world.order(host, order)
+	}
+	for _, name := range actions.Confirm {
+		world.confirm(host, name, input.Block.Term)
+	}
+	for _, teaching := range actions.Teach {
+		world.teach(host, teaching)
+	}
+	for _, name := range actions.AskSilence {
+		world.askSilence(host, name, input.Block.LeaseLength)
+	}
+	if actions.Claim != nil {
+		record := world.record(host)
+		record.Claim = actions.Claim
+		host.claims[record.ID] = true
+		world.append(host, record)
+	}
+	if actions.Assign != nil {
+		record := world.record(host)
+		record.Assign = actions.Assign
+		world.append(host, record)
+	}
+}
+
+func (world *World) input(host *Host) keeper.Input {
+	input := keeper.Input{
+		Now:      world.local(&host.Process),
+		Block:    host.State.Blocks[Service],
+		Service:  world.Settings,
+		Gone:     map[string]bool{},
+		Leaving:  host.Leaving,
+		Draining: map[string]bool{},
+		Down:     map[string]bool{},
+		Demand:   world.Demand,
+	}
+	if host.claims[input.Block.ClaimID] {
+		input.Won = input.Block.Term
+	}
+	for _, other := range world.Hosts {
+		switch {
+		case other.Dead && world.now-other.diedAt > listLag:
+			input.Gone[other.Name] = world.now-other.diedAt > 10*time.Second+listLag
+		default:
+			leaving := other.Leaving && (other == host || world.now-other.leftAt > listLag)
+			input.Hosts = append(input.Hosts, keeper.Host{Name: other.Name, Zone: other.Zone, Leaving: leaving})
+		}
+	}
+	for _, upstream := range world.Upstreams {
+		input.Draining[upstream.Name] = upstream.Draining
+	}
+	return input
+}
+
+func (world *World) host(name string) *Host {
+	for _, host := range world.Hosts {
+		if host.Name == name {
+			return host
+		}
+	}
+	return nil
+}
+
+func (world *World) upstream(name string) *Upstream {
+	for _, upstream := range world.Upstreams {
+		if upstream.Name == name {
+			return upstream
+		}
+	}
+	return nil
+}
+
+func (world *World) order(host *Host, order lease.Order) {
+	world.at(&host.Process, orderTimeout, func() { host.Keeper.Failed(order) })
+	upstream := world.upstream(order.Lessee)
+	if upstream == nil {
+		return
+	}
+	world.send(&host.Process, &upstream.Process, func() {
+		holding := world.take(upstream, order)
+		world.send(&upstream.Process, &host.Process, func() {
+			host.Keeper.Answered(order, holding, world.local(&host.Process))
+		})
+	})
+}
+
+// take gives an order to an upstream, with the safeguard in place that the options leave.
+func (world *World) take(upstream *Upstream, order lease.Order) cherrykeel.Holding {
+	now := world.LocalTime(upstream)
+	if order.Ask {
+		return upstream.Ownership.Holding(now)
+	}
+	grant := order.Grant
+	switch world.Options.Break {
+	case BreakDeadline:
+		grant.Until = now + world.Options.LeaseLength
+	case BreakFences:
+		held := upstream.Ownership.Holding(now)
+		if grant.Fence.Less(held.Fence) {
+			grant.Fence = held.Fence
+		}
+	}
+	return upstream.Ownership.Grant(grant, now)
+}
+
+func (world *World) confirm(host *Host, name string, term int64) {
+	sent := world.local(&host.Process)
+	witness := world.host(name)
+	if witness == nil {
+		return
+	}
+	answer := func() bool {
+		confirmed := witness.Witness.Confirm(Service, term, world.local(&witness.Process))
+		return confirmed || world.Options.Break == BreakWitnesses
+	}
+	if witness == host {
+		if answer() {
+			host.Keeper.Confirmed(name, term, sent)
+		}
+		return
+	}
+	world.send(&host.Process, &witness.Process, func() {
+		if answer() {
+			world.send(&witness.Process, &host.Process, func() { host.Keeper.Confirmed(name, term, sent) })
+		}
+	})
+}
+
+func (world *World) teach(host *Host, teaching keeper.Teaching) {
+	witness := world.host(teaching.Host)
+	if witness == nil {
+		return
+	}
+	learned := func() { host.Keeper.Taught(teaching, world.local(&host.Process)) }
+	if witness == host {
+		witness.Witness.Learn(Service, teaching.Term)
+		learned()
+		return
+	}
+	world.send(&host.Process, &witness.Process, func() {
+		witness.Witness.Learn(Service, teaching.Term)
+		world.send(&witness.Process, &host.Process, learned)
+	})
+}
+
+func (world *World) askSilence(host *Host, name string, leaseLength time.Duration) {
+	witness := world.host(name)
+	if witness == nil {
+		return
+	}
+	world.send(&host.Process, &witness.Process, func() {
+		silence := world.local(&witness.Process).Sub(witness.Witness.Asked(Service))
+		world.send(&witness.Process, &host.Process, func() {
+			host.Keeper.HeardSilence(name, silence, leaseLength, world.local(&host.Process))
+		})
+	})
+}
+
+func (world *World) record(host *Host) fold.Record {
+	world.serial++
+	return fold.Record{Format: fold.Format, ID: strconv.Itoa(world.serial), Author: host.Name}
+}
+
+// append reaches the log after a while, unless the log is out by then.
+func (world *World) append(host *Host, record fold.Record) {
+	delay, lost := world.Network(host.Name, "log")
+	if lost || host.CutFromLog {
+		return
+	}
+	world.At(world.now+world.Options.Latency+delay, func() {
+		if world.LogOut {
+			return
+		}
+		data, err := fold.Encode(record)
+		if err != nil {
+			panic(err)
+		}
+		world.records = append(world.records, data)
+	})
+}
+
+// readLog keeps a host's fold in step with the log, as far as the log answers.
+func (world *World) readLog(host *Host) {
+	delay, lost := world.Network("log", host.Name)
+	begun := world.local(&host.Process)
+	known := len(world.records)
+	world.at(&host.Process, world.Options.Latency+delay, func() {
+		if !lost && !world.LogOut && !host.CutFromLog {
+			world.foldUpTo(host, known)
+			host.Witness.CaughtUp(begun)
+		}
+		world.readLog(host)
+	})
+}
+
+func (world *World) foldUpTo(host *Host, known int) {
+	for offset := int(host.State.Next); offset < known; offset++ {
+		_, err := host.State.Apply(int64(offset), world.records[offset])
+		if err != nil {
+			panic(err)
+		}
+	}
+	host.Witness.Learn(Service, host.State.Blocks[Service].Term)
+}
--- /dev/null
+++ b/trial/world.go
@@ -0,0 +1,269 @@
+package trial
+
+import (
+	"container/heap"
+	"math/rand"
+	"strconv"
+	"time"
+
+	"cherrykeel"
+	"cherrykeel/fakes"
+	"cherrykeel/fold"
+	"cherrykeel/keeper"
+	"cherrykeel/lease"
+	"cherrykeel/place"
+)
+
+// Service is the path of the one service in a world.
+const Service = "trial/keys"
+
+const (
+	tickPause = 20 * time.Millisecond
+	listLag   = time.Second
+)
+
+// Options describe a world.
+type Options struct {
+	Seed       int64
+	Hosts      int
+	Upstreams  int
+	Zones      int
+	Partitions int
+	// Latency is one message's time on the way.
+	Latency time.Duration
+	// Drift is how far clocks run from true time at the most, as a share.
+	Drift       float64
+	LeaseLength time.Duration
+	Break       Break
+}
+
+// Break takes a safeguard away, to show that its loss is found.
+type Break string
+
+// The safeguards that can be taken away.
+const (
+	// BreakNothing is the real thing.
+	BreakNothing Break = ""
+	// BreakDeadline counts a lease from the grant's arrival, as a naive lease does.
+	BreakDeadline Break = "deadline"
+	// BreakFences lets upstreams take grants of older terms.
+	BreakFences Break = "fences"
+	// BreakWitnesses lets witnesses confirm any term.
+	BreakWitnesses Break = "witnesses"
+)
+
+// Network says what becomes of a message: how much longer than usual it takes, or that it is lost.
+type Network func(from, to string) (delay time.Duration, lost bool)
+
+// World is one run.
+type World struct {
+	Options   Options
+	Random    *rand.Rand
+	Settings  *cherrykeel.Service
+	Hosts     []*Host
+	Upstreams []*Upstream
+	Network   Network
+	// LogOut makes every append and every read of the log fail.
+	LogOut bool
+	Demand cherrykeel.Demand
+	Placer cherrykeel.Placer
+	// Steps counts everything that has happened; Check is called after each of them.
+	Steps   int
+	Check   func(world *World)
+	records [][]byte
+	now     time.Duration
+	events  events
+	serial  int
+}
+
+// Process is what hosts and upstreams have in common.
+type Process struct {
+	Name string
+	Zone string
+	Dead bool
+	// PausedUntil is when the process wakes; what reaches it before waits.
+	PausedUntil time.Duration
+	rate        float64
+	offset      time.Duration
+}
+
+// Host is an entry host's part in ownership.
+type Host struct {
+	Process
+	Leaving bool
+	// CutFromLog keeps the log from this host alone.
+	CutFromLog bool
+	Keeper     *keeper.Keeper
+	Witness    *lease.Witness
+	State      *fold.State
+	Overlay    *keeper.Overlay
+	claims     map[string]bool
+	diedAt     time.Duration
+	leftAt     time.Duration
+}
+
+// Upstream is a server that holds keys.
+type Upstream struct {
+	Process
+	Ownership *fakes.Ownership
+	// Draining keeps new work away.
+	Draining bool
+}
+
+type event struct {
+	at     time.Duration
+	serial int
+	call   func()
+}
+
+type events []event
+
+func (events events) Len() int { return len(events) }
+
+func (events events) Less(i, j int) bool {
+	if events[i].at != events[j].at {
+		return events[i].at < events[j].at
+	}
+	return events[i].serial < events[j].serial
+}
+
+func (events events) Swap(i, j int) { events[i], events[j] = events[j], events[i] }
+
+func (events *events) Push(value any) { *events = append(*events, value.(event)) }
+
+func (events *events) Pop() any {
+	last := len(*events) - 1
+	popped := (*events)[last]
+	*events = (*events)[:last]
+	return popped
+}
+
+// New returns a world in which nothing has happened yet.
+func New(options Options) *World {
+	world := &World{
+		Options: options,
+		Random:  rand.New(rand.NewSource(options.Seed)),
+		Network: func(string, string) (time.Duration, bool) { return 0, false },
+		Placer:  place.New(),
+		Check:   func(*World) {},
+		Settings: &cherrykeel.Service{
+			Path:         Service,
+			Keyed:        true,
+			Partitions:   options.Partitions,
+			ChecksFences: true,
+			LeaseLength:  options.LeaseLength,
+			Timeout:      time.Second,
+		},
+	}
+	for i := range options.Upstreams {
+		world.AddUpstream("up-"+strconv.Itoa(i), i%options.Zones)
+	}
+	for i := range options.Hosts {
+		world.AddHost("host-"+strconv.Itoa(i), i%options.Zones)
+	}
+	return world
+}
+
+func (world *World) process(name string, zone int) Process {
+	drift := world.Options.Drift * (2*world.Random.Float64() - 1)
+	offset := time.Duration(world.Random.Int63n(int64(time.Hour))) + time.Second
+	return Process{Name: name, Zone: "zone-" + strconv.Itoa(zone), rate: 1 + drift, offset: offset}
+}
+
+// AddUpstream adds an upstream that owns nothing.
+func (world *World) AddUpstream(name string, zone int) *Upstream {
+	upstream := &Upstream{Process: world.process(name, zone)}
+	upstream.Ownership = fakes.NewOwnership(name+" "+strconv.Itoa(world.Steps), Service)
+	world.Upstreams = append(world.Upstreams, upstream)
+	world.Settings.Upstreams = append(world.Settings.Upstreams, cherrykeel.UpstreamServer{Name: name, Zone: upstream.Zone})
+	return upstream
+}
+
+// AddHost adds an entry host that has read the log so far.
+func (world *World) AddHost(name string, zone int) *Host {
+	host := &Host{Process: world.process(name, zone), State: fold.NewState(), claims: map[string]bool{}}
+	host.Witness = lease.NewWitness(world.local(&host.Process))
+	host.Keeper = keeper.New(name, Service, host.Witness, world.Placer)
+	world.Hosts = append(world.Hosts, host)
+	world.tick(host)
+	world.readLog(host)
+	return host
+}
+
+// Now returns the true time since the start.
+func (world *World) Now() time.Duration {
+	return world.now
+}
+
+// local is a process's own monotonic time.
+func (world *World) local(process *Process) cherrykeel.Instant {
+	return cherrykeel.Instant(process.offset + time.Duration(float64(world.now)*process.rate))
+}
+
+// LocalTime is an upstream's own monotonic time.
+func (world *World) LocalTime(upstream *Upstream) time.Duration {
+	return time.Duration(world.local(&upstream.Process))
+}
+
+// at runs a step on a process after a delay; it waits while the process is paused and falls away if it is dead.
+func (world *World) at(process *Process, delay time.Duration, call func()) {
+	world.serial++
+	heap.Push(&world.events, event{at: world.now + delay, serial: world.serial, call: func() {
+		if process.Dead {
+			return
+		}
+		if left := process.PausedUntil - world.now; left > 0 {
+			world.at(process, left, call)
+			return
+		}
+		call()
+	}})
+}
+
+// At runs a scenario's step at a time.
+func (world *World) At(at time.Duration, call func()) {
+	world.serial++
+	heap.Push(&world.events, event{at: at, serial: world.serial, call: call})
+}
+
+// send carries a message; a lost one is never delivered.
+func (world *World) send(from, to *Process, call func()) {
+	delay, lost := world.Network(from.Name, to.Name)
+	if lost {
+		return
+	}
+	world.at(to, world.Options.Latency+delay, call)
+}
+
+// Run goes on until a time.
+func (world *World) Run(until time.Duration) {
+	for len(world.events) > 0 && world.events[0].at <= until {
+		next := heap.Pop(&world.events).(event)
+		world.now = next.at
+		next.call()
+		world.Steps++
+		world.Check(world)
+	}
+	world.now = until
+}
+
+// Owners returns the upstreams that may act for a partition's keys now, by their own clocks.
+func (world *World) Owners(partition int, key string) []*Upstream {
+	var owners []*Upstream
+	for _, upstream := range world.Upstreams {
+		if !upstream.Dead && upstream.Ownership.Owns(world.LocalTime(upstream), partition, key) {
+			owners = append(owners, upstream)
+		}
+	}
+	return owners
+}
+
+// KeeperHost returns the host that holds the role, or nil.
+func (world *World) KeeperHost() *Host {
+	for _, host := range world.Hosts {
+		if !host.Dead && host.Keeper.Holds() && host.State.Blocks[Service].Keeper == host.Name {
+			return host
+		}
+	}
+	return nil
+}
