--- a/cherrykeel.go
+++ b/cherrykeel.go
@@ -22,6 +22,17 @@
 	Repeatable bool
 	// RepeatKey is the caller's Idempotency-Key, or empty.
 	RepeatKey string
+	// Answer is what was passed on to the caller, or nil.
+	Answer *Answer
+}
+
+// Answer is an upstream's answer as it was passed on.
+type Answer struct {
+	Status      int
+	ContentType string
+	// Body is set if Whole says that the answer was held before it was passed on.
+	Body  []byte
+	Whole bool
 }
 
 // Next runs the stages that come after the calling one.
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -158,6 +158,12 @@
 	// Only the router's own answers may speak of outcomes.
 	header.Del(cherrykeel.HeaderOutcome)
 	header.Set(cherrykeel.HeaderRequest, exchange.ID)
+	exchange.Answer = &cherrykeel.Answer{
+		Status:      result.status,
+		ContentType: header.Get("Content-Type"),
+		Body:        result.body,
+		Whole:       result.answer == nil,
+	}
 	exchange.Writer.WriteHeader(result.status)
 	_, _ = exchange.Writer.Write(result.body)
 	if result.answer == nil {
--- a/host/host.go
+++ b/host/host.go
@@ -20,6 +20,7 @@
 	"cherrykeel/events"
 	"cherrykeel/fold"
 	"cherrykeel/follow"
+	"cherrykeel/intent"
 	"cherrykeel/member"
 	"cherrykeel/picker"
 	"cherrykeel/place"
@@ -47,6 +48,8 @@
 	clock    cherrykeel.Clock
 	boot     string
 	log      cherrykeel.Log
+	intents  cherrykeel.Log
+	guard    *intent.Guard
 	list     cherrykeel.HostList
 	granter  cherrykeel.Granter
 	placer   cherrykeel.Placer
@@ -99,13 +102,6 @@
 	}
 }
 
-// WithLog replaces the platform's log that the configuration names.
-func WithLog(log cherrykeel.Log) Option {
-	return func(host *Host) {
-		host.log = log
-	}
-}
-
 // WithPlacer replaces the default placer.
 func WithPlacer(placer cherrykeel.Placer) Option {
 	return func(host *Host) {
@@ -130,6 +126,7 @@
 		clock:   cherrykeel.SystemClock(),
 		boot:    uuid.NewString(),
 		log:     remote.NewLog(config.Log, Stream),
+		intents: remote.NewLog(config.Log, intent.Stream),
 		list:    remote.NewHostList(config.Hosts),
 		granter: remote.NewGranter(),
 		placer:  place.New(),
@@ -141,6 +138,7 @@
 	for _, option := range options {
 		option(host)
 	}
+	host.guard = intent.NewGuard(host.intents, host.clock, config.Name)
 	host.workers = pond.NewPool(poolWorkers)
 	host.roster = &roster{view: member.NewRoster(host.member())}
 	host.duty = newDuty(host)
@@ -287,6 +285,7 @@
 
 func (host *Host) startLoops(ctx context.Context) {
 	go host.follower.Run(ctx)
+	go host.guard.Run(ctx)
 	go every(ctx, listPause, host.readList)
 	go every(ctx, announcePause, host.announce)
 	go every(ctx, helloPause, host.sayHello)
--- a/host/serve.go
+++ b/host/serve.go
@@ -11,6 +11,7 @@
 	"cherrykeel"
 	"cherrykeel/edge"
 	"cherrykeel/events"
+	"cherrykeel/intent"
 )
 
 const (
@@ -32,6 +33,7 @@
 		cherrykeel.WithStage(edge.NewMeter(host.scope, host.clock), edge.PriorityMeter),
 		cherrykeel.WithStage(edge.NewMatch(host), edge.PriorityMatch),
 		cherrykeel.WithStage(edge.NewBody(host.clock), edge.PriorityBody),
+		cherrykeel.WithStage(intent.NewStage(host.guard, host.clock), edge.PriorityRepeat),
 		cherrykeel.WithStage(edge.NewForward(host.fleet, host.conns, host.clock, host.logger), edge.PriorityForward),
 	)
 }
--- /dev/null
+++ b/intent/stage.go
@@ -0,0 +1,137 @@
+package intent
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"cherrykeel"
+	"cherrykeel/fold"
+)
+
+const (
+	// HeaderReplayed marks an answer that was given before to the same Idempotency-Key.
+	HeaderReplayed = "Idempotency-Replayed"
+	// maxKept is the largest answer that is kept for repeats.
+	maxKept = 4 << 10
+	maxKey  = 255
+	// beginShare is the share of a request's time that the log may take to confirm its intent.
+	beginShare    = 0.5
+	retryAfterLog = 2 * time.Second
+	retryAfterRun = time.Second
+)
+
+func encode(batch fold.IntentBatch) ([]byte, error) {
+	data, err := json.Marshal(batch)
+	return data, errors.WithStack(err)
+}
+
+type stage struct {
+	guard *Guard
+	clock cherrykeel.Clock
+}
+
+// NewStage returns the stage that guards services whose RepeatGuard is "log".
+func NewStage(guard *Guard, clock cherrykeel.Clock) cherrykeel.Stage {
+	return &stage{guard: guard, clock: clock}
+}
+
+// Serve implements cherrykeel.Stage.
+func (stage *stage) Serve(exchange *cherrykeel.Exchange, next cherrykeel.Next) *cherrykeel.Failure {
+	if exchange.Service.RepeatGuard != cherrykeel.RepeatGuardLog || safe(exchange.Request.Method) {
+		return next(exchange)
+	}
+	begin := fold.IntentBegin{
+		Service: exchange.Service.Path,
+		Key:     exchange.RepeatKey,
+		Digest:  digest(exchange),
+		Request: exchange.ID,
+	}
+	if begin.Key == "" || len(begin.Key) > maxKey {
+		return cherrykeel.Refuse(http.StatusBadRequest, "missing-idempotency-key", "the service %s needs an Idempotency-Key of 1 to %d characters", begin.Service, maxKey)
+	}
+	known, mayRun, failure := stage.begin(exchange, begin)
+	if failure != nil {
+		return failure
+	}
+	if !mayRun {
+		return repeated(exchange, begin, known)
+	}
+	failure = next(exchange)
+	stage.end(exchange, begin, failure)
+	return failure
+}
+
+// safe methods change nothing, so they need no guard.
+func safe(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
+}
+
+func digest(exchange *cherrykeel.Exchange) string {
+	hash := xxhash.New()
+	_, _ = fmt.Fprintf(hash, "%s %s\n", exchange.Request.Method, exchange.Request.URL.RequestURI())
+	_, _ = hash.Write(exchange.Body)
+	return fmt.Sprintf("%016x", hash.Sum64())
+}
+
+func (stage *stage) begin(exchange *cherrykeel.Exchange, begin fold.IntentBegin) (fold.Intent, bool, *cherrykeel.Failure) {
+	left := exchange.Deadline.Sub(stage.clock.Now())
+	limit := time.Duration(beginShare * float64(left))
+	ctx, cancel := context.WithTimeout(exchange.Request.Context(), limit)
+	defer cancel()
+	known, mayRun, err := stage.guard.Begin(ctx, begin)
+	if err == nil {
+		return known, mayRun, nil
+	}
+	failure := cherrykeel.Refuse(http.StatusServiceUnavailable, "log-out", "the platform's log, which %s needs to keep repeats from running twice, does not answer: %v", begin.Service, err)
+	failure.RetryAfter = retryAfterLog
+	failure.Cause = err
+	return known, false, failure
+}
+
+// repeated answers a request whose key has been used before.
+func repeated(exchange *cherrykeel.Exchange, begin fold.IntentBegin, known fold.Intent) *cherrykeel.Failure {
+	switch {
+	case known.Digest != begin.Digest:
+		return cherrykeel.Refuse(http.StatusUnprocessableEntity, "key-reused", "the Idempotency-Key was used for another request; this one was not run")
+	case known.Answer != nil:
+		replay(exchange, known)
+		return nil
+	case known.Status != 0:
+		return cherrykeel.Doubt(http.StatusConflict, "already-answered", "a request with this Idempotency-Key was answered with status %d; its answer was too large to keep", known.Status)
+	}
+	failure := cherrykeel.Doubt(http.StatusConflict, "already-begun", "a request with this Idempotency-Key was begun through %s at %s, and how it ended is not known here", known.Host, known.Time.Format(time.RFC3339))
+	failure.RetryAfter = retryAfterRun
+	return failure
+}
+
+func replay(exchange *cherrykeel.Exchange, known fold.Intent) {
+	header := exchange.Writer.Header()
+	header.Set("Content-Type", known.Answer.ContentType)
+	header.Set(HeaderReplayed, "true")
+	header.Set(cherrykeel.HeaderRequest, exchange.ID)
+	exchange.Writer.WriteHeader(known.Status)
+	_, _ = exchange.Writer.Write(known.Answer.Body)
+}
+
+// end records how the request ended; one whose outcome is unknown keeps its key for good.
+func (stage *stage) end(exchange *cherrykeel.Exchange, begin fold.IntentBegin, failure *cherrykeel.Failure) {
+	end := fold.IntentEnd{Service: begin.Service, Key: begin.Key, Request: begin.Request}
+	switch {
+	case failure != nil && failure.Outcome == cherrykeel.NotRun:
+		end.NotRun = true
+	case failure != nil || exchange.Answer == nil:
+		return
+	default:
+		end.Status = exchange.Answer.Status
+		if exchange.Answer.Whole && len(exchange.Answer.Body) <= maxKept {
+			end.Answer = &fold.IntentAnswer{ContentType: exchange.Answer.ContentType, Body: exchange.Answer.Body}
+		}
+	}
+	stage.guard.End(end)
+}
