--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -206,9 +206,9 @@
 	cluster.write("shop/customer.toml", "Domains = [\"shop.example\"]\nSlots = 64\nConnections = 800\n")
 	cluster.write("shop/keys.toml", "PathPrefix = \"/keys\"\nKeyed = true\nKeyFrom = \"path:1\"\nPartitions = 64\n"+
 		cluster.addUpstreams("keys", 4, append([]string{"--slots", "64", "--queue", "512", "--work", "1ms"}, keyedFlags...)...))
-	cluster.write("shop/plain.toml", "PathPrefix = \"/plain\"\nIdempotent = \"always\"\n"+cluster.addUpstreams("plain", 3, "--slots", "64", "--queue", "512", "--work", "1ms"))
-	cluster.write("shop/pay.toml", "PathPrefix = \"/pay\"\nIdempotent = \"never\"\nRepeatGuard = \"log\"\nTimeout = \"10s\"\n"+cluster.addUpstreams("pay", 3, "--slots", "64", "--queue", "512", "--work", "1ms"))
-	cluster.write("shop/once.toml", "PathPrefix = \"/once\"\nIdempotent = \"never\"\n"+cluster.addUpstreams("once", 3, "--slots", "64", "--queue", "512", "--work", "1ms"))
+	cluster.write("shop/plain.toml", "PathPrefix = \"/plain\"\nIdempotent = \"always\"\nKeyFrom = \"path:1\"\nTimeout = \"2s\"\n"+cluster.addUpstreams("plain", 3, "--slots", "64", "--queue", "512", "--work", "1ms"))
+	cluster.write("shop/pay.toml", "PathPrefix = \"/pay\"\nIdempotent = \"never\"\nRepeatGuard = \"log\"\nKeyFrom = \"path:1\"\nTimeout = \"2s\"\n"+cluster.addUpstreams("pay", 3, "--slots", "64", "--queue", "512", "--work", "1ms"))
+	cluster.write("shop/once.toml", "PathPrefix = \"/once\"\nIdempotent = \"never\"\nKeyFrom = \"path:1\"\nTimeout = \"2s\"\n"+cluster.addUpstreams("once", 3, "--slots", "64", "--queue", "512", "--work", "1ms"))
 	cluster.publish("first")
 	cluster.awaitOwners()
 }
