--- /dev/null
+++ b/naive/modulo.go
@@ -0,0 +1,43 @@
+package naive
+
+import (
+	"cherrykeel"
+)
+
+type modulo struct{}
+
+// NewModulo returns a Placer that numbers the upstreams and takes partitions modulo their count.
+func NewModulo() cherrykeel.Placer {
+	return modulo{}
+}
+
+// Place implements cherrykeel.Placer; it knows neither the last placement nor the load.
+func (modulo) Place(_ cherrykeel.Placement, partitions int, candidates []cherrykeel.Candidate, _ cherrykeel.Demand, _ int) cherrykeel.Placement {
+	placement := cherrykeel.Placement{Owners: make([]string, partitions), Successors: make([]string, partitions), HotKeys: map[string]string{}}
+	if len(candidates) == 0 {
+		return placement
+	}
+	for partition := range partitions {
+		placement.Owners[partition] = candidates[partition%len(candidates)].Name
+		placement.Successors[partition] = candidates[(partition+1)%len(candidates)].Name
+	}
+	return placement
+}
+
+type roundRobin struct {
+	turn int
+}
+
+// NewRoundRobin returns a Picker that goes round the upstreams, whatever their load and room.
+func NewRoundRobin() cherrykeel.Picker {
+	return &roundRobin{}
+}
+
+// Pick implements cherrykeel.Picker.
+func (robin *roundRobin) Pick(_ string, choices []cherrykeel.Choice, _ float64) int {
+	if len(choices) == 0 {
+		return -1
+	}
+	robin.turn++
+	return robin.turn % len(choices)
+}
--- a/place/load.go
+++ b/place/load.go
@@ -4,29 +4,47 @@
 	"sort"
 
 	"cherrykeel"
+	"cherrykeel/route"
 )
 
 func (plan *plan) meanLoad() float64 {
 	total := 0.0
-	for _, load := range plan.load {
-		total += load
+	for _, weight := range plan.weights {
+		total += weight
 	}
-	for key, load := range plan.demand.HotKeys {
-		if _, placed := plan.hotKeys[key]; !placed {
-			total += load
-		}
+	for key := range plan.hotKeys {
+		total += plan.demand.HotKeys[key]
 	}
 	return total / float64(len(plan.candidates))
 }
 
-// placeHotKeys keeps hot keys where they are while their upstreams live, and gives new ones to the least loaded.
-// Demand.Partitions does not count the load of the keys in Demand.HotKeys.
-func (plan *plan) placeHotKeys(last cherrykeel.Placement) {
-	mean := plan.meanLoad()
+// chooseHotKeys decides which keys are placed alone; the load of the others goes to their partitions,
+// since Demand.Partitions does not count the keys in Demand.HotKeys.
+func (plan *plan) chooseHotKeys(last cherrykeel.Placement) {
+	total := 0.0
+	for _, weight := range plan.weights {
+		total += weight
+	}
+	for _, load := range plan.demand.HotKeys {
+		total += load
+	}
+	mean := total / float64(len(plan.candidates))
 	for _, key := range byLoad(plan.demand.HotKeys, last.HotKeys) {
 		load := plan.demand.HotKeys[key]
 		previous, wasHot := last.HotKeys[key]
 		if load < coolShare*mean || !wasHot && load < hotShare*mean {
+			plan.weights[route.Partition(key, len(plan.weights))] += load
+			continue
+		}
+		plan.hotKeys[key] = previous
+	}
+}
+
+// placeHotKeys leaves hot keys where they are while their upstreams live, and gives the others to the least loaded.
+func (plan *plan) placeHotKeys(last cherrykeel.Placement) {
+	for _, key := range byLoad(plan.demand.HotKeys, last.HotKeys) {
+		previous, hot := plan.hotKeys[key]
+		if !hot {
 			continue
 		}
 		owner, live := plan.index[previous]
@@ -34,7 +52,7 @@
 			owner = plan.leastLoaded()
 		}
 		plan.hotKeys[key] = plan.candidates[owner].Name
-		plan.load[owner] += load
+		plan.load[owner] += plan.demand.HotKeys[key]
 	}
 }
 
@@ -103,7 +121,7 @@
 		return false
 	}
 	mean := float64(len(plan.owners)) / float64(len(plan.candidates))
-	if float64(plan.count[to]+1) <= mean*countSlack {
+	if float64(plan.count[to]+1) <= mean*mostCount {
 		plan.give(heavy, to)
 		return true
 	}
@@ -137,11 +155,11 @@
 	name := plan.candidates[owner].Name
 	best := -1
 	for partition, holder := range plan.owners {
-		weight := plan.weight(partition)
+		weight := plan.weights[partition]
 		if holder != name || weight > gap/2 || weight == 0 {
 			continue
 		}
-		if best < 0 || weight > plan.weight(best) {
+		if best < 0 || weight > plan.weights[best] {
 			best = partition
 		}
 	}
@@ -153,11 +171,11 @@
 	name := plan.candidates[to].Name
 	light := -1
 	for partition, holder := range plan.owners {
-		if holder == name && (light < 0 || plan.weight(partition) < plan.weight(light)) {
+		if holder == name && (light < 0 || plan.weights[partition] < plan.weights[light]) {
 			light = partition
 		}
 	}
-	if light < 0 || plan.weight(light) >= plan.weight(heavy) {
+	if light < 0 || plan.weights[light] >= plan.weights[heavy] {
 		return false
 	}
 	plan.give(heavy, to)
--- a/place/place.go
+++ b/place/place.go
@@ -11,8 +11,10 @@
 	imbalanceTrigger = 1.20
 	// imbalanceTarget is where such moves stop; the gap to the trigger keeps noisy reports from moving anything.
 	imbalanceTarget = 1.10
-	// countSlack is how far the count of partitions may exceed the mean for the sake of load.
-	countSlack = 1.06
+	// mostCount and leastCount bound an upstream's count of partitions, over the mean: outside
+	// them partitions move for the count's sake, inside them load may make counts differ.
+	mostCount  = 1.06
+	leastCount = 0.90
 	// hotShare is the load of a key, as a share of an upstream's mean load, from which it is placed alone.
 	hotShare = 0.10
 	// coolShare is where a hot key goes back to its partition.
@@ -31,11 +33,13 @@
 	candidates []cherrykeel.Candidate
 	index      map[string]int
 	owners     []string
-	demand     cherrykeel.Demand
-	hotKeys    map[string]string
-	count      []int
-	load       []float64
-	budget     int
+	// weights are the partitions' loads, with those of keys that are not placed alone.
+	weights []float64
+	demand  cherrykeel.Demand
+	hotKeys map[string]string
+	count   []int
+	load    []float64
+	budget  int
 }
 
 // Place implements cherrykeel.Placer.
@@ -45,8 +49,8 @@
 	}
 	plan := newPlan(last, partitions, candidates, demand, budget)
 	plan.placeOrphans(last)
-	plan.evenCounts()
 	plan.placeHotKeys(last)
+	plan.evenCounts()
 	plan.evenLoad()
 	return cherrykeel.Placement{
 		Owners:     plan.owners,
@@ -62,6 +66,7 @@
 		candidates: sorted,
 		index:      map[string]int{},
 		owners:     make([]string, partitions),
+		weights:    make([]float64, partitions),
 		demand:     demand,
 		hotKeys:    map[string]string{},
 		count:      make([]int, len(sorted)),
@@ -71,6 +76,10 @@
 	for i, candidate := range sorted {
 		plan.index[candidate.Name] = i
 	}
+	if len(demand.Partitions) == partitions {
+		copy(plan.weights, demand.Partitions)
+	}
+	plan.chooseHotKeys(last)
 	for partition := 0; partition < partitions && partition < len(last.Owners); partition++ {
 		if owner, live := plan.index[last.Owners[partition]]; live {
 			plan.give(partition, owner)
@@ -79,21 +88,14 @@
 	return plan
 }
 
-func (plan *plan) weight(partition int) float64 {
-	if partition < len(plan.demand.Partitions) {
-		return plan.demand.Partitions[partition]
-	}
-	return 0
-}
-
 func (plan *plan) give(partition, owner int) {
 	if previous, owned := plan.index[plan.owners[partition]]; owned {
 		plan.count[previous]--
-		plan.load[previous] -= plan.weight(partition)
+		plan.load[previous] -= plan.weights[partition]
 	}
 	plan.owners[partition] = plan.candidates[owner].Name
 	plan.count[owner]++
-	plan.load[owner] += plan.weight(partition)
+	plan.load[owner] += plan.weights[partition]
 }
 
 func (plan *plan) most() int {
@@ -129,14 +131,14 @@
 	return best
 }
 
-// evenCounts moves partitions from the fullest to the emptiest until they differ
-// by no more than the slack; upstreams that join fill up by the budget, round by round.
+// evenCounts moves partitions from the fullest to the emptiest until their counts are within
+// bounds; upstreams that join fill up by the budget, round by round.
 func (plan *plan) evenCounts() {
-	slack := float64(len(plan.owners)) / float64(len(plan.candidates)) * (countSlack - 1)
-	allowed := max(1, int(slack))
+	mean := float64(len(plan.owners)) / float64(len(plan.candidates))
 	for plan.budget > 0 {
 		full, empty := plan.fullest(), plan.fewest()
-		if plan.count[full]-plan.count[empty] <= allowed {
+		within := float64(plan.count[full]) <= mean*mostCount && float64(plan.count[empty]) >= mean*leastCount
+		if within || plan.count[full]-plan.count[empty] <= 1 {
 			return
 		}
 		plan.give(plan.lightest(full), empty)
@@ -164,7 +166,7 @@
 		if holder != name {
 			continue
 		}
-		gap := plan.weight(partition) - mean
+		gap := plan.weights[partition] - mean
 		if gap < 0 {
 			gap = -gap
 		}
--- a/trial/host.go
+++ b/trial/host.go
@@ -14,6 +14,9 @@
 // orderTimeout is after how long an order without an answer counts as failed.
 const orderTimeout = 270 * time.Millisecond
 
+// noticed is how long hosts take to agree, by their own traffic, that an upstream is down.
+const noticed = 1500 * time.Millisecond
+
 // Kill ends a process for good.
 func (world *World) Kill(process *Process) {
 	process.Dead = true
@@ -22,6 +25,11 @@
 			host.diedAt = world.now
 		}
 	}
+	for _, upstream := range world.Upstreams {
+		if &upstream.Process == process {
+			upstream.failedAt = world.now
+		}
+	}
 }
 
 // Restart brings an upstream back as a new process that owns nothing.
@@ -110,6 +118,7 @@
 	}
 	for _, upstream := range world.Upstreams {
 		input.Draining[upstream.Name] = upstream.Draining
+		input.Down[upstream.Name] = upstream.Dead && world.now-upstream.failedAt > noticed
 	}
 	return input
 }
@@ -134,18 +143,35 @@
 
 func (world *World) order(host *Host, order lease.Order) {
 	world.at(&host.Process, orderTimeout, func() { host.Keeper.Failed(order) })
-	upstream := world.upstream(order.Lessee)
-	if upstream == nil {
+	lessee, take := world.lessee(order)
+	if lessee == nil {
 		return
 	}
-	world.send(&host.Process, &upstream.Process, func() {
-		holding := world.take(upstream, order)
-		world.send(&upstream.Process, &host.Process, func() {
+	world.send(&host.Process, lessee, func() {
+		holding := take()
+		world.send(lessee, &host.Process, func() {
 			host.Keeper.Answered(order, holding, world.local(&host.Process))
 		})
 	})
 }
 
+// lessee returns the process that an order is for, and how that takes it.
+func (world *World) lessee(order lease.Order) (*Process, func() cherrykeel.Holding) {
+	if upstream := world.upstream(order.Lessee); upstream != nil {
+		return &upstream.Process, func() cherrykeel.Holding { return world.take(upstream, order) }
+	}
+	host := world.host(order.Lessee)
+	if host == nil {
+		return nil, nil
+	}
+	return &host.Process, func() cherrykeel.Holding {
+		if order.Ask {
+			return host.View.Holding(world.local(&host.Process))
+		}
+		return host.View.Grant(order.Grant, world.local(&host.Process))
+	}
+}
+
 // take gives an order to an upstream, with the safeguard in place that the options leave.
 func (world *World) take(upstream *Upstream, order lease.Order) cherrykeel.Holding {
 	now := world.LocalTime(upstream)
--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -61,6 +61,17 @@
 	return world.Steps, *violation
 }
 
+// unchecked is an adversarial world whose upstreams check no fences.
+func unchecked(seed int64, length time.Duration) (steps int, found string) {
+	chosen := options(seed)
+	chosen.NoFences = true
+	world := trial.New(chosen)
+	violation := watch(world)
+	trial.NewAdversary(world).Start(time.Second)
+	world.Run(length)
+	return world.Steps, *violation
+}
+
 func begin(seed int64, broken trial.Break) (*trial.World, *trial.Adversary, *string) {
 	chosen := options(seed)
 	chosen.Break = broken
@@ -100,6 +111,16 @@
 		Expect(steps).To(BeNumerically(">", 1_000_000))
 	})
 
+	It("holds where upstreams check no fences, since hosts send only while their views are fresh", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			seed := rapid.Int64Range(1, 1<<40).Draw(t, "seed")
+			_, found := unchecked(seed, 20*time.Second)
+			if found != "" {
+				t.Fatalf("seed %d: %s", seed, found)
+			}
+		})
+	})
+
 	// The keeper of a new term extended the lease of an upstream that the old keeper took
 	// for lost, because the answers to the old one's renewals were lost; the old keeper,
 	// not yet aware of the new term, then gave the upstream's keys to another one.
--- a/trial/world.go
+++ b/trial/world.go
@@ -12,6 +12,7 @@
 	"cherrykeel/keeper"
 	"cherrykeel/lease"
 	"cherrykeel/place"
+	"cherrykeel/views"
 )
 
 // Service is the path of the one service in a world.
@@ -34,7 +35,9 @@
 	// Drift is how far clocks run from true time at the most, as a share.
 	Drift       float64
 	LeaseLength time.Duration
-	Break       Break
+	// NoFences stands for upstreams that do not check who gives them orders.
+	NoFences bool
+	Break    Break
 }
 
 // Break takes a safeguard away, to show that its loss is found.
@@ -96,15 +99,17 @@
 	Keeper     *keeper.Keeper
 	Witness    *lease.Witness
 	State      *fold.State
-	Overlay    *keeper.Overlay
-	claims     map[string]bool
-	diedAt     time.Duration
-	leftAt     time.Duration
+	// View is the host's lease on sending, for upstreams that do not check fences.
+	View   *views.View
+	claims map[string]bool
+	diedAt time.Duration
+	leftAt time.Duration
 }
 
 // Upstream is a server that holds keys.
 type Upstream struct {
 	Process
+	failedAt  time.Duration
 	Ownership *fakes.Ownership
 	// Draining keeps new work away.
 	Draining bool
@@ -150,7 +155,7 @@
 			Path:         Service,
 			Keyed:        true,
 			Partitions:   options.Partitions,
-			ChecksFences: true,
+			ChecksFences: !options.NoFences,
 			LeaseLength:  options.LeaseLength,
 			Timeout:      time.Second,
 		},
@@ -184,6 +189,7 @@
 	host := &Host{Process: world.process(name, zone), State: fold.NewState(), claims: map[string]bool{}}
 	host.Witness = lease.NewWitness(world.local(&host.Process))
 	host.Keeper = keeper.New(name, Service, host.Witness, world.Placer)
+	host.View = views.New(name+" "+strconv.Itoa(world.Steps), Service, world.Options.Partitions)
 	world.Hosts = append(world.Hosts, host)
 	world.tick(host)
 	world.readLog(host)
@@ -247,17 +253,64 @@
 	world.now = until
 }
 
-// Owners returns the upstreams that may act for a partition's keys now, by their own clocks.
+// Owners returns the upstreams that may act for a partition's keys now, by the clocks that decide:
+// their own, or those of the hosts that send to them.
 func (world *World) Owners(partition int, key string) []*Upstream {
 	var owners []*Upstream
 	for _, upstream := range world.Upstreams {
-		if !upstream.Dead && upstream.Ownership.Owns(world.LocalTime(upstream), partition, key) {
+		if !upstream.Dead && world.mayAct(upstream, partition, key) {
 			owners = append(owners, upstream)
 		}
 	}
 	return owners
 }
 
+func (world *World) mayAct(upstream *Upstream, partition int, key string) bool {
+	if !world.Options.NoFences {
+		return upstream.Ownership.Owns(world.LocalTime(upstream), partition, key)
+	}
+	for _, host := range world.Hosts {
+		if !host.Dead && world.Sends(host, partition, key) == upstream.Name {
+			return true
+		}
+	}
+	return false
+}
+
+// Sends returns the upstream that a host may send a key's requests to, where upstreams check no fences.
+func (world *World) Sends(host *Host, partition int, key string) string {
+	name, allowed := host.View.Enter(partition, key, world.local(&host.Process))
+	if !allowed {
+		return ""
+	}
+	host.View.Leave(name, partition)
+	return name
+}
+
+// Server returns the index of the upstream that answers a key's requests now, when they come
+// through a host, or -1; it looks at the hinted one first.
+func (world *World) Server(host *Host, partition int, key string, hint int) int {
+	if hint >= 0 && world.serves(host, world.Upstreams[hint], partition, key) {
+		return hint
+	}
+	for i, upstream := range world.Upstreams {
+		if world.serves(host, upstream, partition, key) {
+			return i
+		}
+	}
+	return -1
+}
+
+func (world *World) serves(host *Host, upstream *Upstream, partition int, key string) bool {
+	if upstream.Dead || world.now < upstream.PausedUntil {
+		return false
+	}
+	if world.Options.NoFences {
+		return world.Sends(host, partition, key) == upstream.Name
+	}
+	return upstream.Ownership.Owns(world.LocalTime(upstream), partition, key)
+}
+
 // KeeperHost returns the host that holds the role, or nil.
 func (world *World) KeeperHost() *Host {
 	for _, host := range world.Hosts {
