--- a/bench/overload.go
+++ b/bench/overload.go
@@ -40,6 +40,9 @@
 	OneLying Condition = "one lying upstream"
 )
 
+// Conditions lists all.
+var Conditions = []Condition{Healthy, OneSlow, OneLying}
+
 // OverloadRow is what one load gave.
 type OverloadRow struct {
 	Condition Condition
--- /dev/null
+++ b/cmd/measure/load.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"cherrykeel/bench"
+)
+
+// busy says how many callers there are, and for how long.
+type busy struct {
+	Callers int           `help:"Callers at a time." default:"1"`
+	Length  time.Duration `help:"Time for each way of calling." default:"5s"`
+}
+
+type latencyCommand struct {
+	output
+	busy
+}
+
+func (command *latencyCommand) Run() error {
+	rows, err := bench.Latency(context.Background(), command.Callers, command.Length)
+	if err != nil {
+		return err
+	}
+	return show(command.output, rows, latencyHeads, latencyLine)
+}
+
+var latencyHeads = []string{"WAY", "CALLERS", "REQUESTS/S", "MEDIAN", "P99"}
+
+func latencyLine(row bench.LatencyRow) []string {
+	return []string{row.Way, fmt.Sprint(row.Callers), fmt.Sprintf("%.0f", row.PerSecond), short(row.Median), short(row.P99)}
+}
+
+type intentsCommand struct {
+	output
+	busy
+}
+
+func (command *intentsCommand) Run() error {
+	rows, err := bench.Intents(context.Background(), command.Callers, command.Length)
+	if err != nil {
+		return err
+	}
+	return show(command.output, rows, append(latencyHeads, "APPENDS/REQUEST", "APPENDS/S"), func(row bench.IntentsRow) []string {
+		return append(latencyLine(row.LatencyRow), fmt.Sprintf("%.2f", row.AppendsPerRequest), fmt.Sprintf("%.0f", row.AppendsPerSecond))
+	})
+}
+
+type overloadCommand struct {
+	output
+	Loads     []float64     `help:"Offered loads, over the capacity." default:"0.5,0.9,1.5,3"`
+	Condition string        `help:"Only conditions whose name holds this text."`
+	Length    time.Duration `help:"Time for each load." default:"5s"`
+}
+
+func (command *overloadCommand) Run() error {
+	rows := []bench.OverloadRow{}
+	for _, condition := range bench.Conditions {
+		if !strings.Contains(string(condition), command.Condition) {
+			continue
+		}
+		measured, err := bench.Overload(context.Background(), condition, command.Loads, command.Length)
+		if err != nil {
+			return err
+		}
+		rows = append(rows, measured...)
+	}
+	heads := []string{"CONDITION", "VERSION", "LOAD", "GOODPUT", "LOOKUP P50", "P99", "SEARCH P50", "P99", "MOST AT ONCE"}
+	return show(command.output, rows, heads, func(row bench.OverloadRow) []string {
+		return []string{
+			string(row.Condition), row.Version, fmt.Sprintf("%.1f", row.Load), fmt.Sprintf("%.2f", row.Goodput),
+			short(row.LookupMedian), short(row.LookupP99), short(row.SearchMedian), short(row.SearchP99), fmt.Sprint(row.MostAtOnce),
+		}
+	})
+}
+
+type slopesCommand struct {
+	output
+}
+
+func (command *slopesCommand) Run() error {
+	rows, err := bench.Slopes()
+	if err != nil {
+		return err
+	}
+	return show(command.output, rows, []string{"WHAT", "OF", "AT", "VALUE", "UNIT"}, func(row bench.SlopeRow) []string {
+		return []string{row.What, row.Of, fmt.Sprint(row.At), fmt.Sprintf("%.4g", row.Value), row.Unit}
+	})
+}
--- /dev/null
+++ b/cmd/measure/owners.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"cherrykeel/score"
+)
+
+type ownersCommand struct {
+	output
+	Size     string `help:"Only this user's size." enum:"hanbit,huon,all" default:"all"`
+	Scenario string `help:"Only scenarios whose name holds this text."`
+	Seed     int64  `help:"Seed of the runs." default:"1"`
+}
+
+func (command *ownersCommand) Run() error {
+	rows := []score.Row{}
+	for _, size := range score.Sizes {
+		if command.Size != "all" && command.Size != size.Name {
+			continue
+		}
+		for _, scenario := range score.Scenarios {
+			if strings.Contains(scenario.Name, command.Scenario) {
+				rows = append(rows, score.Run(size, scenario, command.Seed)...)
+			}
+		}
+	}
+	heads := []string{"SIZE", "SCENARIO", "VERSION", "KEYS MAX/MEAN", "LOAD MAX/MEAN", "MOVED", "LEAST", "CHURN", "LONGEST GAP", "MEAN GAP", "TWO OWNERS"}
+	return show(command.output, rows, heads, ownersLine)
+}
+
+func ownersLine(row score.Row) []string {
+	line := []string{
+		row.Size, row.Scenario, row.Version,
+		fmt.Sprintf("%.2f", row.KeyImbalance), fmt.Sprintf("%.2f", row.LoadImbalance),
+		fmt.Sprint(row.Moved), fmt.Sprint(row.Least), churn(row),
+	}
+	if row.Version == "naive" {
+		return append(line, "list's lag", "-", "not kept out")
+	}
+	return append(line, row.LongestGap.String(), row.MeanGap.Round(time.Millisecond).String(), fmt.Sprint(row.TwoOwners))
+}
+
+func churn(row score.Row) string {
+	if row.Least == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f", float64(row.Moved)/float64(row.Least))
+}
--- a/demand/merge.go
+++ b/demand/merge.go
@@ -10,7 +10,7 @@
 	// window is the time over which a keeper's view of the load is smoothed.
 	window = 10 * time.Second
 	// reportAge is how long a host's report counts after it came.
-	reportAge = 5 * time.Second
+	reportAge = 15 * time.Second
 	// leastReports keeps a keeper that has just begun from moving anything on a first glance.
 	leastReports = 3
 )
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -169,14 +170,19 @@
 	pool.counted = now
 	demand := pool.counter.Report(partitionOf)
 	for partition := range demand.Partitions {
-		demand.Partitions[partition] /= seconds
+		demand.Partitions[partition] = round(demand.Partitions[partition] / seconds)
 	}
 	for key := range demand.HotKeys {
-		demand.HotKeys[key] /= seconds
+		demand.HotKeys[key] = round(demand.HotKeys[key] / seconds)
 	}
 	return demand
 }
 
+// round keeps one decimal, so that reports stay short.
+func round(load float64) float64 {
+	return math.Round(load*10) / 10
+}
+
 // Unreachable names the upstreams, as service and name, that this host's requests cannot reach.
 func (fleet *Fleet) Unreachable() []string {
 	fleet.mutex.RLock()
--- a/host/host.go
+++ b/host/host.go
@@ -70,6 +70,9 @@
 	// lastReason and logWasUp are what watch last logged.
 	lastReason atomic.Pointer[string]
 	logWasUp   atomic.Bool
+	// resolved is the version of the settings in force, for the follower's goroutine.
+	resolved int64
+	hellos   atomic.Int64
 
 	inner       *wire.Server
 	front       *http.Server
@@ -209,6 +212,11 @@
 
 // onState takes a new state into force.
 func (host *Host) onState(state *fold.State) {
+	if host.table.Load() != nil && host.refused.Load() == nil && state.Version == host.resolved {
+		// Only ownership has changed; reading every setting again would cost a hundred times as much.
+		host.duty.onState(state)
+		return
+	}
 	services, err := tree.Services(state.Nodes)
 	if err != nil {
 		// Going on with the old settings would serve old values silently; so the host
@@ -219,6 +227,7 @@
 		return
 	}
 	host.refused.Store(nil)
+	host.resolved = state.Version
 	previous := host.table.Load()
 	table := route.Build(services)
 	host.table.Store(table)
--- a/host/inner.go
+++ b/host/inner.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"cherrykeel"
 	"cherrykeel/events"
 	"cherrykeel/follow"
 	"cherrykeel/member"
@@ -18,6 +19,8 @@
 const (
 	helloPause   = time.Second
 	helloTimeout = 800 * time.Millisecond
+	// demandEvery is how many hellos go out for each report of load by partition, which is much larger.
+	demandEvery = 5
 	// peerAge is how long a peer counts as reachable after it last spoke.
 	peerAge      = 5 * time.Second
 	fetchTimeout = time.Second
@@ -160,7 +163,10 @@
 		LogUp:       status.LogUp,
 		Unreachable: host.fleet.Unreachable(),
 	}
-	demands := host.fleet.Demands(partitionOf)
+	demands := map[string]cherrykeel.Demand{}
+	if host.hellos.Add(1)%demandEvery == 0 {
+		demands = host.fleet.Demands(partitionOf)
+	}
 	own := hello
 	own.Demands = host.duty.demandsFor(host.config.Name, demands)
 	host.hear(own)
--- /dev/null
+++ b/picker/picker_test.go
@@ -0,0 +1,60 @@
+package picker_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"cherrykeel"
+	"cherrykeel/picker"
+)
+
+func TestPicker(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "picker")
+}
+
+var _ = Describe("the picker", func() {
+	It("never picks an upstream without room, and always one if there is one", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			var choices []cherrykeel.Choice
+			room := false
+			for range rapid.IntRange(0, 8).Draw(t, "count") {
+				choice := cherrykeel.Choice{
+					InFlight: rapid.IntRange(0, 4).Draw(t, "in flight"),
+					Limit:    rapid.IntRange(0, 4).Draw(t, "limit"),
+					Reported: rapid.Float64Range(-5, 5).Draw(t, "report"),
+					Warmth:   rapid.Float64Range(0, 1).Draw(t, "warmth"),
+				}
+				room = room || choice.InFlight < choice.Limit
+				choices = append(choices, choice)
+			}
+			index := picker.NewLeastLoaded().Pick("zone", choices, rapid.Float64Range(0, 0.999).Draw(t, "random"))
+			if (index >= 0) != room {
+				t.Fatalf("picked %d of %+v", index, choices)
+			}
+			if index >= 0 && choices[index].InFlight >= choices[index].Limit {
+				t.Fatalf("picked a full one")
+			}
+		})
+	})
+
+	It("is not drawn by a lying report to an upstream with more of its own requests in flight", func() {
+		choices := []cherrykeel.Choice{
+			{Name: "honest", InFlight: 1, Limit: 4, Reported: 1, Warmth: 1},
+			{Name: "liar", InFlight: 3, Limit: 4, Reported: 0, Warmth: 1},
+		}
+		for _, random := range []float64{0, 0.3, 0.6, 0.9} {
+			Expect(picker.NewLeastLoaded().Pick("", choices, random)).To(Equal(0))
+		}
+	})
+
+	It("prefers its own zone until that is busier", func() {
+		choices := []cherrykeel.Choice{{Zone: "here", InFlight: 0, Limit: 4, Warmth: 1}, {Zone: "there", InFlight: 0, Limit: 4, Warmth: 1}}
+		Expect(picker.NewLeastLoaded().Pick("here", choices, 0.9)).To(Equal(0))
+		choices[0].InFlight = 3
+		Expect(picker.NewLeastLoaded().Pick("here", choices, 0.9)).To(Equal(1))
+	})
+})
