Upstreams' own word moves their keys; more proofs of log faults and slow hosts

Change: hosts tell the keeper which upstreams refuse new work; those count as lost, with growing patience; keyed requests wait for the move. Specs: every reply lost while an upstream or the keeper is lost, a stop and a takeover in a log outage, a host that sleeps through the log's retention, the follower alone.

--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -183,21 +183,25 @@
 	return math.Round(load*10) / 10
 }
 
-// Unreachable names the upstreams, as service and name, that this host's requests cannot reach.
-func (fleet *Fleet) Unreachable() []string {
+// Troubled names the upstreams, as service and name, that this host's requests cannot reach,
+// and those that have told it that they take no new work.
+func (fleet *Fleet) Troubled() (unreachable, refusing []string) {
 	fleet.mutex.RLock()
 	defer fleet.mutex.RUnlock()
-	var names []string
+	now := fleet.clock.Now()
 	for path, pool := range fleet.pools {
 		pool.mutex.Lock()
 		for name, upstream := range pool.upstreams {
 			if upstream.health.Unreachable() {
-				names = append(names, path+" "+name)
+				unreachable = append(unreachable, path+" "+name)
+			}
+			if upstream.health.Draining(now) {
+				refusing = append(refusing, path+" "+name)
 			}
 		}
 		pool.mutex.Unlock()
 	}
-	return names
+	return unreachable, refusing
 }
 
 // GrantView passes a keeper's grant, or question, to this host's view of a service.
--- a/fakes/upstream.go
+++ b/fakes/upstream.go
@@ -15,6 +15,9 @@
 	"cherrykeel"
 )
 
+// coldFactor is how many times its usual work a request takes on an upstream that has just started.
+const coldFactor = 9
+
 // UpstreamFaults are the faults of the upstream stand-in; counts say how many of the next requests they hit.
 type UpstreamFaults struct {
 	// Freeze stops everything, control included, until it is ended by the next order or has passed.
@@ -27,6 +30,8 @@
 	Reset int
 	// Work is added to each request.
 	Work time.Duration
+	// SlowStart makes requests take up to a slot's tenfold work, less and less, until it has passed.
+	SlowStart time.Duration
 	// Shed is the share of requests that is refused.
 	Shed float64
 	// Load is reported instead of the true load when it is not negative.
@@ -67,6 +72,7 @@
 	services map[string]*Ownership
 	faults   UpstreamFaults
 	thawed   time.Time
+	ordered  time.Time
 	waiting  int
 	// most is the most requests held at a time.
 	most     int
@@ -122,7 +128,8 @@
 	upstream.mutex.Lock()
 	defer upstream.mutex.Unlock()
 	upstream.faults = faults
-	upstream.thawed = time.Now().Add(faults.Freeze)
+	upstream.ordered = time.Now()
+	upstream.thawed = upstream.ordered.Add(faults.Freeze)
 }
 
 // RunReport says what truly ran.
@@ -295,7 +302,7 @@
 	}
 	defer func() { <-upstream.slots }()
 	upstream.mutex.Lock()
-	duration := upstream.options.Work + upstream.faults.Work
+	duration := upstream.options.Work + upstream.faults.Work + upstream.coldWork()
 	upstream.mutex.Unlock()
 	if duration > 0 {
 		time.Sleep(duration)
@@ -304,6 +311,16 @@
 	return ctx.Err() == nil
 }
 
+// coldWork is what a request takes more because the upstream has just started.
+func (upstream *Upstream) coldWork() time.Duration {
+	left := upstream.faults.SlowStart - time.Since(upstream.ordered)
+	if left <= 0 {
+		return 0
+	}
+	share := float64(left) / float64(upstream.faults.SlowStart)
+	return time.Duration(share * coldFactor * float64(upstream.options.Work))
+}
+
 // effect runs the request; an owner whose lease has lapsed meanwhile refuses, so nothing runs after the lease.
 func (upstream *Upstream) effect(call call) ([]byte, string) {
 	upstream.mutex.Lock()
--- /dev/null
+++ b/follow/follow_test.go
@@ -0,0 +1,120 @@
+package follow_test
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"cherrykeel"
+	"cherrykeel/fold"
+	"cherrykeel/follow"
+	"cherrykeel/tree"
+)
+
+func TestFollow(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "follow")
+}
+
+// fakeLog keeps records in memory; lost replies take effect, refusals do not.
+type fakeLog struct {
+	mutex   sync.Mutex
+	records [][]byte
+	out     bool
+	lose    bool
+}
+
+func (log *fakeLog) Append(_ context.Context, data []byte) (int64, error) {
+	log.mutex.Lock()
+	defer log.mutex.Unlock()
+	if log.out {
+		return 0, errors.WithStack(cherrykeel.ErrLogUnavailable)
+	}
+	log.records = append(log.records, data)
+	if log.lose {
+		return 0, errors.WithStack(cherrykeel.ErrLogUnavailable)
+	}
+	return int64(len(log.records) - 1), nil
+}
+
+func (log *fakeLog) Read(ctx context.Context, from int64) (cherrykeel.LogBatch, error) {
+	time.Sleep(time.Millisecond)
+	log.mutex.Lock()
+	defer log.mutex.Unlock()
+	if log.out || ctx.Err() != nil {
+		return cherrykeel.LogBatch{}, errors.WithStack(cherrykeel.ErrLogUnavailable)
+	}
+	batch := cherrykeel.LogBatch{Next: int64(len(log.records))}
+	for offset := from; offset < batch.Next; offset++ {
+		batch.Records = append(batch.Records, cherrykeel.LogRecord{Offset: offset, Data: log.records[offset]})
+	}
+	return batch, nil
+}
+
+func change(id string, base int64) fold.Record {
+	edit := tree.Edit{Path: "a", Base: base, Fields: map[string]any{"Timeout": "5s"}}
+	return fold.Record{Format: fold.Format, ID: id, Change: &fold.Change{Edits: []tree.Edit{edit}}}
+}
+
+func running(log cherrykeel.Log) *follow.Follower {
+	follower := follow.New(log, cherrykeel.SystemClock())
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	go follower.Run(ctx)
+	return follower
+}
+
+var _ = Describe("a follower", func() {
+	It("learns the truth of an append whose reply was lost, and of one that had no effect", func() {
+		log := &fakeLog{lose: true}
+		follower := running(log)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		verdict, err := follower.Propose(ctx, change("x", 0))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(verdict.Accepted).To(BeTrue())
+		verdict, err = follower.Propose(ctx, change("y", 0))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(verdict.Accepted).To(BeFalse())
+
+		log.mutex.Lock()
+		log.out = true
+		log.mutex.Unlock()
+		short, stop := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer stop()
+		_, err = follower.Propose(short, change("z", 1))
+		Expect(err).To(MatchError(follow.ErrOutcomeUnknown))
+	})
+
+	It("finds a peer that folded the same records to another state", func() {
+		log := &fakeLog{}
+		follower := running(log)
+		_, err := follower.Propose(context.Background(), change("x", 0))
+		Expect(err).NotTo(HaveOccurred())
+		status := follower.Status()
+		Expect(follower.Differs(status.Next, status.Chain)).To(BeFalse())
+		Expect(follower.Differs(status.Next, status.Chain+1)).To(BeTrue())
+		Expect(follower.Differs(status.Next+5, 1)).To(BeFalse(), "a peer that is ahead cannot be compared yet")
+	})
+
+	It("gives a peer that is cut off the records that it lacks, or a checkpoint when it lacks too much", func() {
+		log := &fakeLog{}
+		follower := running(log)
+		for base := range int64(3) {
+			_, err := follower.Propose(context.Background(), change(string(rune('a'+base)), base))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		relay, err := follower.Relay(1)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(relay.Records).To(HaveLen(2))
+		Expect(relay.Checkpoint).To(BeNil())
+		Expect(relay.Next).To(Equal(int64(3)))
+		Expect(json.Valid(relay.Records[0].Data)).To(BeTrue())
+	})
+})
--- a/host/duty.go
+++ b/host/duty.go
@@ -181,9 +181,11 @@
 		Leaving:  host.stopping.Load(),
 		Draining: map[string]bool{},
 		Down:     map[string]bool{},
+		Refusing: map[string]bool{},
 	}
 	for _, server := range service.Upstreams {
 		input.Draining[server.Name] = host.Draining(service, server.Name)
+		input.Refusing[server.Name] = host.roster.refusing(service.Path, server.Name, input.Now)
 		input.Down[server.Name] = host.roster.down(service.Path, server.Name, input.Now)
 	}
 	return input
--- a/host/inner.go
+++ b/host/inner.go
@@ -61,6 +61,7 @@
 		Version:     hello.Version,
 		LogUp:       hello.LogUp,
 		Unreachable: hello.Unreachable,
+		Refusing:    hello.Refusing,
 	}, host.clock.Now())
 	for service, demand := range hello.Demands {
 		host.duty.hearDemand(hello.Host, service, demand)
@@ -153,6 +154,7 @@
 // sayHello tells every peer how this host fares.
 func (host *Host) sayHello(context.Context) {
 	status := host.follower.Status()
+	unreachable, refusing := host.fleet.Troubled()
 	hello := wire.Hello{
 		Host:        host.config.Name,
 		Zone:        host.config.Zone,
@@ -161,7 +163,8 @@
 		Chain:       status.Chain,
 		Version:     host.follower.State().Version,
 		LogUp:       status.LogUp,
-		Unreachable: host.fleet.Unreachable(),
+		Unreachable: unreachable,
+		Refusing:    refusing,
 	}
 	demands := map[string]cherrykeel.Demand{}
 	if host.hellos.Add(1)%demandEvery == 0 {
--- a/host/roster.go
+++ b/host/roster.go
@@ -77,6 +77,12 @@
 	return roster.view.Down(service, upstream, now)
 }
 
+func (roster *roster) refusing(service, upstream string, now cherrykeel.Instant) bool {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	return roster.view.Refusing(service, upstream, now)
+}
+
 // activeHosts counts the entry hosts among which upstreams' slots are shared.
 func (roster *roster) activeHosts() int {
 	return max(1, len(roster.peers()))
--- a/keeper/input.go
+++ b/keeper/input.go
@@ -27,8 +27,10 @@
 	// Draining are upstreams that must get no new work.
 	Draining map[string]bool
 	// Down are upstreams that most hosts cannot reach; it counts where leases do not tell.
-	Down   map[string]bool
-	Demand cherrykeel.Demand
+	Down map[string]bool
+	// Refusing are upstreams that have said themselves, of late, that they take no new work.
+	Refusing map[string]bool
+	Demand   cherrykeel.Demand
 	// Won is the term that this very process claimed, or 0.
 	Won int64
 }
--- a/keeper/place.go
+++ b/keeper/place.go
@@ -27,6 +27,11 @@
 }
 
 func (term *term) down(upstream string, input Input) bool {
+	if input.Refusing[upstream] {
+		// It is still owner, but sends its requests away; it is treated as lost, so that each
+		// time it takes work back and refuses again lengthens the wait for the next.
+		return true
+	}
 	if !input.Service.ChecksFences {
 		return input.Down[upstream]
 	}
--- a/member/roster.go
+++ b/member/roster.go
@@ -43,6 +43,8 @@
 	Version     int64
 	LogUp       bool
 	Unreachable []string
+	// Refusing are upstreams that told the host that they take no new work.
+	Refusing []string
 }
 
 type heard struct {
@@ -161,6 +163,23 @@
 	return 2*votes > voters
 }
 
+// Refusing reports whether an upstream has told any host of late that it takes no new work.
+// Unlike silence, this is the upstream's own word, so one host that got it is enough.
+func (roster *Roster) Refusing(service, upstream string, now cherrykeel.Instant) bool {
+	name := service + " " + upstream
+	for _, said := range roster.words {
+		if now.Sub(said.at) > wordAge {
+			continue
+		}
+		for _, refusing := range said.word.Refusing {
+			if refusing == name {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Neighbours returns the peers that this host tells how it fares: the next few on a ring
 // in which all hosts stand in order of a hash of their names. Each host so speaks to, and
 // hears from, the same small number of others, however many there are.
--- a/proof/ownership_test.go
+++ b/proof/ownership_test.go
@@ -207,6 +207,32 @@
 			keeper.logProxy.Set(fault.Rules{Refuse: true, StallUp: true, StallDown: true})
 			return func() { keeper.logProxy.Set(fault.Rules{}) }
 		}),
+		Entry("the log takes every append and loses every reply, while an upstream is lost", func(cluster *cluster, _ []*fakes.Upstream) func() {
+			cluster.order(cluster.log+"/faults", fakes.LogFaults{LoseReplies: 10_000})
+			cluster.upstreams["keys-1"].proxy.Set(fault.Rules{Refuse: true, StallUp: true, StallDown: true})
+			return func() {
+				cluster.order(cluster.log+"/faults", fakes.LogFaults{})
+				cluster.upstreams["keys-1"].proxy.Set(fault.Rules{})
+			}
+		}),
+		Entry("the log loses its replies while the keeper is killed", func(cluster *cluster, _ []*fakes.Upstream) func() {
+			cluster.order(cluster.log+"/faults", fakes.LogFaults{LoseReplies: 10_000})
+			cluster.keeper("shop/keys").process.kill()
+			return func() { cluster.order(cluster.log+"/faults", fakes.LogFaults{}) }
+		}),
+		Entry("the log is out while the keeper is told to stop: it stays until it can hand over", func(cluster *cluster, _ []*fakes.Upstream) func() {
+			keeper := cluster.keeper("shop/keys")
+			cluster.order(cluster.log+"/faults", fakes.LogFaults{Outage: true})
+			keeper.process.signal(syscall.SIGTERM)
+			return func() { cluster.order(cluster.log+"/faults", fakes.LogFaults{}) }
+		}),
+		Entry("the log goes out in the middle of a takeover and comes back", func(cluster *cluster, _ []*fakes.Upstream) func() {
+			cluster.keeper("shop/keys").process.kill()
+			cluster.order(cluster.log+"/faults", fakes.LogFaults{Outage: true})
+			time.Sleep(2 * time.Second)
+			cluster.order(cluster.log+"/faults", fakes.LogFaults{})
+			return func() {}
+		}),
 		Entry("the keeper is stopped as planned", func(cluster *cluster, _ []*fakes.Upstream) func() {
 			cluster.keeper("shop/keys").process.signal(syscall.SIGTERM)
 			return func() {}
--- a/proof/requests_test.go
+++ b/proof/requests_test.go
@@ -369,6 +369,17 @@
 		}),
 	)
 
+	It("of an upstream with keys by its own word make its keys move, and requests wait for that", func() {
+		cluster := newCluster(2)
+		cluster.shop()
+		cluster.order(cluster.upstreams["keys-1"].address+"/standin/faults", fakes.UpstreamFaults{Draining: true, Load: -1})
+		for i := range 100 {
+			got := cluster.ask(cluster.hosts[i%2], http.MethodGet, fmt.Sprintf("/keys/%d", i), "")
+			Expect(got.status).To(Equal(http.StatusOK), got.body)
+			Expect(got.body).NotTo(HavePrefix("keys-1 "))
+		}
+	})
+
 	It("of an upstream without keys by its own word take its new work away at once", func() {
 		cluster := newCluster(2)
 		cluster.shop()
--- a/proof/settings_test.go
+++ b/proof/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"path/filepath"
 	"sync"
+	"syscall"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -97,6 +98,37 @@
 		Expect(output).NotTo(ContainSubstring("lost append"))
 	})
 
+	It("never go back on a host that the log's retention has overtaken while it was paused", func() {
+		// The log keeps 25 records and the host sleeps through 40. What it has not read is gone;
+		// it starts over from a checkpoint that is newer than what it had, and says nothing older.
+		cluster := newCluster(3)
+		cluster.order(cluster.log+"/faults", fakes.LogFaults{Retention: 25})
+		cluster.write("firm.toml", "Timeout = \"5s\"\n")
+		cluster.publish("first")
+		slow := cluster.hosts[0]
+		before, err := cluster.status(slow)
+		Expect(err).NotTo(HaveOccurred())
+		slow.process.signal(syscall.SIGSTOP)
+		for round := range 40 {
+			cluster.write("firm.toml", "Timeout = \""+string(rune('1'+round%9))+"s\"\n")
+			output, code := cluster.operate("publish", filepath.Join(cluster.dir, "tree"), "--reason", "round", "--wait", "0s")
+			Expect(code).To(Equal(opctl.ExitDone), output)
+		}
+		slow.process.signal(syscall.SIGCONT)
+		last := before.Version
+		Eventually(func() bool {
+			status, err := cluster.status(slow)
+			if err != nil {
+				return false
+			}
+			Expect(status.Version).To(BeNumerically(">=", last))
+			last = status.Version
+			newest, err := cluster.status(cluster.hosts[1])
+			return err == nil && status.Version == newest.Version && status.Chain == newest.Chain
+		}, patience, "50ms").Should(BeTrue())
+		Expect(last).To(BeNumerically(">", before.Version+30))
+	})
+
 	It("survive the log's retention, and reach a new host from a checkpoint, or from peers while the log is out", func() {
 		// The log keeps 60 records. Hosts append checkpoints in time, so a host that starts
 		// later finds one; during an outage it starts from what most of its peers know.
--- a/retry/decide.go
+++ b/retry/decide.go
@@ -98,7 +98,8 @@
 }
 
 func afterRefusal(ending Ending, situation Situation) Verdict {
-	if ending.Refusal == RefusedOwner {
+	moving := situation.Keyed && ending.Refusal == RefusedDraining
+	if ending.Refusal == RefusedOwner || moving {
 		return afterWrongOwner(ending, situation)
 	}
 	if situation.Keyed && ending.Refusal == RefusedShed {
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -34,6 +34,8 @@
 	LogUp   bool
 	// Unreachable are upstreams, as service and name, that the sender's own requests could not reach of late.
 	Unreachable []string
+	// Refusing are upstreams that told the sender that they take no new work.
+	Refusing []string
 	// Demands are the requests a second by service, sent to the service's keeper only.
 	Demands map[string]cherrykeel.Demand
 }
