--- a/example_test.go
+++ b/example_test.go
@@ -33,9 +33,9 @@
 	for _, path := range []string{"/hello", "/other"} {
 		recorder := httptest.NewRecorder()
 		router.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, path, nil))
-		fmt.Println(recorder.Code, recorder.Body, recorder.Header().Get(cherrykeel.HeaderOutcome))
+		fmt.Printf("%d %q %q\n", recorder.Code, recorder.Body, recorder.Header().Get(cherrykeel.HeaderOutcome))
 	}
 	// Output:
-	// 200 hello
-	// 503  not-run
+	// 200 "hello" ""
+	// 503 "" "not-run"
 }
