Log lost upstreams, and count only what was promoted

Cause: a reading of the whole change found two events in the catalogue that no program logged (406, 407), 'status' showing every partition of a service as promoted when one upstream's were, an error that nobody returned, and a switch with the same case twice. Change: the keeper's host logs upstreams as they are lost and come back; the report counts the partitions whose owner differs from the log's; the unused parts are gone. A spec with processes sees the count, its end, and both events; another holds that every event of the catalogue is logged somewhere.

--- a/cmd/cherrykeel/docs_test.go
+++ b/cmd/cherrykeel/docs_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
 	"reflect"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -37,6 +39,25 @@
 		Expect(strings.Count(text, "\n| ")).To(Equal(rows + 2))
 	})
 
+	It("list no event that no program logs", func() {
+		source, err := os.ReadFile("../../events/events.go")
+		Expect(err).NotTo(HaveOccurred())
+		used := ""
+		for _, pattern := range []string{"../../host/*.go", "../../edge/*.go"} {
+			files, _ := filepath.Glob(pattern)
+			for _, file := range files {
+				text, err := os.ReadFile(file)
+				Expect(err).NotTo(HaveOccurred())
+				used += string(text)
+			}
+		}
+		names := regexp.MustCompile(`(?m)^\s+(\w+)\s+= define`).FindAllStringSubmatch(string(source), -1)
+		Expect(names).To(HaveLen(len(events.All)))
+		for _, name := range names {
+			Expect(used).To(ContainSubstring("events." + name[1]))
+		}
+	})
+
 	It("list each setting with its type, unit, default, range and levels", func() {
 		text := read("SETTINGS.md")
 		for _, field := range tree.Fields {
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -17,8 +17,6 @@
 	ErrOutcomeUnknown = errors.New("the outcome of the append is not known")
 	// ErrBehind means that the log's retention has overtaken this host and holds no checkpoint to start from.
 	ErrBehind = errors.New("the log no longer holds what this host has not read, nor a checkpoint")
-	// ErrDiverged means that this host folded the log to another state than most of its peers.
-	ErrDiverged = errors.New("this host's fold differs from its peers'")
 )
 
 const (
--- a/host/duty.go
+++ b/host/duty.go
@@ -6,14 +6,12 @@
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"cherrykeel"
 	"cherrykeel/demand"
 	"cherrykeel/events"
 	"cherrykeel/fold"
-	"cherrykeel/follow"
 	"cherrykeel/keeper"
 	"cherrykeel/lease"
 	"cherrykeel/route"
@@ -38,6 +36,8 @@
 	overlays map[string]keeper.Overlay
 	// claims are the ids of the claims that this process has made.
 	claims map[string]bool
+	// lost are the upstreams that a keeper on this host has lost, by service.
+	lost map[string]map[string]bool
 	// ticks counts, for the one goroutine that ticks.
 	ticks int
 }
@@ -51,6 +51,7 @@
 		mergers:  map[string]*demand.Merger{},
 		overlays: map[string]keeper.Overlay{},
 		claims:   map[string]bool{},
+		lost:     map[string]map[string]bool{},
 	}
 }
 
@@ -206,9 +207,28 @@
 	held := kept.Holds()
 	actions := kept.Tick(*input)
 	duty.noteRole(path, held, kept.Holds(), input.Block.Term)
+	duty.noteLost(path, kept, input.Now)
 	return actions
 }
 
+// noteLost logs which upstreams the keeper has lost and got back since the last tick.
+func (duty *duty) noteLost(path string, kept *keeper.Keeper, now cherrykeel.Instant) {
+	report, _ := kept.Report(now)
+	lost := map[string]bool{}
+	for _, name := range report.Lost {
+		lost[name] = true
+		if !duty.lost[path][name] {
+			events.Log(duty.host.logger, events.UpstreamLost, zap.String("Service", path), zap.String("Upstream", name))
+		}
+	}
+	for name := range duty.lost[path] {
+		if !lost[name] && kept.Holds() {
+			events.Log(duty.host.logger, events.UpstreamBack, zap.String("Service", path), zap.String("Upstream", name))
+		}
+	}
+	duty.lost[path] = lost
+}
+
 func (duty *duty) noteRole(path string, before, after bool, term int64) {
 	if before == after {
 		return
@@ -302,8 +322,6 @@
 	verdict, err := duty.host.follower.Propose(ctx, record)
 	logger := duty.host.logger.With(zap.String("Service", service))
 	switch {
-	case errors.Is(err, follow.ErrOutcomeUnknown):
-		events.Log(logger, events.AssignOpen, zap.Error(err))
 	case err != nil:
 		events.Log(logger, events.AssignOpen, zap.Error(err))
 	case record.Claim != nil && !verdict.Accepted:
--- a/keeper/place.go
+++ b/keeper/place.go
@@ -70,6 +70,7 @@
 		return
 	}
 	term.adopt(input)
+	defer func() { term.promoted = moved(input.Block.Placement, term.current(input)) }()
 	candidates := term.candidates(input)
 	current := term.current(input)
 	term.ledger.Want(current)
@@ -138,6 +139,17 @@
 	return next, !samePlacement(current, next)
 }
 
+// moved counts the partitions that two placements give to different upstreams.
+func moved(one, other cherrykeel.Placement) int {
+	count := 0
+	for partition, owner := range other.Owners {
+		if partition >= len(one.Owners) || one.Owners[partition] != owner {
+			count++
+		}
+	}
+	return count
+}
+
 func orphaned(placement cherrykeel.Placement, partitions int, candidates []cherrykeel.Candidate) bool {
 	if len(placement.Owners) != partitions {
 		return true
--- a/keeper/term.go
+++ b/keeper/term.go
@@ -50,6 +50,7 @@
 	balancedAt cherrykeel.Instant
 	reclaimAt  cherrykeel.Instant
 	adopted    bool
+	promoted   int
 }
 
 // earlier is a term whose witnesses must learn of the new one.
@@ -239,8 +240,6 @@
 		report.Lost = append(report.Lost, name)
 	}
 	sort.Strings(report.Lost)
-	if term.overlay != nil {
-		report.Promoted = len(term.overlay.Owners)
-	}
+	report.Promoted = term.promoted
 	return report
 }
--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -44,16 +45,34 @@
 
 var _ = AfterSuite(gexec.CleanupBuildArtifacts)
 
+// transcript collects what a program writes.
+type transcript struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (transcript *transcript) Write(data []byte) (int, error) {
+	transcript.mutex.Lock()
+	defer transcript.mutex.Unlock()
+	return transcript.buffer.Write(data)
+}
+
+func (transcript *transcript) text() string {
+	transcript.mutex.Lock()
+	defer transcript.mutex.Unlock()
+	return transcript.buffer.String()
+}
+
 // process is a program that a test has started.
 type process struct {
 	name    string
 	command *exec.Cmd
-	output  *bytes.Buffer
+	output  *transcript
 	done    chan struct{}
 }
 
 func start(name, program string, arguments ...string) *process {
-	started := &process{name: name, command: exec.Command(program, arguments...), output: &bytes.Buffer{}, done: make(chan struct{})}
+	started := &process{name: name, command: exec.Command(program, arguments...), output: &transcript{}, done: make(chan struct{})}
 	started.command.Stdout = started.output
 	started.command.Stderr = started.output
 	Expect(started.command.Start()).To(Succeed())
@@ -73,7 +92,7 @@
 	process.signal(syscall.SIGKILL)
 	<-process.done
 	if CurrentSpecReport().Failed() {
-		AddReportEntry(process.name, process.output.String(), ReportEntryVisibilityFailureOrVerbose)
+		AddReportEntry(process.name, process.output.text(), ReportEntryVisibilityFailureOrVerbose)
 	}
 }
 
--- a/proof/ownership_test.go
+++ b/proof/ownership_test.go
@@ -149,6 +149,27 @@
 	// Callers read and write registers through all hosts while the fault lasts and after it.
 	// An owner reads a register once in its term and then trusts its own copy, so a second
 	// owner, or one that wakes after its lease, shows as a lost or stale value.
+	It("is shown to operators: who is lost, how much was promoted without the log, and that it is back", func() {
+		cluster := newCluster(3)
+		cluster.keyed()
+		cluster.order(cluster.log+"/faults", fakes.LogFaults{Outage: true})
+		cluster.upstreams["keys-3"].proxy.Set(fault.Rules{Refuse: true, StallUp: true, StallDown: true})
+		keeper := cluster.keeper("shop/keys")
+		promoted := func() int {
+			status, err := cluster.status(keeper)
+			if err != nil || len(status.Services) != 1 || status.Services[0].Report == nil {
+				return 0
+			}
+			return status.Services[0].Report.Promoted
+		}
+		Eventually(promoted, patience, "50ms").Should(BeNumerically(">", 0))
+		Expect(promoted()).To(BeNumerically("<=", 17), "only what the lost upstream owned of 64 partitions")
+		cluster.order(cluster.log+"/faults", fakes.LogFaults{})
+		cluster.upstreams["keys-3"].proxy.Set(fault.Rules{})
+		Eventually(promoted, patience, "50ms").Should(BeZero())
+		Eventually(keeper.process.output.text, patience, "100ms").Should(And(ContainSubstring("\"Event\":406"), ContainSubstring("\"Event\":407")))
+	})
+
 	DescribeTable("keeps every register linearizable and every key served",
 		func(strike func(cluster *cluster, servers []*fakes.Upstream) (heal func())) {
 			cluster := newCluster(5)
