--- /dev/null
+++ b/routes.go
@@ -0,0 +1,70 @@
+package cherrykeel
+
+import "time"
+
+// RouteSet is one whole version of the settings by which requests are routed.
+type RouteSet struct {
+	// Version only grows; a host never goes back to a lower one.
+	Version  int64
+	Routes   []Route
+	Services map[string]RoutedService
+	Limits   CallerLimits
+}
+
+// Route says where requests of one host name and path prefix go.
+type Route struct {
+	Name       string
+	Domain     string
+	PathPrefix string
+	// Repeatable says that running a request twice does no harm.
+	Repeatable bool
+	// Timeout is the longest that a caller is kept waiting.
+	Timeout time.Duration
+	// Target is the time within which an answer has its full worth.
+	Target time.Duration
+	// Priority is 0 for the requests that go first.
+	Priority int
+	// MaxAttempts bounds the upstreams that one request is sent to.
+	MaxAttempts int
+	// Parts share the route's requests in proportion to their weights.
+	Parts []RoutePart
+}
+
+// RoutePart is one service's share of a route.
+type RoutePart struct {
+	Service string
+	Weight  float64
+}
+
+// RoutedService is what the settings say of one service.
+type RoutedService struct {
+	Name string
+	// Keyed services divide the keys 0 to MaxKey among their upstreams.
+	Keyed bool
+	// Warmup is how long keys are slow at an upstream that got them without a handover.
+	Warmup time.Duration
+	// Connections bounds the connections to one upstream from all hosts together.
+	Connections int
+}
+
+// CallerLimits bound what a caller may send and how long it may be idle.
+type CallerLimits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Upstream is one life of a server; another start of it has another ID.
+type Upstream struct {
+	ID      string
+	Service string
+	Address string
+	Zone    string
+	// Slots is how many requests it works on at once.
+	Slots int
+	// Leaving upstreams get no new work.
+	Leaving bool
+	// Warmup is how much longer it is slow after its start, as it last said.
+	Warmup time.Duration
+}
