--- /dev/null
+++ b/caller/answer.go
@@ -0,0 +1,83 @@
+package caller
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+	"sync"
+)
+
+// answer collects a handler's answer until its turn on the connection has come.
+type answer struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+	// done is closed when the handler has returned.
+	done chan struct{}
+	once sync.Once
+	// aborted answers end the connection without a byte.
+	aborted bool
+	request *http.Request
+	held    int64
+	// last answers are followed by the connection's close, which the caller asked for or the host decided.
+	last bool
+}
+
+func newAnswer(request *http.Request) *answer {
+	return &answer{header: http.Header{}, done: make(chan struct{}), request: request}
+}
+
+// Header implements http.ResponseWriter.
+func (answer *answer) Header() http.Header {
+	return answer.header
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (answer *answer) WriteHeader(status int) {
+	if answer.status == 0 {
+		answer.status = status
+	}
+}
+
+// Write implements http.ResponseWriter.
+func (answer *answer) Write(data []byte) (int, error) {
+	answer.WriteHeader(http.StatusOK)
+	return answer.body.Write(data)
+}
+
+func (answer *answer) finish() {
+	answer.once.Do(func() { close(answer.done) })
+}
+
+// bodiless reports whether the answer must not have a body, whatever its headers say.
+func (answer *answer) bodiless() bool {
+	if answer.request != nil && answer.request.Method == http.MethodHead {
+		return true
+	}
+	return answer.status == http.StatusNoContent || answer.status == http.StatusNotModified
+}
+
+// encode returns the answer's bytes.
+func (answer *answer) encode() []byte {
+	if answer.status == 0 {
+		answer.status = http.StatusOK
+	}
+	header := answer.header
+	header.Del("Transfer-Encoding")
+	if answer.last {
+		header.Set("Connection", "close")
+	} else {
+		header.Del("Connection")
+	}
+	if !answer.bodiless() {
+		header.Set("Content-Length", strconv.Itoa(answer.body.Len()))
+	}
+	var buffer bytes.Buffer
+	buffer.WriteString("HTTP/1.1 " + strconv.Itoa(answer.status) + " " + http.StatusText(answer.status) + "\r\n")
+	_ = header.Write(&buffer)
+	buffer.WriteString("\r\n")
+	if !answer.bodiless() {
+		buffer.Write(answer.body.Bytes())
+	}
+	return buffer.Bytes()
+}
--- /dev/null
+++ b/caller/conn.go
@@ -0,0 +1,306 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// pipelineDepth bounds the requests of one connection that are worked on at once.
+	pipelineDepth = 16
+	// bodyTimeout bounds the reading of one body; callers wait seconds at most, so a slower body serves nobody.
+	bodyTimeout = 20 * time.Second
+	// writeTimeout bounds the writing of one answer to a caller that does not read.
+	writeTimeout = 10 * time.Second
+	// lingerTimeout is how long a closed connection still takes bytes, so that a crossing request's
+	// arrival does not reset the answer before it.
+	lingerTimeout = 500 * time.Millisecond
+)
+
+type conn struct {
+	server *Server
+	socket net.Conn
+	pump   *pump
+	reader *bufio.Reader
+	ctx    context.Context
+	cancel context.CancelFunc
+	// answers are written in the order in which their requests came.
+	answers chan *answer
+
+	mutex sync.Mutex
+	// open counts requests that were read and whose answers are not written.
+	open int
+	// busy says that a request is being read.
+	busy bool
+	// closing says that no further request will be taken.
+	closing bool
+	written *sync.Cond
+}
+
+func newConn(server *Server, socket net.Conn) *conn {
+	conn := &conn{server: server, socket: socket, answers: make(chan *answer, pipelineDepth)}
+	conn.written = sync.NewCond(&conn.mutex)
+	conn.ctx, conn.cancel = context.WithCancel(context.Background())
+	conn.pump = newPump(socket, conn.gone)
+	conn.reader = bufio.NewReaderSize(conn.pump, chunkBytes)
+	return conn
+}
+
+// gone ends the requests of a caller that has left.
+func (conn *conn) gone() {
+	conn.cancel()
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	conn.written.Broadcast()
+}
+
+func (conn *conn) serve() {
+	go conn.readAll()
+	conn.writeAll()
+	conn.stop()
+	conn.linger()
+	close(conn.pump.stopped)
+	_ = conn.socket.Close()
+	conn.gone()
+	for answer := range conn.answers {
+		<-answer.done
+	}
+}
+
+func (conn *conn) readAll() {
+	defer close(conn.answers)
+	for conn.readOne() {
+	}
+}
+
+// readOne reads a request and hands it to the handler; it reports whether another may follow.
+func (conn *conn) readOne() bool {
+	limits := conn.server.limits()
+	conn.pump.setDeadline(time.Now().Add(limits.IdleTimeout))
+	_, err := conn.reader.Peek(1)
+	if err != nil || !conn.begin() {
+		return false
+	}
+	conn.pump.setDeadline(time.Now().Add(limits.HeaderTimeout))
+	head, err := readHead(conn.reader, limits.HeaderBytes)
+	if err != nil {
+		return conn.refuse(err)
+	}
+	request, length, err := parseHead(head)
+	if err != nil {
+		return conn.refuse(err)
+	}
+	body, err := conn.readBody(request, length)
+	if err != nil {
+		return conn.refuse(err)
+	}
+	return conn.dispatch(request, body)
+}
+
+func (conn *conn) readBody(request *http.Request, length int64) (body, error) {
+	limits := conn.server.limits()
+	if length > limits.BodyBytes {
+		return body{}, errors.WithStack(ErrBodyTooLarge)
+	}
+	if request.Header.Get("Expect") != "" && length != 0 {
+		conn.server.proceed(conn)
+	}
+	conn.pump.setDeadline(time.Now().Add(bodyTimeout))
+	reader := bodyReader{reader: conn.reader, memory: conn.server.memory, limit: limits.BodyBytes}
+	return reader.read(length)
+}
+
+// begin notes that a request is being read; it reports false if the connection takes none any more.
+func (conn *conn) begin() bool {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	if conn.closing {
+		return false
+	}
+	conn.busy = true
+	return true
+}
+
+// admit counts a request that was read whole.
+func (conn *conn) admit(request *http.Request) bool {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	conn.busy = false
+	if conn.closing {
+		return false
+	}
+	if !alongside(request) {
+		// What may change something waits for all answers before it: were one of them the
+		// connection's last, the caller would send this request again while it runs.
+		for conn.open > 0 && conn.ctx.Err() == nil && !conn.closing {
+			conn.written.Wait()
+		}
+	}
+	if conn.closing || conn.ctx.Err() != nil {
+		return false
+	}
+	conn.open++
+	return true
+}
+
+// alongside reports whether the request may run beside others of its connection.
+func alongside(request *http.Request) bool {
+	return request.Method == http.MethodGet || request.Method == http.MethodHead
+}
+
+func (conn *conn) dispatch(request *http.Request, body body) bool {
+	if !conn.admit(request) {
+		conn.server.memory.giveBack(body.held)
+		return false
+	}
+	answer := newAnswer(request)
+	answer.held = body.held
+	answer.last = request.Close || request.ProtoMinor == 0
+	request = request.WithContext(conn.ctx)
+	request.RemoteAddr = conn.socket.RemoteAddr().String()
+	request.ContentLength = int64(len(body.data))
+	request.Body = io.NopCloser(bytes.NewReader(body.data))
+	conn.answers <- answer
+	go conn.handle(answer, request)
+	return !answer.last
+}
+
+func (conn *conn) handle(answer *answer, request *http.Request) {
+	defer answer.finish()
+	defer conn.server.memory.giveBack(answer.held)
+	defer func() {
+		failure := recover()
+		if failure == nil {
+			return
+		}
+		answer.aborted = true
+		if failure != http.ErrAbortHandler {
+			panic(failure)
+		}
+	}()
+	conn.server.handler.ServeHTTP(answer, request)
+}
+
+// refuse answers a request that was not read whole; the connection ends with that answer.
+func (conn *conn) refuse(err error) bool {
+	answer := newAnswer(nil)
+	answer.last = true
+	switch {
+	case errors.Is(err, ErrMalformed):
+		answer.status = http.StatusBadRequest
+	case errors.Is(err, ErrHeadTooLarge):
+		answer.status = http.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, ErrBodyTooLarge):
+		answer.status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, ErrNoMemory):
+		answer.status = http.StatusServiceUnavailable
+		answer.header.Set("Retry-After", memoryRetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		answer.status = http.StatusRequestTimeout
+	default:
+		return false
+	}
+	conn.server.refused(conn, err, answer.status)
+	conn.mutex.Lock()
+	conn.busy = false
+	conn.open++
+	conn.mutex.Unlock()
+	answer.finish()
+	conn.answers <- answer
+	return false
+}
+
+func (conn *conn) writeAll() {
+	for answer := range conn.answers {
+		<-answer.done
+		if !conn.write(answer) {
+			return
+		}
+	}
+}
+
+// write writes one answer and reports whether the connection goes on.
+func (conn *conn) write(answer *answer) bool {
+	if answer.aborted || conn.ctx.Err() != nil && answer.request != nil {
+		return false
+	}
+	conn.decideLast(answer)
+	_ = conn.socket.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err := conn.socket.Write(answer.encode())
+	conn.mutex.Lock()
+	conn.open--
+	conn.written.Broadcast()
+	conn.mutex.Unlock()
+	return err == nil && !answer.last
+}
+
+// decideLast lets the connection of a stopping host end with this answer, if no request follows it yet:
+// one that was read already keeps the connection, since it may be running.
+func (conn *conn) decideLast(answer *answer) {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	if conn.server.stopping() && conn.open == 1 && !conn.busy {
+		answer.last = true
+	}
+	if answer.last {
+		conn.closing = true
+	}
+}
+
+// stop takes no further request.
+func (conn *conn) stop() {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	conn.closing = true
+	conn.written.Broadcast()
+}
+
+// closeIdle ends the connection if no request is being read, waits, or runs.
+func (conn *conn) closeIdle() {
+	conn.mutex.Lock()
+	idle := conn.open == 0 && !conn.busy && !conn.closing
+	if idle {
+		conn.closing = true
+	}
+	conn.mutex.Unlock()
+	if idle {
+		conn.closeWrite()
+		time.AfterFunc(lingerTimeout, func() { _ = conn.socket.Close() })
+	}
+}
+
+func (conn *conn) closeWrite() {
+	half, ok := conn.socket.(interface{ CloseWrite() error })
+	if ok {
+		_ = half.CloseWrite()
+	}
+}
+
+// linger lets the caller read the last answer before the socket is gone.
+func (conn *conn) linger() {
+	if conn.ctx.Err() != nil {
+		return
+	}
+	conn.closeWrite()
+	timer := time.NewTimer(lingerTimeout)
+	defer timer.Stop()
+	for {
+		select {
+		case _, open := <-conn.pump.chunks:
+			if !open {
+				return
+			}
+		case <-timer.C:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/caller/server.go
@@ -0,0 +1,157 @@
+package caller
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"cherrykeel"
+	"cherrykeel/events"
+)
+
+const (
+	// defaultMemory bounds held bodies when no setting does.
+	defaultMemory = 64 << 20
+	// memoryRetryAfter, in seconds, is about how long the bodies held take to be sent on.
+	memoryRetryAfter = "0.3"
+	// acceptPause is waited when no connection can be taken, as when descriptors have run out.
+	acceptPause = 20 * time.Millisecond
+)
+
+// defaultLimits hold until the operator's are known; they are the widest that operators use.
+var defaultLimits = cherrykeel.CallerLimits{
+	HeaderBytes:   16 << 10,
+	BodyBytes:     64 << 20,
+	HeaderTimeout: 3 * time.Second,
+	IdleTimeout:   15 * time.Second,
+}
+
+// Server serves callers' connections.
+type Server struct {
+	handler http.Handler
+	limits  func() cherrykeel.CallerLimits
+	memory  *memory
+	logger  *zap.Logger
+
+	ending atomic.Bool
+	mutex  sync.Mutex
+	conns  map[*conn]bool
+}
+
+// Option changes a Server under construction.
+type Option func(*Server)
+
+// WithLimits sets where the limits in force are read, before each request.
+func WithLimits(limits func() cherrykeel.CallerLimits) Option {
+	return func(server *Server) {
+		server.limits = limits
+	}
+}
+
+// WithMemory bounds the bytes of bodies held at once.
+func WithMemory(limit int64) Option {
+	return func(server *Server) {
+		server.memory.limit = limit
+	}
+}
+
+// WithLogger sets where refused requests are logged.
+func WithLogger(logger *zap.Logger) Option {
+	return func(server *Server) {
+		server.logger = logger
+	}
+}
+
+// New returns a server that hands whole requests to the handler.
+func New(handler http.Handler, options ...Option) *Server {
+	server := &Server{
+		handler: handler,
+		limits:  func() cherrykeel.CallerLimits { return defaultLimits },
+		memory:  &memory{limit: defaultMemory},
+		logger:  zap.NewNop(),
+		conns:   map[*conn]bool{},
+	}
+	for _, option := range options {
+		option(server)
+	}
+	return server
+}
+
+// Serve takes connections until the listener is closed.
+func (server *Server) Serve(listener net.Listener) {
+	for {
+		socket, err := listener.Accept()
+		if err == nil {
+			go server.serve(socket)
+			continue
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		events.Log(server.logger, events.AcceptFailed, zap.Error(err))
+		time.Sleep(acceptPause)
+	}
+}
+
+func (server *Server) serve(socket net.Conn) {
+	conn := newConn(server, socket)
+	server.mutex.Lock()
+	server.conns[conn] = true
+	server.mutex.Unlock()
+	conn.serve()
+	server.mutex.Lock()
+	delete(server.conns, conn)
+	server.mutex.Unlock()
+}
+
+// Stop lets each connection end with its next answer; requests go on being taken until then.
+func (server *Server) Stop() {
+	server.ending.Store(true)
+}
+
+// CloseIdle ends the connections on which nothing is read, waits or runs.
+func (server *Server) CloseIdle() {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	for conn := range server.conns {
+		conn.closeIdle()
+	}
+}
+
+// Open returns how many connections there are.
+func (server *Server) Open() int {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return len(server.conns)
+}
+
+func (server *Server) stopping() bool {
+	return server.ending.Load()
+}
+
+// proceed asks for a body that the caller holds back; behind unwritten answers it would stand out of order.
+func (server *Server) proceed(conn *conn) {
+	conn.mutex.Lock()
+	first := conn.open == 0
+	conn.mutex.Unlock()
+	if first {
+		_, _ = conn.socket.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	}
+}
+
+func (server *Server) refused(conn *conn, err error, status int) {
+	events.Log(server.logger, events.RequestUnread,
+		zap.String("Caller", conn.socket.RemoteAddr().String()),
+		zap.Int("Status", status),
+		zap.Error(err))
+}
+
+// DefaultLimits returns the limits that hold until the operator's are known.
+func DefaultLimits() cherrykeel.CallerLimits {
+	return defaultLimits
+}
--- a/clock.go
+++ b/clock.go
@@ -1,6 +1,10 @@
 package cherrykeel
 
-import "time"
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
 
 // Instant is a reading of one process's monotonic clock, counted from an arbitrary start.
 type Instant time.Duration
@@ -39,3 +43,24 @@
 func (clock *systemClock) Wall() time.Time {
 	return time.Now().UTC()
 }
+
+type suspendClock struct{}
+
+// SuspendClock returns a clock that also counts the time in which the machine was suspended:
+// a host that slept must not take what it knew before for news.
+func SuspendClock() Clock {
+	return suspendClock{}
+}
+
+func (suspendClock) Now() Instant {
+	var now unix.Timespec
+	err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now)
+	if err != nil {
+		panic(err)
+	}
+	return Instant(now.Nano())
+}
+
+func (suspendClock) Wall() time.Time {
+	return time.Now().UTC()
+}
--- /dev/null
+++ b/cmd/cherrykeel/entry.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap/zapcore"
+
+	"cherrykeel/conns"
+	"cherrykeel/entry"
+	"cherrykeel/events"
+	"cherrykeel/opctl"
+	adapter "cherrykeel/platform"
+)
+
+const (
+	// storeDial and storeSilence end calls to a store that does not answer at all; it is 1 ms away.
+	storeDial    = 500 * time.Millisecond
+	storeSilence = 700 * time.Millisecond
+	// orderIdle keeps connections for orders shorter than upstreams do.
+	orderIdle = 5 * time.Second
+	storeIdle = 30 * time.Second
+	// memoryShare is the part of the allowed memory at which the collector works harder.
+	memoryShare = 0.6
+)
+
+type entryCommand struct {
+	Config string `help:"The platform's settings file." env:"CHERRYKEEL_CONFIG" required:""`
+}
+
+func (command *entryCommand) Run() error {
+	settings, err := adapter.LoadSettings(command.Config)
+	if err != nil {
+		return &opctl.ExitError{Code: opctl.ExitInvalid, Err: err}
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
+	sink := events.NewSink(os.Stdout)
+	defer sink.Close()
+	logger := events.NewLogger(sink, zapcore.InfoLevel)
+	scope, handler, closer := newMetrics()
+	defer closer.Close()
+	store := adapter.NewStore(settings.StoreURL, transport(storeIdle))
+	host := entry.New(settings, entry.Platform{
+		Dialect:        adapter.Dialect(),
+		Granter:        adapter.NewGranter(transport(orderIdle)),
+		Operator:       store.Topic(adapter.OperatorTopic),
+		Upstreams:      store.Topic(adapter.ServersTopic),
+		Hosts:          store.Topic(adapter.HostsTopic),
+		Spans:          store.Topic(adapter.SpansTopic),
+		RoutesKey:      adapter.RoutesKey,
+		DecodeRoutes:   adapter.DecodeRoutes,
+		DecodeUpstream: adapter.DecodeUpstream,
+	}, entry.WithLogger(logger), entry.WithMetrics(scope, handler))
+	err = host.Listen()
+	if err != nil {
+		return &opctl.ExitError{Code: opctl.ExitInvalid, Err: err}
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return host.Run(ctx)
+}
+
+func transport(idle time.Duration) *http.Transport {
+	return &http.Transport{
+		DialContext:         conns.NewDialer(storeDial, storeSilence).DialContext,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: 8,
+		IdleConnTimeout:     idle,
+	}
+}
--- a/cmd/cherrykeel/main.go
+++ b/cmd/cherrykeel/main.go
@@ -18,6 +18,7 @@
 
 type commands struct {
 	Run     runCommand     `cmd:"" help:"Run an entry host until SIGTERM or Ctrl-C."`
+	Entry   entryCommand   `cmd:"" help:"Run an entry host on the users' platform until SIGTERM."`
 	Demo    demoCommand    `cmd:"" help:"Show both example trees at work, in one process, until Ctrl-C."`
 	Check   checkCommand   `cmd:"" help:"Check a settings tree. Example: cherrykeel check examples/hanbit"`
 	Plan    planCommand    `cmd:"" help:"Show what a publish would change. Example: cherrykeel plan examples/hanbit"`
--- a/conns/conn.go
+++ b/conns/conn.go
@@ -17,6 +17,8 @@
 	// written counts the bytes handed to the socket for the present request.
 	written int
 	since   time.Time
+	// keep is how long the connection may be idle and still be used.
+	keep time.Duration
 }
 
 func newConn(address string, socket net.Conn) *conn {
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -41,7 +43,13 @@
 // Send writes the request and reads the head of its answer; the context's end breaks the connection.
 // When it returns an error, the connection is closed and Progress says how far the request got.
 func (pool *Pool) Send(ctx context.Context, address string, request *http.Request) (*Answer, Progress, error) {
-	conn, err := pool.take(ctx, address)
+	return pool.SendWithin(ctx, address, request, pool.idleTimeout)
+}
+
+// SendWithin is Send over a connection that was in use within maxIdle, or a new one. An upstream may
+// forget an idle connection without notice: what is sent there next is reset, and may have run.
+func (pool *Pool) SendWithin(ctx context.Context, address string, request *http.Request, maxIdle time.Duration) (*Answer, Progress, error) {
+	conn, err := pool.take(ctx, address, maxIdle)
 	if err != nil {
 		return nil, NotSent, err
 	}
@@ -49,7 +57,7 @@
 	stop := context.AfterFunc(ctx, func() {
 		_ = conn.socket.SetDeadline(past)
 	})
-	answer, progress, err := conn.exchange(request)
+	answer, progress, err := conn.exchange(request, pool.unframed)
 	if err != nil {
 		stop()
 		pool.discard(conn)
@@ -60,7 +68,7 @@
 	return answer, AnswerBegun, nil
 }
 
-func (conn *conn) exchange(request *http.Request) (*Answer, Progress, error) {
+func (conn *conn) exchange(request *http.Request, takesUnframed bool) (*Answer, Progress, error) {
 	err := request.Write(conn.writer)
 	if err == nil {
 		err = conn.writer.Flush()
@@ -72,7 +80,7 @@
 	if err != nil {
 		return nil, Sent, errors.Wrap(ErrBroken, err.Error())
 	}
-	if unframed(response) {
+	if unframed(response) && !(takesUnframed && response.StatusCode != http.StatusSwitchingProtocols) {
 		return nil, AnswerBegun, errors.WithStack(ErrUnframed)
 	}
 	answer := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, response: response, conn: conn}
@@ -117,6 +125,11 @@
 	return count, err
 }
 
+// Spoil keeps the connection from being used again, also after a whole answer.
+func (answer *Answer) Spoil() {
+	answer.whole = false
+}
+
 // Close ends the exchange; the connection is used again only after a whole answer with nothing behind it.
 func (answer *Answer) Close() {
 	if answer.ended {
@@ -132,5 +145,25 @@
 		answer.pool.discard(answer.conn)
 		return
 	}
+	answer.conn.keep = answer.keepFor()
 	answer.pool.giveBack(answer.conn)
 }
+
+// keepMargin is how long before its announced end an idle connection is no longer used:
+// the end is told in whole seconds and counted from the upstream's side.
+const keepMargin = time.Second
+
+// keepFor returns how long the connection may be idle, by the answer's Keep-Alive or the pool's setting.
+func (answer *Answer) keepFor() time.Duration {
+	for _, part := range strings.Split(answer.Header.Get("Keep-Alive"), ",") {
+		text, found := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !found {
+			continue
+		}
+		seconds, err := strconv.Atoi(text)
+		if err == nil {
+			return min(answer.pool.idleTimeout, time.Duration(seconds)*time.Second-keepMargin)
+		}
+	}
+	return answer.pool.idleTimeout
+}
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
@@ -26,6 +25,8 @@
 type Pool struct {
 	dialTimeout time.Duration
 	idleTimeout time.Duration
+	userTimeout time.Duration
+	unframed    bool
 	mutex       sync.Mutex
 	addresses   map[string]*address
 }
@@ -53,6 +54,21 @@
 	}
 }
 
+// WithUserTimeout sets how long sent bytes may stay unacknowledged before a connection is
+// given up; without it a request on a connection gone silent hangs until its deadline.
+func WithUserTimeout(timeout time.Duration) Option {
+	return func(pool *Pool) {
+		pool.userTimeout = timeout
+	}
+}
+
+// WithUnframed takes answers that say no length and end with an orderly close of their connection.
+func WithUnframed() Option {
+	return func(pool *Pool) {
+		pool.unframed = true
+	}
+}
+
 // NewPool returns an empty pool.
 func NewPool(options ...Option) *Pool {
 	pool := &Pool{dialTimeout: defaultDialTimeout, idleTimeout: defaultIdleTimeout, addresses: map[string]*address{}}
@@ -85,8 +101,8 @@
 	return found
 }
 
-// take returns an idle connection that still stands, or makes a new one.
-func (pool *Pool) take(ctx context.Context, name string) (*conn, error) {
+// take returns an idle connection that still stands and was in use within maxIdle, or makes a new one.
+func (pool *Pool) take(ctx context.Context, name string, maxIdle time.Duration) (*conn, error) {
 	for {
 		idle, err := pool.reserve(name)
 		if err != nil {
@@ -95,7 +111,7 @@
 		if idle == nil {
 			return pool.dial(ctx, name)
 		}
-		if time.Since(idle.since) < pool.idleTimeout && idle.silent() {
+		if time.Since(idle.since) < min(maxIdle, idle.keep) && idle.silent() {
 			return idle, nil
 		}
 		pool.discard(idle)
@@ -120,13 +136,15 @@
 }
 
 func (pool *Pool) dial(ctx context.Context, name string) (*conn, error) {
-	dialer := net.Dialer{Timeout: pool.dialTimeout}
+	dialer := NewDialer(pool.dialTimeout, pool.userTimeout)
 	socket, err := dialer.DialContext(ctx, "tcp", name)
 	if err != nil {
 		pool.closed(name)
 		return nil, errors.Wrap(ErrConnect, err.Error())
 	}
-	return newConn(name, socket), nil
+	conn := newConn(name, socket)
+	conn.keep = pool.idleTimeout
+	return conn, nil
 }
 
 func (pool *Pool) closed(name string) {
--- /dev/null
+++ b/dialect.go
@@ -0,0 +1,49 @@
+package cherrykeel
+
+import (
+	"net/http"
+	"time"
+)
+
+// Asked is what a caller's headers say of its request.
+type Asked struct {
+	ID string
+	// Patience is how long the caller will wait; zero if it does not say.
+	Patience time.Duration
+	// Key is NoKey if none is given, or none that is valid.
+	Key int
+}
+
+// Reply is what an upstream's headers say of its answer.
+type Reply struct {
+	// ID names the request that the answer belongs to; empty if it does not say.
+	ID string
+	// Signed answers bear the upstream's own signature.
+	Signed bool
+	// NotRun says that the upstream did not act on the request and never will.
+	NotRun bool
+	// Misdirected says that another life, or another owner, has to be asked.
+	Misdirected bool
+	// Load is the upstream's own count; Known is false if it tells none.
+	Load UpstreamLoad
+}
+
+// UpstreamLoad is an upstream's report of its work.
+type UpstreamLoad struct {
+	Known   bool
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Dialect translates the headers of callers and upstreams.
+type Dialect interface {
+	// Asked reads a caller's request.
+	Asked(request *http.Request) Asked
+	// Direct marks a request for one life of an upstream, with the time that is left.
+	Direct(header http.Header, upstream Upstream, left time.Duration)
+	// Echo marks an answer of the router's own with the request's id.
+	Echo(header http.Header, id string)
+	// Reply reads an upstream's answer.
+	Reply(status int, header http.Header) Reply
+}
--- /dev/null
+++ b/entry/host.go
@@ -0,0 +1,343 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"cherrykeel"
+	"cherrykeel/caller"
+	"cherrykeel/conns"
+	"cherrykeel/events"
+	"cherrykeel/grants"
+	"cherrykeel/relay"
+	"cherrykeel/share"
+	"cherrykeel/watch"
+)
+
+const (
+	// longWait lets a read of a topic that seldom changes wait for the change.
+	longWait = 10 * time.Second
+	// serversPace is the pace of reads of the upstreams' entries. An upstream that leaves may get work
+	// for 2 s after the store knows; a read each 0.7 s leaves the rest for the way and a failed read.
+	serversPace = 700 * time.Millisecond
+	// dispatchEvery is how often waiting requests are looked at when nothing else wakes them.
+	dispatchEvery = 10 * time.Millisecond
+	settleEvery   = 250 * time.Millisecond
+	announcePause = 300 * time.Millisecond
+	// dialTimeout and userTimeout end tries to reach an upstream that does not answer at all; the way
+	// there and back takes 3 ms, and one lost packet is sent again after 200 ms.
+	dialTimeout = 300 * time.Millisecond
+	userTimeout = 500 * time.Millisecond
+	idleTimeout = 8 * time.Second
+	// bodyShare is the part of the memory that held bodies may take.
+	bodyShare = 0.25
+)
+
+// Platform is what a host needs of the platform it runs on.
+type Platform struct {
+	Dialect   cherrykeel.Dialect
+	Granter   cherrykeel.SpanGranter
+	Operator  cherrykeel.KeyedLog
+	Upstreams cherrykeel.KeyedLog
+	Hosts     cherrykeel.KeyedLog
+	Spans     cherrykeel.KeyedLog
+	// RoutesKey is the key of the routes in Operator.
+	RoutesKey      string
+	DecodeRoutes   func(value []byte) (cherrykeel.RouteSet, error)
+	DecodeUpstream func(id string, value []byte) (cherrykeel.Upstream, error)
+}
+
+// Host is one entry host.
+type Host struct {
+	settings cherrykeel.EntrySettings
+	platform Platform
+	self     cherrykeel.Peer
+	clock    cherrykeel.Clock
+	logger   *zap.Logger
+	scope    tally.Scope
+	metrics  http.Handler
+
+	relay     *relay.Relay
+	server    *caller.Server
+	mesh      *share.Mesh
+	keeper    *grants.Keeper
+	routes    *watch.Routes
+	upstreams *watch.Upstreams
+	peers     *watch.Peers
+	spans     *watch.Spans
+
+	operatorTopic  *watch.Follower
+	upstreamsTopic *watch.Follower
+	hostsTopic     *watch.Follower
+	spansTopic     *watch.Follower
+
+	listener net.Listener
+	ready    atomic.Bool
+	stopping atomic.Bool
+	mutex    sync.Mutex
+	lives    map[string]string
+}
+
+// Option changes a Host under construction.
+type Option func(*Host)
+
+// WithLogger sets where events are logged.
+func WithLogger(logger *zap.Logger) Option {
+	return func(host *Host) {
+		host.logger = logger
+	}
+}
+
+// WithMetrics sets where requests are counted and what serves the counts.
+func WithMetrics(scope tally.Scope, handler http.Handler) Option {
+	return func(host *Host) {
+		host.scope = scope
+		host.metrics = handler
+	}
+}
+
+// WithClock replaces the clock, which counts suspension.
+func WithClock(clock cherrykeel.Clock) Option {
+	return func(host *Host) {
+		host.clock = clock
+	}
+}
+
+// New returns a host that does nothing yet.
+func New(settings cherrykeel.EntrySettings, platform Platform, options ...Option) *Host {
+	host := &Host{
+		settings: settings,
+		platform: platform,
+		self:     cherrykeel.Peer{Name: settings.Name, Life: uuid.NewString(), Inner: settings.Inner, Zone: settings.Zone},
+		clock:    cherrykeel.SuspendClock(),
+		logger:   zap.NewNop(),
+		scope:    tally.NoopScope,
+		metrics:  http.NotFoundHandler(),
+		lives:    map[string]string{},
+	}
+	for _, option := range options {
+		option(host)
+	}
+	host.assemble()
+	return host
+}
+
+func (host *Host) assemble() {
+	host.spans = watch.NewSpans(host.clock, host.logger, func() { host.relay.Dispatch() })
+	host.mesh = share.New(host.self, host.clock, host.logger, host.report, host.gather, func(demand share.Demand) { host.keeper.Demand(demand) })
+	host.relay = relay.New(relay.Settings{
+		Zone: host.settings.Zone, Bounds: host.settings.Bounds, Clock: host.clock, Dialect: host.platform.Dialect,
+		Pool:   conns.NewPool(conns.WithDialTimeout(dialTimeout), conns.WithUserTimeout(userTimeout), conns.WithIdleTimeout(idleTimeout), conns.WithUnframed()),
+		Logger: host.logger, Scope: host.scope, Owner: host.spans.Owner, Asked: host.mesh.Asked, Hosts: host.mesh.Known,
+		Stale: func() { host.spansTopic.Nudge() },
+	})
+	host.server = caller.New(host.relay, caller.WithLimits(host.limits), caller.WithLogger(host.logger),
+		caller.WithMemory(int64(bodyShare*float64(host.settings.MemoryBytes))))
+	host.routes = watch.NewRoutes(host.platform.RoutesKey, host.platform.DecodeRoutes, host.logger, host.relay.SetRoutes)
+	host.upstreams = watch.NewUpstreams(host.platform.DecodeUpstream, host.clock, host.settings.Bounds.Settled, host.logger,
+		func() { host.relay.SetUpstreams(host.upstreams.Current()) })
+	host.peers = watch.NewPeers(host.logger, host.takePeers)
+	host.operatorTopic = host.follow("settings", host.platform.Operator, host.routes.Apply, watch.WithWait(longWait))
+	host.upstreamsTopic = host.follow("upstreams", host.platform.Upstreams, host.upstreams.Apply, watch.WithPace(serversPace))
+	host.hostsTopic = host.follow("hosts", host.platform.Hosts, host.peers.Apply, watch.WithWait(longWait))
+	host.spansTopic = host.follow("spans", host.platform.Spans, host.spans.Apply, watch.WithWait(longWait))
+	host.upstreams.SetHealth(host.upstreamsTopic.WellFor)
+	host.keeper = grants.New(host.self, host.clock, host.logger, host.platform.Spans, watch.SpansKey, host.spans,
+		&world{host: host}, host.mesh, host.platform.Granter, host.settings.Bounds)
+}
+
+func (host *Host) follow(name string, log cherrykeel.KeyedLog, apply func(watch.Update), options ...watch.Option) *watch.Follower {
+	return watch.NewFollower(name, log, host.clock, host.logger, apply, options...)
+}
+
+// Listen opens the host's addresses.
+func (host *Host) Listen() error {
+	var err error
+	host.listener, err = net.Listen("tcp", host.settings.Callers)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	err = host.mesh.Listen()
+	if err != nil {
+		return err
+	}
+	readiness, err := net.Listen("tcp", host.settings.Readiness)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	go host.serveQuietly(readiness, http.HandlerFunc(host.answerReadiness))
+	if host.settings.Metrics == "" {
+		return nil
+	}
+	metrics, err := net.Listen("tcp", host.settings.Metrics)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	go host.serveQuietly(metrics, host.metrics)
+	return nil
+}
+
+func (host *Host) serveQuietly(listener net.Listener, handler http.Handler) {
+	err := http.Serve(listener, handler)
+	events.Log(host.logger, events.AcceptFailed, zap.Error(err))
+}
+
+func (host *Host) answerReadiness(writer http.ResponseWriter, _ *http.Request) {
+	if host.ready.Load() && !host.stopping.Load() {
+		writer.WriteHeader(http.StatusOK)
+		return
+	}
+	writer.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// Run serves until the context ends, and then until no request is left or the grace has passed.
+func (host *Host) Run(ctx context.Context) error {
+	events.Log(host.logger, events.EntryStarted,
+		zap.String("Host", host.self.Name), zap.String("Life", host.self.Life), zap.String("Zone", host.self.Zone),
+		zap.String("Callers", host.settings.Callers), zap.String("Inner", host.self.Inner), zap.Any("Bounds", host.settings.Bounds))
+	running, halt := context.WithCancel(context.Background())
+	defer halt()
+	for _, topic := range []*watch.Follower{host.operatorTopic, host.upstreamsTopic, host.hostsTopic, host.spansTopic} {
+		go topic.Run(running)
+	}
+	go host.mesh.Run(running)
+	go host.keeper.Run(running)
+	go host.announce(running)
+	go host.tend(running)
+	go host.server.Serve(host.listener)
+	<-ctx.Done()
+	host.stop(running)
+	return nil
+}
+
+// tend does what time asks for.
+func (host *Host) tend(ctx context.Context) {
+	dispatch := time.NewTicker(dispatchEvery)
+	defer dispatch.Stop()
+	settle := time.NewTicker(settleEvery)
+	defer settle.Stop()
+	demand := time.NewTicker(share.DemandEvery())
+	defer demand.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-dispatch.C:
+			host.relay.Dispatch()
+			host.noteReady()
+		case <-settle.C:
+			host.upstreams.Settle()
+			// A host that has fallen silent is forgotten without a message.
+			host.gather()
+		case <-demand.C:
+			table, _, known := host.spans.Current()
+			if known {
+				host.mesh.TellDemand(table.Keeper)
+			}
+		}
+	}
+}
+
+// noteReady makes the host ready once it knows routes and upstreams.
+func (host *Host) noteReady() {
+	if host.ready.Load() {
+		return
+	}
+	_, known := host.routes.Current()
+	if !known || !host.upstreamsTopic.Known() {
+		return
+	}
+	host.ready.Store(true)
+	events.Log(host.logger, events.EntryReady, zap.Int("Upstreams", len(host.upstreams.Current())))
+}
+
+// announce tells the other hosts of this one, again if its record is dropped.
+func (host *Host) announce(ctx context.Context) {
+	value, err := watch.EncodePeer(host.self)
+	if err != nil {
+		events.Log(host.logger, events.WriteFailed, zap.Error(err))
+		return
+	}
+	for ctx.Err() == nil {
+		life, _ := host.peerLife(host.self.Name)
+		if life != host.self.Life && !host.stopping.Load() {
+			_, err := host.platform.Hosts.Put(ctx, host.self.Name, value)
+			if err != nil {
+				events.Log(host.logger, events.WriteFailed, zap.String("Key", host.self.Name), zap.Error(err))
+			}
+		}
+		pause(ctx, announcePause)
+	}
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (host *Host) takePeers(peers []cherrykeel.Peer) {
+	host.mutex.Lock()
+	host.lives = map[string]string{}
+	for _, peer := range peers {
+		host.lives[peer.Name] = peer.Life
+	}
+	host.mutex.Unlock()
+	host.mesh.SetPeers(peers)
+}
+
+func (host *Host) peerLife(name string) (string, bool) {
+	host.mutex.Lock()
+	defer host.mutex.Unlock()
+	life, known := host.lives[name]
+	return life, known
+}
+
+func (host *Host) limits() cherrykeel.CallerLimits {
+	routes, known := host.routes.Current()
+	if !known {
+		return caller.DefaultLimits()
+	}
+	return routes.Limits
+}
+
+// report fills in what the other hosts are told.
+func (host *Host) report(report *share.Report) {
+	table, _, known := host.spans.Current()
+	if known {
+		report.Term = table.Term
+	}
+	own := host.relay.Own()
+	report.Running = own.Running
+	report.Waiting = own.Waiting
+	report.Queued = own.Queued
+}
+
+// gather sums up what the other hosts tell.
+func (host *Host) gather() {
+	others := relay.Others{Running: map[string]int{}, Waiting: map[string]int{}, Queued: map[string]int{}}
+	for _, heard := range host.mesh.Fresh() {
+		add(others.Running, heard.Report.Running)
+		add(others.Waiting, heard.Report.Waiting)
+		add(others.Queued, heard.Report.Queued)
+	}
+	host.relay.SetOthers(others)
+}
+
+func add(sums, counts map[string]int) {
+	for name, count := range counts {
+		sums[name] += count
+	}
+}
--- /dev/null
+++ b/entry/stop.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cherrykeel/events"
+)
+
+const (
+	// acceptShare is the part of the grace in which new connections are still served: the balancer
+	// notices after two missed questions, 2 to 3 s of 6, and goes on sending until then.
+	acceptShare = 0.6
+	// endMargin is kept of the grace for the process to end by itself.
+	endMargin = 250 * time.Millisecond
+	stopPace  = 50 * time.Millisecond
+)
+
+// stop serves what the balancer still sends, lets each connection end with its next answer, and returns
+// when none is left or the grace has passed.
+func (host *Host) stop(ctx context.Context) {
+	begun := host.clock.Now()
+	host.stopping.Store(true)
+	events.Log(host.logger, events.EntryStopping, zap.Int("Connections", host.server.Open()), zap.Duration("Grace", host.settings.Bounds.Grace))
+	host.server.Stop()
+	go host.keeper.Resign(ctx)
+	grace := host.settings.Bounds.Grace
+	accepting := time.Duration(acceptShare * float64(grace))
+	for host.clock.Now().Sub(begun) < accepting {
+		pause(ctx, stopPace)
+	}
+	_ = host.listener.Close()
+	for host.server.Open() > 0 && host.clock.Now().Sub(begun) < grace-endMargin {
+		host.server.CloseIdle()
+		pause(ctx, stopPace)
+	}
+	events.Log(host.logger, events.EntryStopped, zap.Int("Cut", host.server.Open()), zap.Duration("Took", host.clock.Now().Sub(begun)))
+}
--- /dev/null
+++ b/entry/world.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"time"
+
+	"cherrykeel"
+)
+
+// world shows the keeper what its host knows.
+type world struct {
+	host *Host
+}
+
+// Keyed implements grants.World.
+func (world *world) Keyed() []cherrykeel.RoutedService {
+	routes, known := world.host.routes.Current()
+	if !known {
+		return nil
+	}
+	var keyed []cherrykeel.RoutedService
+	for _, service := range routes.Services {
+		if service.Keyed {
+			keyed = append(keyed, service)
+		}
+	}
+	return keyed
+}
+
+// Upstreams implements grants.World.
+func (world *world) Upstreams() []cherrykeel.Upstream {
+	return world.host.upstreams.Current()
+}
+
+// Replaced implements grants.World.
+func (world *world) Replaced(id, address string) bool {
+	return world.host.upstreams.Replaced(id, address)
+}
+
+// WorkTime implements grants.World.
+func (world *world) WorkTime(service, id string) time.Duration {
+	return world.host.relay.WorkTime(service, id)
+}
+
+// StoreWell implements grants.World; the servers' topic is read most often.
+func (world *world) StoreWell() time.Duration {
+	if !world.host.spansTopic.Known() {
+		return 0
+	}
+	return world.host.upstreamsTopic.WellFor()
+}
+
+// PeerLife implements grants.World.
+func (world *world) PeerLife(name string) (string, bool) {
+	return world.host.peerLife(name)
+}
+
+// Rank implements grants.World.
+func (world *world) Rank() int {
+	rank := 0
+	for _, heard := range world.host.mesh.Fresh() {
+		if heard.Report.Host < world.host.self.Name {
+			rank++
+		}
+	}
+	return rank
+}
--- a/events/events.go
+++ b/events/events.go
@@ -65,6 +65,47 @@
 	RequestFailed = define(500, zap.WarnLevel, "request was answered by the router itself")
 	AnswerBroke   = define(501, zap.WarnLevel, "answer broke off after its head was passed on")
 	AnswerForeign = define(502, zap.ErrorLevel, "upstream answered another request")
+	RequestUnread = define(503, zap.WarnLevel, "request was refused before it was read whole")
+	AcceptFailed  = define(504, zap.ErrorLevel, "no connection could be taken")
+	RequestServed = define(505, zap.InfoLevel, "request was answered")
+	AttemptEnded  = define(506, zap.InfoLevel, "attempt brought no answer to pass on")
+	CallerGone    = define(507, zap.InfoLevel, "caller left before its answer")
+)
+
+// The events of an entry host on the platform.
+var (
+	EntryStarted    = define(600, zap.InfoLevel, "entry host started")
+	EntryStopping   = define(601, zap.InfoLevel, "entry host is stopping")
+	EntryStopped    = define(602, zap.InfoLevel, "entry host has stopped")
+	SettingsReread  = define(603, zap.InfoLevel, "settings file was read again")
+	SettingsInvalid = define(604, zap.ErrorLevel, "settings file cannot be used; the last one stays")
+	TopicLost       = define(605, zap.WarnLevel, "topic of the store cannot be read")
+	TopicBack       = define(606, zap.InfoLevel, "topic of the store is read again")
+	RecordInvalid   = define(607, zap.ErrorLevel, "record of the store cannot be read")
+	RoutesInForce   = define(608, zap.InfoLevel, "routes are in force")
+	UpstreamSeen    = define(609, zap.InfoLevel, "upstream changed")
+	UpstreamGone    = define(610, zap.InfoLevel, "upstream is gone")
+	PeerSeen        = define(611, zap.InfoLevel, "host announced itself")
+	PeerSilent      = define(612, zap.WarnLevel, "host is silent")
+	PeerHeard       = define(613, zap.InfoLevel, "host is heard")
+	MessageInvalid  = define(614, zap.WarnLevel, "message of another host cannot be read")
+	Suspended       = define(615, zap.WarnLevel, "this process stood still")
+	EntryReady      = define(616, zap.InfoLevel, "entry host is ready")
+	WriteFailed     = define(617, zap.WarnLevel, "record could not be written")
+	LinesDropped    = define(618, zap.WarnLevel, "log lines were dropped, since they could not be written fast enough")
+)
+
+// The events of keys' spans.
+var (
+	KeeperClaimed  = define(700, zap.InfoLevel, "this host claimed the spans")
+	KeeperChanged  = define(701, zap.InfoLevel, "spans changed")
+	KeeperResigned = define(702, zap.InfoLevel, "this host gives up the spans")
+	KeeperUnsure   = define(703, zap.WarnLevel, "grants pause: too few hosts confirm this keeper")
+	GrantRefused   = define(704, zap.WarnLevel, "grant was refused by a higher fence")
+	GrantOpen      = define(705, zap.WarnLevel, "grant was not answered")
+	SpanMoving     = define(706, zap.InfoLevel, "span is taken from its owner")
+	SpanFreed      = define(707, zap.InfoLevel, "span is free")
+	SpanGiven      = define(708, zap.InfoLevel, "span was given to an owner")
 )
 
 // Log writes one line for the event.
--- /dev/null
+++ b/flow/member.go
@@ -0,0 +1,112 @@
+package flow
+
+import (
+	"math"
+	"time"
+
+	"cherrykeel"
+)
+
+const (
+	// unknownWork is assumed of an upstream when no upstream of the service has answered yet.
+	unknownWork = 80 * time.Millisecond
+	// workWeight is the weight of the newest answer in the mean of an upstream's work time: with
+	// some 3 answers a second from each upstream, an upstream that turns slow shows within 2 s.
+	workWeight = 0.2
+	// coldFactor is by how much an upstream is slower for some seconds after its start.
+	coldFactor = 2
+	// failureHalfLife is how fast failures are forgotten, so that an upstream that failed is tried
+	// again: none is left without requests by what one host has seen seconds ago.
+	failureHalfLife = 2 * time.Second
+	// failureCost is the time by which a sure failure makes an upstream look slower.
+	failureCost = 2 * time.Second
+	// pauseAfterBreak is how long an upstream that could not be reached gets nothing.
+	pauseAfterBreak = 300 * time.Millisecond
+	maxPause        = 2 * time.Second
+)
+
+// member is one upstream as this host sees it.
+type member struct {
+	upstream cherrykeel.Upstream
+	warmAt   cherrykeel.Instant
+	// own counts this host's requests there, others what the other hosts say of theirs.
+	own    int
+	others int
+	// waiting counts this host's requests that wait for this upstream alone.
+	waiting      int
+	otherWaiting int
+	// work is the mean time of one request in a slot; 0 while unknown.
+	work time.Duration
+	// failures is a decayed count, and so is answers.
+	failures float64
+	answers  float64
+	decayed  cherrykeel.Instant
+	// breaks counts attempts in a row that could not reach it.
+	breaks      int
+	pausedUntil cherrykeel.Instant
+}
+
+func (member *member) load() int {
+	return member.own + member.others
+}
+
+// limit is how many requests may be there at once: its slots and a few in its own queue, so that a slot
+// that becomes free is used at once, though other hosts learn of it some 25 ms later.
+func (member *member) limit() int {
+	return member.upstream.Slots + (member.upstream.Slots+2)/3
+}
+
+// takes reports whether a request may go there now.
+func (member *member) takes(now cherrykeel.Instant) bool {
+	return now >= member.pausedUntil && member.load() < member.limit()
+}
+
+// workTime is the expected time of one request in a slot.
+func (member *member) workTime(usual time.Duration, now cherrykeel.Instant) time.Duration {
+	work := member.work
+	if work == 0 {
+		work = usual
+	}
+	if now < member.warmAt {
+		work *= coldFactor
+	}
+	return work
+}
+
+// expected is how long a request that is sent now will take there.
+func (member *member) expected(usual time.Duration, now cherrykeel.Instant) time.Duration {
+	work := member.workTime(usual, now)
+	crowd := float64(member.load()+1) / float64(member.upstream.Slots)
+	return time.Duration(float64(work) * max(1, crowd))
+}
+
+// failing is the share of recent attempts that failed, from 0 to 1.
+func (member *member) failing(now cherrykeel.Instant) float64 {
+	member.decay(now)
+	return member.failures / (member.answers + member.failures + 1)
+}
+
+func (member *member) decay(now cherrykeel.Instant) {
+	factor := math.Exp2(-now.Sub(member.decayed).Seconds() / failureHalfLife.Seconds())
+	member.decayed = now
+	member.failures *= factor
+	member.answers *= factor
+}
+
+// learn takes an answer's time into the mean.
+func (member *member) learn(took time.Duration, load int) {
+	crowd := max(1, float64(load)/float64(member.upstream.Slots))
+	work := time.Duration(float64(took) / crowd)
+	if member.work == 0 {
+		member.work = work
+		return
+	}
+	member.work += time.Duration(workWeight * float64(work-member.work))
+}
+
+// broke notes that the upstream could not be reached; it pauses longer each time.
+func (member *member) broke(now cherrykeel.Instant) {
+	pause := pauseAfterBreak << min(member.breaks, 3)
+	member.breaks++
+	member.pausedUntil = now.Add(min(pause, maxPause))
+}
--- /dev/null
+++ b/grants/change.go
@@ -0,0 +1,223 @@
+package grants
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cherrykeel"
+	"cherrykeel/events"
+	"cherrykeel/spans"
+)
+
+const (
+	// settleTime is how long a span stays with an owner before balance may move it again.
+	settleTime = time.Second
+	// usualWork is assumed of an upstream that no request has been answered by.
+	usualWork = 100 * time.Millisecond
+	// coldShare is what an upstream that has just started can do of its usual work.
+	coldShare = 0.5
+)
+
+type releaseState struct {
+	pending  bool
+	done     bool
+	handover string
+}
+
+// change writes the next table if upstreams joined, left or were lost, or load has shifted.
+func (keeper *Keeper) change(ctx context.Context, table spans.Table, next int64, now cherrykeel.Instant) {
+	keeper.release(ctx, table, now)
+	if keeper.writing || keeper.refused(ctx, table, next) {
+		return
+	}
+	balance := now.Sub(keeper.plannedAt) >= planEvery
+	if balance {
+		keeper.plannedAt = now
+	}
+	changed := false
+	proposal := table.Clone()
+	for _, service := range keeper.world.Keyed() {
+		list, differs := table.Next(service.Name, keeper.facts(service.Name, next, balance, now))
+		if differs {
+			proposal.Services[service.Name] = list
+			changed = true
+		}
+	}
+	if !changed {
+		return
+	}
+	events.Log(keeper.logger, events.KeeperChanged, zap.Int64("At", next), zap.Int64("Term", table.Term))
+	keeper.write(ctx, proposal, next)
+}
+
+// refused claims anew after a refusal by a higher fence, since the same fence can never be taken.
+func (keeper *Keeper) refused(ctx context.Context, table spans.Table, next int64) bool {
+	for _, state := range keeper.grants {
+		if state.refused {
+			keeper.claim(ctx, table, next, "a grant met a higher fence")
+			return true
+		}
+	}
+	return false
+}
+
+func (keeper *Keeper) facts(service string, next int64, balance bool, now cherrykeel.Instant) spans.Facts {
+	demand := keeper.demandOf(service)
+	demand.Decay(now)
+	moves := 0
+	if balance {
+		moves = movesAtOnce
+	}
+	return spans.Facts{
+		Offset:     next,
+		Candidates: keeper.candidates(service, now),
+		Demand:     demand,
+		Lost:       func(owner string) bool { return keeper.lost(owner, now) },
+		Free:       func(span cherrykeel.KeySpan) bool { return keeper.ledger.FreeAt(service, "", span) <= now },
+		Settled:    func(owned spans.Owned) bool { return keeper.settled(service, owned, now) },
+		Moves:      moves,
+	}
+}
+
+func (keeper *Keeper) lost(id string, now cherrykeel.Instant) bool {
+	contact, known := keeper.contacts[id]
+	return known && contact.misses >= lostAfter && now < contact.lostUntil
+}
+
+func (keeper *Keeper) settled(service string, owned spans.Owned, now cherrykeel.Instant) bool {
+	state, known := keeper.grants[grantKey{service: service, owner: owned.Owner, span: owned.Span(), fence: owned.Fence}]
+	if !known {
+		// A span that has just been cut from a larger one.
+		for key, other := range keeper.grants {
+			inside := key.service == service && key.owner == owned.Owner && key.fence == owned.Fence &&
+				key.span.First <= owned.First && key.span.Last >= owned.Last
+			if inside && other.taken && now.Sub(other.takenAt) >= settleTime {
+				return true
+			}
+		}
+		return false
+	}
+	return state.taken && now.Sub(state.takenAt) >= settleTime
+}
+
+func (keeper *Keeper) candidates(service string, now cherrykeel.Instant) []spans.Candidate {
+	var known []time.Duration
+	var candidates []spans.Candidate
+	total := time.Duration(0)
+	upstreams := keeper.world.Upstreams()
+	for _, upstream := range upstreams {
+		work := keeper.world.WorkTime(service, upstream.ID)
+		if upstream.Service == service && work > 0 {
+			known = append(known, work)
+			total += work
+		}
+	}
+	mean := usualWork
+	if len(known) > 0 {
+		mean = total / time.Duration(len(known))
+	}
+	for _, upstream := range upstreams {
+		if upstream.Service != service || upstream.Leaving || keeper.lost(upstream.ID, now) {
+			continue
+		}
+		candidates = append(candidates, spans.Candidate{ID: upstream.ID, Address: upstream.Address, Capacity: keeper.capacity(service, upstream, mean)})
+	}
+	return candidates
+}
+
+func (keeper *Keeper) capacity(service string, upstream cherrykeel.Upstream, mean time.Duration) float64 {
+	work := keeper.world.WorkTime(service, upstream.ID)
+	if work == 0 {
+		work = mean
+	}
+	capacity := float64(upstream.Slots) / work.Seconds()
+	if upstream.Warmup > 0 {
+		capacity *= coldShare
+	}
+	return capacity
+}
+
+// release asks owners to give back the spans that the table says are moving.
+func (keeper *Keeper) release(ctx context.Context, table spans.Table, now cherrykeel.Instant) {
+	wanted := map[grantKey]bool{}
+	for service, list := range table.Services {
+		for _, owned := range list {
+			if !owned.Moving {
+				continue
+			}
+			// Every grant of the span bears a fence at or below its own; the release is above them,
+			// so that none of them is taken after it.
+			key := grantKey{service: service, owner: owned.Owner, span: owned.Span(), fence: owned.Fence + 1}
+			wanted[key] = true
+			if _, under := keeper.releases[key]; !under {
+				keeper.releaseOne(ctx, key, owned, now)
+			}
+		}
+	}
+	for key, state := range keeper.releases {
+		if !wanted[key] && !state.pending && !keeper.awaited(table, key) {
+			delete(keeper.releases, key)
+		}
+	}
+}
+
+// awaited reports whether a handover has still to be passed on with a grant.
+func (keeper *Keeper) awaited(table spans.Table, key grantKey) bool {
+	for _, owned := range table.Services[key.service] {
+		if owned.First > key.span.Last || owned.Last < key.span.First {
+			continue
+		}
+		state, known := keeper.grants[grantKey{service: key.service, owner: owned.Owner, span: owned.Span(), fence: owned.Fence}]
+		if !known || !state.taken {
+			return true
+		}
+	}
+	return false
+}
+
+func (keeper *Keeper) releaseOne(ctx context.Context, key grantKey, owned spans.Owned, now cherrykeel.Instant) {
+	state := &releaseState{pending: true}
+	keeper.releases[key] = state
+	upstream := cherrykeel.Upstream{ID: owned.Owner, Address: owned.Address}
+	events.Log(keeper.logger, events.SpanMoving,
+		zap.String("Service", key.service), zap.String("Upstream", key.owner), zap.Int("First", owned.First), zap.Int("Last", owned.Last),
+		zap.Int64("Fence", key.fence), zap.Float64("Load", keeper.demandOf(key.service).Load(owned.Span())))
+	term := keeper.term
+	begun := now
+	keeper.pool.Submit(func() {
+		ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+		defer cancel()
+		handover, err := keeper.granter.Release(ctx, upstream, key.span, key.fence)
+		keeper.results <- func(now cherrykeel.Instant) {
+			state.pending = false
+			if keeper.term != term {
+				return
+			}
+			fields := []zap.Field{
+				zap.String("Service", key.service), zap.String("Upstream", key.owner), zap.Int("First", key.span.First),
+				zap.Int("Last", key.span.Last), zap.Duration("Took", now.Sub(begun)),
+			}
+			if err != nil {
+				events.Log(keeper.logger, events.GrantOpen, append(fields, zap.Error(err))...)
+				return
+			}
+			state.done = true
+			state.handover = handover
+			keeper.ledger.Freed(key.service, key.owner, key.span)
+			events.Log(keeper.logger, events.SpanFreed, fields...)
+		}
+	})
+}
+
+// handover returns what the last owner gave for keys that another owner gets now.
+func (keeper *Keeper) handover(key grantKey) string {
+	for released, state := range keeper.releases {
+		covers := released.service == key.service && released.span.First <= key.span.First && released.span.Last >= key.span.Last
+		if covers && state.done && released.fence <= key.fence {
+			return state.handover
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/grants/keeper.go
@@ -0,0 +1,236 @@
+package grants
+
+import (
+	"context"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"go.uber.org/zap"
+
+	"cherrykeel"
+	"cherrykeel/events"
+	"cherrykeel/share"
+	"cherrykeel/spans"
+)
+
+const (
+	// tickEvery is the pace at which the keeper looks at what changed.
+	tickEvery = 25 * time.Millisecond
+	// planEvery is the pace at which keys are moved for balance.
+	planEvery = 250 * time.Millisecond
+	// movesAtOnce bounds the spans that are without an owner for balance's sake.
+	movesAtOnce = 4
+	// callsAtOnce bounds the orders under way to upstreams.
+	callsAtOnce = 64
+	// silentKeeper is when another host claims: reports come each 200 ms at the least.
+	silentKeeper = 900 * time.Millisecond
+	// claimStep spreads the claims of several hosts, so that mostly one is made.
+	claimStep = 120 * time.Millisecond
+)
+
+// Mesh is what the keeper needs to know of the other hosts.
+type Mesh interface {
+	// Reports returns what other hosts told within an age.
+	Reports(age time.Duration) []share.Heard
+	// Silence returns how long a host has not been heard; false if it never was in its present life.
+	Silence(name string) (time.Duration, bool)
+	// Known returns how many hosts there are, this one included.
+	Known() int
+}
+
+// Table is the view of the store's table.
+type Table interface {
+	// Current returns the table and where the next one would stand; false until it is known.
+	Current() (spans.Table, int64, bool)
+	// Wrote takes a table that this host has written.
+	Wrote(value []byte, offset int64)
+}
+
+// World is what the keeper sees of upstreams, settings and the store.
+type World interface {
+	// Keyed returns the services whose keys are divided.
+	Keyed() []cherrykeel.RoutedService
+	// Upstreams returns all upstreams that are not gone.
+	Upstreams() []cherrykeel.Upstream
+	// Replaced reports whether another upstream has taken the address since.
+	Replaced(id, address string) bool
+	// WorkTime is the mean time that a request takes at an upstream, or 0.
+	WorkTime(service, id string) time.Duration
+	// StoreWell is how long the store has served this host without a failure.
+	StoreWell() time.Duration
+	// PeerLife is the life that a host last announced.
+	PeerLife(name string) (string, bool)
+	// Rank is this host's place among those that are heard, from 0.
+	Rank() int
+}
+
+// Keeper claims, grants and moves key spans.
+type Keeper struct {
+	self    cherrykeel.Peer
+	clock   cherrykeel.Clock
+	logger  *zap.Logger
+	log     cherrykeel.KeyedLog
+	key     string
+	table   Table
+	world   World
+	mesh    Mesh
+	granter cherrykeel.SpanGranter
+	bounds  cherrykeel.Bounds
+	pool    pond.Pool
+
+	results chan func(now cherrykeel.Instant)
+	demands chan share.Demand
+	resign  chan chan struct{}
+
+	// The rest belongs to the goroutine of Run.
+	term      int64
+	unsure    bool
+	ledger    spans.Ledger
+	demand    map[string]*spans.Demand
+	grants    map[grantKey]*grantState
+	releases  map[grantKey]*releaseState
+	contacts  map[string]*contact
+	toldAt    cherrykeel.Instant
+	told      bool
+	plannedAt cherrykeel.Instant
+	writing   bool
+	started   cherrykeel.Instant
+	resigned  bool
+	tickedAt  cherrykeel.Instant
+	seenTable int64
+	seenAt    cherrykeel.Instant
+}
+
+// New returns a keeper that keeps nothing yet.
+func New(self cherrykeel.Peer, clock cherrykeel.Clock, logger *zap.Logger, log cherrykeel.KeyedLog, key string, table Table, world World, mesh Mesh, granter cherrykeel.SpanGranter, bounds cherrykeel.Bounds) *Keeper {
+	return &Keeper{
+		self: self, clock: clock, logger: logger, log: log, key: key, table: table, world: world, mesh: mesh,
+		granter: granter, bounds: bounds, pool: pond.NewPool(callsAtOnce),
+		results: make(chan func(cherrykeel.Instant), 4*callsAtOnce), demands: make(chan share.Demand, callsAtOnce),
+		resign: make(chan chan struct{}, 1),
+		term:   -1, demand: map[string]*spans.Demand{}, grants: map[grantKey]*grantState{},
+		releases: map[grantKey]*releaseState{}, contacts: map[string]*contact{}, seenTable: -1,
+	}
+}
+
+// Demand takes the keys that a host was asked for.
+func (keeper *Keeper) Demand(demand share.Demand) {
+	select {
+	case keeper.demands <- demand:
+	default:
+		// The next one is 100 ms away; a lost count only delays a move.
+	}
+}
+
+// Resign gives up the spans so that another host claims at once; it returns when that is written or failed.
+func (keeper *Keeper) Resign(ctx context.Context) {
+	done := make(chan struct{})
+	select {
+	case keeper.resign <- done:
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// Run keeps spans until the context ends.
+func (keeper *Keeper) Run(ctx context.Context) {
+	keeper.started = keeper.clock.Now()
+	keeper.tickedAt = keeper.started
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			keeper.tick(ctx)
+		case result := <-keeper.results:
+			result(keeper.clock.Now())
+			keeper.tick(ctx)
+		case demand := <-keeper.demands:
+			keeper.count(demand)
+		case done := <-keeper.resign:
+			keeper.giveUp(ctx)
+			close(done)
+		}
+	}
+}
+
+func (keeper *Keeper) count(demand share.Demand) {
+	counted := keeper.demandOf(demand.Service)
+	for _, key := range demand.Keys {
+		counted.Add(key, 1)
+	}
+}
+
+func (keeper *Keeper) demandOf(service string) *spans.Demand {
+	counted, known := keeper.demand[service]
+	if !known {
+		counted = spans.NewDemand(keeper.clock.Now())
+		keeper.demand[service] = counted
+	}
+	return counted
+}
+
+func (keeper *Keeper) tick(ctx context.Context) {
+	now := keeper.clock.Now()
+	keeper.tickedAt = now
+	table, next, known := keeper.table.Current()
+	if !known {
+		return
+	}
+	if table.Version != keeper.seenTable {
+		keeper.seenTable = table.Version
+		keeper.seenAt = now
+	}
+	if table.Keeper != keeper.self.Name || table.Life != keeper.self.Life {
+		keeper.stand(table)
+		keeper.consider(ctx, table, next, now)
+		return
+	}
+	keeper.enter(table)
+	if !keeper.sure(table.Term, now) {
+		return
+	}
+	keeper.bound(now)
+	keeper.ledger.Forget(now)
+	keeper.change(ctx, table, next, now)
+	keeper.renew(ctx, table, now)
+}
+
+// stand leaves the duty when another host has it.
+func (keeper *Keeper) stand(table spans.Table) {
+	if keeper.term < 0 {
+		return
+	}
+	events.Log(keeper.logger, events.KeeperResigned, zap.Int64("Term", keeper.term), zap.String("Keeper", table.Keeper), zap.Int64("NewTerm", table.Term))
+	keeper.term = -1
+	keeper.grants = map[grantKey]*grantState{}
+	keeper.releases = map[grantKey]*releaseState{}
+	keeper.contacts = map[string]*contact{}
+	keeper.ledger = spans.Ledger{}
+}
+
+// enter takes up the duty of a term: whoever kept before may have granted all that the table says, and
+// may go on until enough hosts know the new term.
+func (keeper *Keeper) enter(table spans.Table) {
+	if keeper.term == table.Term {
+		return
+	}
+	keeper.term = table.Term
+	keeper.told = false
+	keeper.grants = map[grantKey]*grantState{}
+	keeper.releases = map[grantKey]*releaseState{}
+	keeper.contacts = map[string]*contact{}
+	keeper.ledger = spans.Ledger{}
+	for service, list := range table.Services {
+		for _, owned := range list {
+			keeper.ledger.May(service, owned.Owner, owned.Span(), spans.Never)
+		}
+	}
+	events.Log(keeper.logger, events.KeeperClaimed, zap.Int64("Term", table.Term), zap.Int("Hosts", keeper.mesh.Known()))
+}
--- /dev/null
+++ b/keyedlog.go
@@ -0,0 +1,53 @@
+package cherrykeel
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+var (
+	// ErrStoreAway means that the store did not serve the call; a write may still take effect.
+	ErrStoreAway = errors.New("the store did not serve the call")
+	// ErrForgotten means that the records asked for are no longer kept.
+	ErrForgotten = errors.New("the store no longer keeps these records")
+	// ErrReplaced means that another writer came first.
+	ErrReplaced = errors.New("another writer came first")
+)
+
+// KeyedRecord is one record of a KeyedLog; an empty value drops its key.
+type KeyedRecord struct {
+	Key    string
+	Value  []byte
+	Offset int64
+}
+
+// KeyedBatch is what one call to a KeyedLog returns.
+type KeyedBatch struct {
+	Records []KeyedRecord
+	// Next is the offset that the next record will get.
+	Next int64
+}
+
+// KeyedLog is a log that keeps the newest record of each key for ever.
+type KeyedLog interface {
+	// Newest returns the newest record of each key.
+	Newest(ctx context.Context) (KeyedBatch, error)
+	// Read returns the records from an offset on, and waits up to wait while there are none; ErrForgotten asks for Newest.
+	Read(ctx context.Context, from int64, wait time.Duration) (KeyedBatch, error)
+	// Put adds a record and returns its offset.
+	Put(ctx context.Context, key string, value []byte) (int64, error)
+	// PutAt adds a record only if it gets the offset at; ErrReplaced says that it did not.
+	PutAt(ctx context.Context, key string, value []byte, at int64) error
+}
+
+// Peer is another host of the system as it announced itself.
+type Peer struct {
+	Name string
+	// Life differs with each start of the host's process.
+	Life string
+	// Inner takes the messages of other hosts, as IP and port.
+	Inner string
+	Zone  string
+}
--- a/keyspan.go
+++ b/keyspan.go
@@ -48,32 +48,3 @@
 	// Release stops new work on the span, waits for running work, and returns the handover.
 	Release(ctx context.Context, upstream Upstream, span KeySpan, fence int64) (string, error)
 }
-
-// Register is a small record that many hosts read and one at a time replaces.
-type Register interface {
-	// Read returns the newest value and its version, and waits up to wait while it is the one known.
-	Read(ctx context.Context, known int64, wait time.Duration) (RegisterValue, error)
-	// Replace stores a value if the version is still the one given; ErrReplaced says that it is not.
-	Replace(ctx context.Context, version int64, value []byte) (int64, error)
-}
-
-// RegisterValue is what a Register holds.
-type RegisterValue struct {
-	// Version is what the next Replace has to name.
-	Version int64
-	Value   []byte
-	// Changed is false when nothing newer than the known version came.
-	Changed bool
-}
-
-// ErrReplaced means that another writer came first.
-var ErrReplaced = errors.New("another writer came first")
-
-// Peer is another host of the system as it announced itself.
-type Peer struct {
-	// Name is the host's; Life differs with each start of its process.
-	Name  string
-	Life  string
-	Inner string
-	Zone  string
-}
--- /dev/null
+++ b/relay/attempt.go
@@ -0,0 +1,190 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cherrykeel"
+	"cherrykeel/conns"
+	"cherrykeel/flow"
+)
+
+// finding is what an attempt showed of whether the request ran.
+type finding int
+
+const (
+	// answered requests have an answer to pass on.
+	answered finding = iota
+	// notSent requests never left this host.
+	notSent
+	// notRun requests were refused by the upstream, which did not act.
+	notRun
+	// uncertain requests may have run.
+	uncertain
+)
+
+// result is what an attempt brought.
+type result struct {
+	finding     finding
+	misdirected bool
+	status      int
+	header      http.Header
+	body        []byte
+	load        cherrykeel.UpstreamLoad
+	detail      string
+}
+
+const (
+	// maxAnswerBytes bounds an answer, which is held whole so that one that breaks off is never passed on.
+	maxAnswerBytes = 32 << 20
+	// freshWithin is how recently a connection has to have been in use to carry a request that must not
+	// be lost: an upstream may forget an idle connection, and what is sent there is reset.
+	freshWithin = 2 * time.Second
+	usualIdle   = 8 * time.Second
+)
+
+var errForeign = errors.New("the answer belongs to another request")
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
+}
+
+func dropHopHeaders(header http.Header) {
+	for _, list := range header["Connection"] {
+		for _, name := range strings.Split(list, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+}
+
+// outgoing returns the request as an upstream gets it: method, target and body as they came.
+func (trip *trip) outgoing(upstream cherrykeel.Upstream, left time.Duration) *http.Request {
+	incoming := trip.request
+	header := incoming.Header.Clone()
+	dropHopHeaders(header)
+	if _, given := header["User-Agent"]; !given {
+		header["User-Agent"] = []string{""}
+	}
+	trip.relay.dialect.Direct(header, upstream, left)
+	path, query, hasQuery := strings.Cut(incoming.RequestURI, "?")
+	request := &http.Request{
+		Method: incoming.Method,
+		Host:   incoming.Host,
+		URL:    &url.URL{Opaque: path, RawQuery: query, ForceQuery: hasQuery && query == ""},
+		Header: header,
+	}
+	if len(trip.body) > 0 || mayHaveBody(incoming.Method) {
+		request.Body = io.NopCloser(bytes.NewReader(trip.body))
+		request.ContentLength = int64(len(trip.body))
+		if len(trip.body) == 0 {
+			request.Body = http.NoBody
+		}
+	}
+	return request
+}
+
+func mayHaveBody(method string) bool {
+	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
+}
+
+// attempt sends the request to one upstream and reads its whole answer.
+func (trip *trip) attempt(ctx context.Context, place *flow.Place) result {
+	left := trip.deadline.Sub(trip.relay.clock.Now())
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	maxIdle := usualIdle
+	if !trip.route.Repeatable {
+		maxIdle = freshWithin
+	}
+	answer, progress, err := trip.relay.pool.SendWithin(ctx, place.Upstream.Address, trip.outgoing(place.Upstream, left), maxIdle)
+	if err != nil {
+		return broken(progress, err)
+	}
+	defer answer.Close()
+	reply := trip.relay.dialect.Reply(answer.Status, answer.Header)
+	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes+1))
+	result := result{status: answer.Status, header: answer.Header, body: body, load: reply.Load, misdirected: reply.Misdirected}
+	switch {
+	case reply.ID != "" && reply.ID != trip.asked.ID:
+		result.finding = uncertain
+		result.detail = errForeign.Error()
+	case reply.NotRun:
+		result.finding = notRun
+		result.detail = "the upstream did not run it: " + http.StatusText(answer.Status)
+	case err != nil:
+		result.finding = uncertain
+		result.detail = err.Error()
+	case len(body) > maxAnswerBytes:
+		result.finding = uncertain
+		result.detail = "the answer is too large"
+	default:
+		result.judge(reply)
+	}
+	if result.finding == uncertain {
+		answer.Spoil()
+	}
+	return result
+}
+
+// judge decides whether a whole answer may be passed on.
+func (result *result) judge(reply cherrykeel.Reply) {
+	encoded := result.header.Get("Content-Encoding") != ""
+	success := result.status < http.StatusBadRequest
+	switch {
+	case success && (!reply.Signed || reply.ID == "" || encoded):
+		result.finding = uncertain
+		result.detail = "a success without the upstream's signature"
+	case promises(result.status):
+		// The status says that nothing ran, but the upstream did not say so: passed on, the caller
+		// would send again what may have run.
+		result.finding = uncertain
+		result.detail = "a refusal that does not say that nothing ran"
+	default:
+		result.finding = answered
+	}
+}
+
+// promises reports whether callers take the status for a promise that the request never runs.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+func broken(progress conns.Progress, err error) result {
+	if progress == conns.NotSent {
+		return result{finding: notSent, detail: err.Error()}
+	}
+	return result{finding: uncertain, detail: err.Error()}
+}
+
+// ending tells the scheduler how the place was left.
+func (result *result) ending(gone bool) flow.Ending {
+	switch {
+	case result.finding == answered:
+		return flow.Answered
+	case gone:
+		return flow.Abandoned
+	case result.finding == notSent:
+		return flow.Unreached
+	case result.finding == notRun:
+		return flow.Refused
+	default:
+		return flow.Failed
+	}
+}
--- /dev/null
+++ b/relay/budget.go
@@ -0,0 +1,61 @@
+package relay
+
+import (
+	"time"
+
+	"cherrykeel"
+)
+
+const (
+	// budgetBuckets divides the window; what falls out of it is forgotten a bucket at a time.
+	budgetBuckets = 20
+	// budgetCaution keeps a part of the allowance back, since hosts divide it by what each sees.
+	budgetCaution = 0.8
+)
+
+// budget counts one service's requests and repeated sends on this host within the platform's window.
+// The allowance is shared by all hosts: each takes its own requests' share and an equal part of the slack.
+type budget struct {
+	ratio   float64
+	slack   float64
+	bucket  time.Duration
+	first   [budgetBuckets]float64
+	again   [budgetBuckets]float64
+	current int64
+}
+
+func newBudget(bounds cherrykeel.Bounds) *budget {
+	return &budget{ratio: bounds.RetryRatio, slack: bounds.RetrySlack, bucket: bounds.RetryWindow / budgetBuckets}
+}
+
+func (budget *budget) advance(now cherrykeel.Instant) int {
+	number := int64(now) / int64(max(1, budget.bucket))
+	for budget.current < number {
+		budget.current = max(budget.current+1, number-budgetBuckets)
+		index := budget.current % budgetBuckets
+		budget.first[index] = 0
+		budget.again[index] = 0
+	}
+	return int(number % budgetBuckets)
+}
+
+// request counts a caller's request.
+func (budget *budget) request(now cherrykeel.Instant) {
+	budget.first[budget.advance(now)]++
+}
+
+// spend takes one repeated send, if the allowance has room for it.
+func (budget *budget) spend(hosts int, now cherrykeel.Instant) bool {
+	index := budget.advance(now)
+	requests, repeats := 0.0, 0.0
+	for i := range budgetBuckets {
+		requests += budget.first[i]
+		repeats += budget.again[i]
+	}
+	allowance := budgetCaution * (budget.ratio*requests + budget.slack/float64(max(1, hosts)))
+	if repeats+1 > allowance {
+		return false
+	}
+	budget.again[index]++
+	return true
+}
--- /dev/null
+++ b/relay/doc.go
@@ -0,0 +1,6 @@
+// Package relay takes callers' requests to upstreams and their answers back: it
+// matches routes, deals requests to the parts of a split, asks package flow for
+// a place, makes attempts, and tells callers what is known when none succeeds.
+//
+// Lock order: Relay.mutex before lane.mutex; budgets are locked inside their lane.
+package relay
--- /dev/null
+++ b/relay/meter.go
@@ -0,0 +1,48 @@
+package relay
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// latencyBuckets reach from a router's own refusal to the longest patience of callers.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
+
+// meter counts and times requests.
+type meter struct {
+	scope  tally.Scope
+	mutex  sync.Mutex
+	scopes map[[2]string]tally.Scope
+}
+
+func newMeter(scope tally.Scope) *meter {
+	return &meter{scope: scope, scopes: map[[2]string]tally.Scope{}}
+}
+
+func (meter *meter) tagged(service, result string) tally.Scope {
+	meter.mutex.Lock()
+	defer meter.mutex.Unlock()
+	key := [2]string{service, result}
+	scope, known := meter.scopes[key]
+	if !known {
+		scope = meter.scope.Tagged(map[string]string{"service": service, "result": result})
+		meter.scopes[key] = scope
+	}
+	return scope
+}
+
+func (meter *meter) served(service string, status int, took time.Duration) {
+	meter.note(meter.tagged(service, strconv.Itoa(status)), took)
+}
+
+func (meter *meter) failed(service, code string, took time.Duration) {
+	meter.note(meter.tagged(service, code), took)
+}
+
+func (meter *meter) note(scope tally.Scope, took time.Duration) {
+	scope.Counter("requests").Inc(1)
+	scope.Histogram("latency", latencyBuckets).RecordDuration(took)
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,181 @@
+package relay
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"cherrykeel"
+	"cherrykeel/conns"
+	"cherrykeel/flow"
+)
+
+// Settings is what a Relay needs of its host.
+type Settings struct {
+	Zone    string
+	Bounds  cherrykeel.Bounds
+	Clock   cherrykeel.Clock
+	Dialect cherrykeel.Dialect
+	Pool    *conns.Pool
+	Logger  *zap.Logger
+	Scope   tally.Scope
+	// Owner says who has a key of a service.
+	Owner func(service string, key int) flow.Owner
+	// Asked is told each key that is asked for.
+	Asked func(service string, key int)
+	// Hosts returns how many hosts share the retry budget.
+	Hosts func() int
+	// Stale is called when an upstream says that another one has the key.
+	Stale func()
+}
+
+// Relay serves callers' requests; it is an http.Handler that gets whole requests.
+type Relay struct {
+	Settings
+	dialect cherrykeel.Dialect
+	clock   cherrykeel.Clock
+	pool    *conns.Pool
+	meter   *meter
+
+	mutex     sync.Mutex
+	matcher   *matcher
+	lanes     map[string]*lane
+	upstreams []cherrykeel.Upstream
+}
+
+// New returns a relay that knows no routes and refuses all requests.
+func New(settings Settings) *Relay {
+	return &Relay{
+		Settings: settings,
+		dialect:  settings.Dialect,
+		clock:    settings.Clock,
+		pool:     settings.Pool,
+		meter:    newMeter(settings.Scope),
+		lanes:    map[string]*lane{},
+	}
+}
+
+// SetRoutes puts routes in force.
+func (relay *Relay) SetRoutes(routes cherrykeel.RouteSet) {
+	matcher := newMatcher(routes)
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	for name, service := range routes.Services {
+		old, known := relay.lanes[name]
+		if known && old.keyed == service.Keyed {
+			continue
+		}
+		relay.lanes[name] = newLane(name, service.Keyed, relay.Zone, relay.Owner, relay.Bounds)
+	}
+	relay.matcher = matcher
+	relay.share()
+}
+
+// SetUpstreams replaces the upstreams that may get requests.
+func (relay *Relay) SetUpstreams(upstreams []cherrykeel.Upstream) {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	relay.upstreams = upstreams
+	relay.share()
+}
+
+// share gives each lane its upstreams; Relay.mutex is held.
+func (relay *Relay) share() {
+	now := relay.clock.Now()
+	for name, lane := range relay.lanes {
+		var fit []cherrykeel.Upstream
+		for _, upstream := range relay.upstreams {
+			if upstream.Service == name && !upstream.Leaving {
+				fit = append(fit, upstream)
+			}
+		}
+		lane.mutex.Lock()
+		lane.service.SetUpstreams(fit, now)
+		lane.mutex.Unlock()
+	}
+}
+
+// Others is what the other hosts say of their requests.
+type Others struct {
+	Running map[string]int
+	Waiting map[string]int
+	Queued  map[string]int
+}
+
+// SetOthers takes the sums over the other hosts.
+func (relay *Relay) SetOthers(others Others) {
+	now := relay.clock.Now()
+	for _, lane := range relay.all() {
+		lane.mutex.Lock()
+		lane.service.SetOthers(others.Running, others.Waiting, others.Queued[lane.name], now)
+		lane.mutex.Unlock()
+	}
+}
+
+// Own returns this host's requests at upstreams and waiting.
+func (relay *Relay) Own() Others {
+	own := Others{Running: map[string]int{}, Waiting: map[string]int{}, Queued: map[string]int{}}
+	for _, lane := range relay.all() {
+		lane.mutex.Lock()
+		for id, count := range lane.service.Running() {
+			own.Running[id] = count
+		}
+		waiting, queued := lane.service.Waiting()
+		lane.mutex.Unlock()
+		for id, count := range waiting {
+			own.Waiting[id] = count
+		}
+		if queued > 0 {
+			own.Queued[lane.name] = queued
+		}
+	}
+	return own
+}
+
+// Dispatch lets waiting requests go on whose upstream or owner has changed.
+func (relay *Relay) Dispatch() {
+	now := relay.clock.Now()
+	for _, lane := range relay.all() {
+		lane.dispatch(now)
+	}
+}
+
+// WorkTime returns the mean time that a request of a service takes at an upstream, or 0.
+func (relay *Relay) WorkTime(service, id string) time.Duration {
+	lane := relay.lane(service)
+	if lane == nil {
+		return 0
+	}
+	lane.mutex.Lock()
+	defer lane.mutex.Unlock()
+	return lane.service.WorkTime(id)
+}
+
+func (relay *Relay) all() []*lane {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	all := make([]*lane, 0, len(relay.lanes))
+	for _, lane := range relay.lanes {
+		all = append(all, lane)
+	}
+	return all
+}
+
+func (relay *Relay) lane(service string) *lane {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	return relay.lanes[service]
+}
+
+func (relay *Relay) match(request *http.Request) (*dealt, int64, bool) {
+	relay.mutex.Lock()
+	matcher := relay.matcher
+	relay.mutex.Unlock()
+	if matcher == nil {
+		return nil, 0, false
+	}
+	return matcher.find(request.Host, request.URL.Path), matcher.version, true
+}
--- /dev/null
+++ b/relay/trip.go
@@ -0,0 +1,302 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cherrykeel"
+	"cherrykeel/events"
+	"cherrykeel/flow"
+)
+
+const (
+	// callerMargin is kept of a caller's patience for the ways to it and back.
+	callerMargin = 8 * time.Millisecond
+	// maxMisdirected bounds the sends of one request that ended at an upstream without the key.
+	maxMisdirected = 3
+	// misdirectedPause is about what a move's last step takes: the record, then the grant.
+	misdirectedPause = 15 * time.Millisecond
+	// A refused caller comes back after a part of what it has left: early enough to be served in time,
+	// spread so that the refused of one moment do not come back in one moment, and below the third that
+	// callers honour.
+	earliestReturn = 0.08
+	latestReturn   = 0.3
+	// unknownPatience is assumed of callers of routes without a timeout that do not say how long they wait.
+	unknownPatience = 2 * time.Second
+	// settingsRetryAfter is when a host that has just started knows the routes at the latest, as measured.
+	settingsRetryAfter = 200 * time.Millisecond
+)
+
+// trip is one request on its way.
+type trip struct {
+	relay    *Relay
+	request  *http.Request
+	writer   http.ResponseWriter
+	body     []byte
+	asked    cherrykeel.Asked
+	route    *dealt
+	version  int64
+	lane     *lane
+	arrived  cherrykeel.Instant
+	deadline cherrykeel.Instant
+	// attempts counts sends that may have reached an upstream, misdirected those refused for the key.
+	attempts    int
+	misdirected int
+	tried       []string
+	// mayHaveRun says that no refusal may be told any more.
+	mayHaveRun bool
+	last       string
+}
+
+// ServeHTTP implements http.Handler.
+func (relay *Relay) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	trip := &trip{relay: relay, request: request, writer: writer, arrived: relay.clock.Now(), asked: relay.dialect.Asked(request)}
+	failure := trip.prepare()
+	if failure == nil {
+		failure = trip.run()
+	}
+	if failure != nil {
+		trip.fail(failure)
+	}
+}
+
+// prepare finds the route, the service and the time there is.
+func (trip *trip) prepare() *cherrykeel.Failure {
+	route, version, known := trip.relay.match(trip.request)
+	if !known {
+		failure := cherrykeel.Refuse(http.StatusServiceUnavailable, "no-settings", "this host knows no routes yet")
+		failure.RetryAfter = settingsRetryAfter
+		return failure
+	}
+	trip.version = version
+	if route == nil {
+		return cherrykeel.Refuse(http.StatusNotFound, "no-route", "no route matches")
+	}
+	trip.route = route
+	patience := trip.asked.Patience
+	if patience == 0 {
+		patience = max(route.Timeout, unknownPatience)
+	}
+	patience -= callerMargin
+	if route.Timeout > 0 {
+		patience = min(patience, route.Timeout)
+	}
+	trip.deadline = trip.arrived.Add(patience)
+	service := route.deal()
+	trip.lane = trip.relay.lane(service)
+	if trip.lane == nil {
+		return trip.refuse("no-service", "the route's service is not known")
+	}
+	body, err := io.ReadAll(trip.request.Body)
+	if err != nil {
+		return cherrykeel.Refuse(http.StatusBadRequest, "body-broke", "%s", err)
+	}
+	trip.body = body
+	trip.lane.arrived(trip.arrived)
+	if trip.lane.keyed && trip.asked.Key != cherrykeel.NoKey {
+		trip.relay.Asked(service, trip.asked.Key)
+	}
+	return nil
+}
+
+// run makes attempts until one brings an answer or none can any more.
+func (trip *trip) run() *cherrykeel.Failure {
+	ctx := trip.request.Context()
+	for {
+		verdict, failure := trip.admit(ctx)
+		if failure != nil {
+			return failure
+		}
+		place := verdict.Place
+		trip.attempts++
+		trip.tried = append(trip.tried, place.Upstream.ID)
+		result := trip.attempt(ctx, place)
+		gone := ctx.Err() != nil
+		now := trip.relay.clock.Now()
+		trip.lane.leave(place, result.ending(gone), result.load, now)
+		if result.finding == answered {
+			trip.pass(place, result)
+			return nil
+		}
+		trip.last = result.detail
+		trip.mayHaveRun = trip.mayHaveRun || result.finding == uncertain
+		trip.noteAttempt(place, result)
+		if gone {
+			return trip.callerGone()
+		}
+		if !trip.again(ctx, result, now) {
+			return trip.giveUp(now)
+		}
+	}
+}
+
+// admit waits for a place on an upstream.
+func (trip *trip) admit(ctx context.Context) (flow.Verdict, *cherrykeel.Failure) {
+	now := trip.relay.clock.Now()
+	ticket := &flow.Ticket{
+		Priority: trip.route.Priority,
+		Key:      trip.asked.Key,
+		Arrived:  trip.arrived,
+		Target:   min(trip.arrived.Add(trip.route.Target), trip.deadline),
+		Deadline: trip.deadline,
+		Tried:    trip.tried,
+	}
+	verdicts := trip.lane.offer(ticket, now)
+	timer := time.NewTimer(max(0, trip.deadline.Sub(now)))
+	defer timer.Stop()
+	select {
+	case verdict := <-verdicts:
+		if verdict.Place == nil {
+			return verdict, trip.refuse(string(verdict.Reason), "no upstream can answer in time")
+		}
+		return verdict, nil
+	case <-ctx.Done():
+		trip.lane.cancel(ticket, verdicts, trip.relay.clock.Now())
+		return flow.Verdict{}, trip.callerGone()
+	case <-timer.C:
+		trip.lane.cancel(ticket, verdicts, trip.relay.clock.Now())
+		return flow.Verdict{}, trip.refuse("timeout", "no upstream became free in time")
+	}
+}
+
+// again decides whether the request may be sent once more; if so the budget has paid.
+func (trip *trip) again(ctx context.Context, result result, now cherrykeel.Instant) bool {
+	if now >= trip.deadline {
+		return false
+	}
+	if result.finding == uncertain && !trip.route.Repeatable {
+		return false
+	}
+	if result.misdirected && trip.lane.keyed {
+		return trip.againElsewhere(ctx, now)
+	}
+	if result.finding == notSent {
+		// Nothing arrived anywhere, so neither the budget nor the count of upstreams is touched.
+		trip.attempts--
+		return true
+	}
+	return trip.attempts < trip.route.MaxAttempts && trip.lane.spend(trip.relay.Hosts(), now)
+}
+
+// againElsewhere waits a moment for the key's new owner.
+func (trip *trip) againElsewhere(ctx context.Context, now cherrykeel.Instant) bool {
+	trip.attempts--
+	trip.misdirected++
+	trip.tried = nil
+	trip.relay.Stale()
+	if trip.misdirected > maxMisdirected || !trip.lane.spend(trip.relay.Hosts(), now) {
+		return false
+	}
+	timer := time.NewTimer(misdirectedPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// refuse says that the request has not run and when to come back, unless an attempt may have run.
+func (trip *trip) refuse(code, detail string) *cherrykeel.Failure {
+	if trip.mayHaveRun {
+		return trip.doubt()
+	}
+	failure := cherrykeel.Refuse(http.StatusServiceUnavailable, code, "%s", detail)
+	left := trip.deadline.Sub(trip.relay.clock.Now())
+	share := earliestReturn + rand.Float64()*(latestReturn-earliestReturn)
+	failure.RetryAfter = max(time.Millisecond, time.Duration(share*float64(left)))
+	return failure
+}
+
+func (trip *trip) doubt() *cherrykeel.Failure {
+	if trip.relay.clock.Now() >= trip.deadline {
+		return cherrykeel.Doubt(http.StatusGatewayTimeout, "upstream-timeout", "%s", trip.last)
+	}
+	return cherrykeel.Doubt(http.StatusBadGateway, "upstream-broke", "%s", trip.last)
+}
+
+func (trip *trip) giveUp(cherrykeel.Instant) *cherrykeel.Failure {
+	return trip.refuse("not-run", trip.last)
+}
+
+// statusCallerGone is for the log; the caller does not read it.
+const statusCallerGone = 499
+
+func (trip *trip) callerGone() *cherrykeel.Failure {
+	failure := cherrykeel.Refuse(statusCallerGone, "caller-gone", "the caller left")
+	if trip.mayHaveRun {
+		failure.Outcome = cherrykeel.OutcomeUnknown
+	}
+	return failure
+}
+
+// pass writes the upstream's answer.
+func (trip *trip) pass(place *flow.Place, result result) {
+	header := trip.writer.Header()
+	dropHopHeaders(result.header)
+	for name, values := range result.header {
+		header[name] = values
+	}
+	header.Del(cherrykeel.HeaderOutcome)
+	trip.writer.WriteHeader(result.status)
+	_, err := trip.writer.Write(result.body)
+	took := trip.relay.clock.Now().Sub(trip.arrived)
+	trip.relay.meter.served(trip.lane.name, result.status, took)
+	events.Log(trip.relay.Logger, events.RequestServed, append(trip.fields(),
+		zap.Int("Status", result.status), zap.String("Upstream", place.Upstream.ID), zap.Int("Load", place.Load),
+		zap.Int("Attempts", trip.attempts), zap.Duration("Took", took), zap.Error(err))...)
+}
+
+// fail writes an answer of the router's own.
+func (trip *trip) fail(failure *cherrykeel.Failure) {
+	took := trip.relay.clock.Now().Sub(trip.arrived)
+	service := ""
+	if trip.lane != nil {
+		service = trip.lane.name
+	}
+	trip.relay.meter.failed(service, failure.Code, took)
+	event := events.RequestFailed
+	if failure.Status == statusCallerGone {
+		event = events.CallerGone
+	}
+	events.Log(trip.relay.Logger, event, append(trip.fields(),
+		zap.Int("Status", failure.Status), zap.String("Code", failure.Code), zap.String("Outcome", string(failure.Outcome)),
+		zap.String("Detail", failure.Detail), zap.Int("Attempts", trip.attempts), zap.Strings("Tried", trip.tried),
+		zap.Duration("RetryAfter", failure.RetryAfter), zap.Duration("Took", took))...)
+	header := trip.writer.Header()
+	header.Set(cherrykeel.HeaderOutcome, string(failure.Outcome))
+	trip.relay.dialect.Echo(header, trip.asked.ID)
+	if failure.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(failure.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	trip.writer.WriteHeader(failure.Status)
+	_, _ = io.WriteString(trip.writer, failure.Code+"\n")
+}
+
+func (trip *trip) fields() []zap.Field {
+	fields := []zap.Field{zap.String("Request", trip.asked.ID), zap.Int64("Routes", trip.version)}
+	if trip.route != nil {
+		fields = append(fields, zap.String("Route", trip.route.Name), zap.Duration("Patience", trip.deadline.Sub(trip.arrived)))
+	}
+	if trip.lane != nil {
+		fields = append(fields, zap.String("Service", trip.lane.name))
+	}
+	if trip.asked.Key != cherrykeel.NoKey {
+		fields = append(fields, zap.Int("Key", trip.asked.Key))
+	}
+	return fields
+}
+
+func (trip *trip) noteAttempt(place *flow.Place, result result) {
+	events.Log(trip.relay.Logger, events.AttemptEnded, append(trip.fields(),
+		zap.String("Upstream", place.Upstream.ID), zap.String("Address", place.Upstream.Address), zap.Int("Load", place.Load),
+		zap.Int("Attempt", trip.attempts), zap.Bool("MayHaveRun", result.finding == uncertain), zap.Int("Status", result.status),
+		zap.String("Detail", result.detail), zap.Duration("Took", trip.relay.clock.Now().Sub(place.Begun)))...)
+}
--- /dev/null
+++ b/settings.go
@@ -0,0 +1,40 @@
+package cherrykeel
+
+import "time"
+
+// EntrySettings are what one process of an entry host is told at its start.
+type EntrySettings struct {
+	Name string
+	Zone string
+	// Callers, Readiness and Inner are IP and port.
+	Callers   string
+	Readiness string
+	Inner     string
+	// Metrics is IP and port, or empty.
+	Metrics string
+	// MemoryBytes is the size beyond which the process is killed.
+	MemoryBytes int64
+	// Descriptors is how many sockets and files it may have.
+	Descriptors int
+	Bounds      Bounds
+	StoreURL    string
+	// Heartbeat is how often upstreams renew their entries.
+	Heartbeat time.Duration
+}
+
+// Bounds are the times and shares that the platform holds its hosts to.
+type Bounds struct {
+	// Drain is how long a leaving upstream may still get work.
+	Drain time.Duration
+	// Grace is the time from the request to stop to the kill.
+	Grace time.Duration
+	// MaxHold is the longest hold that an upstream takes.
+	MaxHold time.Duration
+	// RetryRatio is the share of a service's requests that may be sent once more.
+	RetryRatio float64
+	// RetrySlack is how many more may be, in each RetryWindow.
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// Settled is how long the store has to be well before its silence says anything.
+	Settled time.Duration
+}
--- /dev/null
+++ b/share/mesh.go
@@ -0,0 +1,296 @@
+package share
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"reflect"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"cherrykeel"
+	"cherrykeel/events"
+)
+
+const (
+	// reportEvery is the pace of reports while something changes. A request takes 40 to 900 ms at an
+	// upstream, so counts of 25 ms ago are wrong by few requests, which its own queue takes up.
+	reportEvery = 25 * time.Millisecond
+	// idleEvery is the pace while nothing changes.
+	idleEvery = 200 * time.Millisecond
+	// staleAfter is when a silent host's counts are no longer believed.
+	staleAfter = time.Second
+	// demandEvery is the pace at which keys are told to the keeper.
+	demandEvery = 100 * time.Millisecond
+	// maxDatagram bounds one message; demand beyond it is cut.
+	maxDatagram = 60 << 10
+	maxKeys     = 4000
+)
+
+// Heard is a host's newest report.
+type Heard struct {
+	Report Report
+	At     cherrykeel.Instant
+}
+
+// Mesh exchanges reports with the other hosts.
+type Mesh struct {
+	self   cherrykeel.Peer
+	clock  cherrykeel.Clock
+	logger *zap.Logger
+	// state fills in the report; changed is called after others' reports have come; demand takes a message for the keeper.
+	state   func(report *Report)
+	changed func()
+	demand  func(demand Demand)
+
+	socket   *net.UDPConn
+	mutex    sync.Mutex
+	peers    map[string]cherrykeel.Peer
+	resolved map[string]*net.UDPAddr
+	heard    map[string]Heard
+	silent   map[string]bool
+	asked    map[string][]int
+	sequence uint64
+}
+
+// New returns a mesh; state, changed and demand are called from its own goroutines.
+func New(self cherrykeel.Peer, clock cherrykeel.Clock, logger *zap.Logger, state func(*Report), changed func(), demand func(Demand)) *Mesh {
+	return &Mesh{
+		self: self, clock: clock, logger: logger, state: state, changed: changed, demand: demand,
+		peers: map[string]cherrykeel.Peer{}, resolved: map[string]*net.UDPAddr{},
+		heard: map[string]Heard{}, silent: map[string]bool{}, asked: map[string][]int{},
+	}
+}
+
+// Listen opens the socket.
+func (mesh *Mesh) Listen() error {
+	address, err := net.ResolveUDPAddr("udp", mesh.self.Inner)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	mesh.socket, err = net.ListenUDP("udp", address)
+	return errors.WithStack(err)
+}
+
+// SetPeers replaces the hosts that are told and believed.
+func (mesh *Mesh) SetPeers(peers []cherrykeel.Peer) {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	mesh.peers = map[string]cherrykeel.Peer{}
+	mesh.resolved = map[string]*net.UDPAddr{}
+	for _, peer := range peers {
+		if peer.Name == mesh.self.Name {
+			continue
+		}
+		address, err := net.ResolveUDPAddr("udp", peer.Inner)
+		if err != nil {
+			events.Log(mesh.logger, events.RecordInvalid, zap.String("Host", peer.Name), zap.Error(err))
+			continue
+		}
+		mesh.peers[peer.Name] = peer
+		mesh.resolved[peer.Name] = address
+	}
+	for name, heard := range mesh.heard {
+		if mesh.peers[name].Life != heard.Report.Life {
+			delete(mesh.heard, name)
+		}
+	}
+}
+
+// Run exchanges reports until the context ends.
+func (mesh *Mesh) Run(ctx context.Context) {
+	go mesh.receive()
+	ticker := time.NewTicker(reportEvery)
+	defer ticker.Stop()
+	defer mesh.socket.Close()
+	var last Report
+	var sent cherrykeel.Instant
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		report := Report{Host: mesh.self.Name, Life: mesh.self.Life, Term: -1}
+		mesh.state(&report)
+		now := mesh.clock.Now()
+		if reflect.DeepEqual(report, last) && now.Sub(sent) < idleEvery {
+			continue
+		}
+		last = report
+		sent = now
+		mesh.broadcast(report)
+		mesh.noteSilence(now)
+	}
+}
+
+func (mesh *Mesh) broadcast(report Report) {
+	mesh.mutex.Lock()
+	mesh.sequence++
+	report.Sequence = mesh.sequence
+	addresses := make([]*net.UDPAddr, 0, len(mesh.resolved))
+	for _, address := range mesh.resolved {
+		addresses = append(addresses, address)
+	}
+	mesh.mutex.Unlock()
+	data, err := encode(methodReport, report)
+	if err != nil {
+		events.Log(mesh.logger, events.MessageInvalid, zap.Error(err))
+		return
+	}
+	for _, address := range addresses {
+		// A datagram that cannot be sent is as one that is lost; its silence is noted at the other end.
+		_, _ = mesh.socket.WriteToUDP(data, address)
+	}
+}
+
+func (mesh *Mesh) receive() {
+	buffer := make([]byte, maxDatagram)
+	for {
+		count, _, err := mesh.socket.ReadFromUDP(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		err = mesh.take(buffer[:count])
+		if err != nil {
+			events.Log(mesh.logger, events.MessageInvalid, zap.Error(err))
+		}
+	}
+}
+
+func (mesh *Mesh) take(data []byte) error {
+	method, params, err := decode(data)
+	if err != nil {
+		return err
+	}
+	switch method {
+	case methodReport:
+		var report Report
+		err = json.Unmarshal(params, &report)
+		if err == nil && mesh.note(report) {
+			mesh.changed()
+		}
+	case methodDemand:
+		var demand Demand
+		err = json.Unmarshal(params, &demand)
+		if err == nil {
+			mesh.demand(demand)
+		}
+	}
+	return errors.WithStack(err)
+}
+
+// note keeps a report of a known host's present life.
+func (mesh *Mesh) note(report Report) bool {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	peer, known := mesh.peers[report.Host]
+	if !known || peer.Life != report.Life {
+		return false
+	}
+	old, heard := mesh.heard[report.Host]
+	if heard && old.Report.Sequence >= report.Sequence {
+		return false
+	}
+	mesh.heard[report.Host] = Heard{Report: report, At: mesh.clock.Now()}
+	if mesh.silent[report.Host] || !heard {
+		delete(mesh.silent, report.Host)
+		events.Log(mesh.logger, events.PeerHeard, zap.String("Host", report.Host), zap.Int64("Term", report.Term))
+	}
+	return true
+}
+
+func (mesh *Mesh) noteSilence(now cherrykeel.Instant) {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	for name, heard := range mesh.heard {
+		age := now.Sub(heard.At)
+		if age < staleAfter || mesh.silent[name] {
+			continue
+		}
+		mesh.silent[name] = true
+		events.Log(mesh.logger, events.PeerSilent, zap.String("Host", name), zap.Duration("Age", age))
+	}
+}
+
+// Reports returns what other hosts told within the given age.
+func (mesh *Mesh) Reports(age time.Duration) []Heard {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	now := mesh.clock.Now()
+	var fresh []Heard
+	for _, heard := range mesh.heard {
+		if now.Sub(heard.At) <= age {
+			fresh = append(fresh, heard)
+		}
+	}
+	return fresh
+}
+
+// Fresh returns the reports that are still believed.
+func (mesh *Mesh) Fresh() []Heard {
+	return mesh.Reports(staleAfter)
+}
+
+// Silence returns how long a host has not been heard; false if it never was in its present life.
+func (mesh *Mesh) Silence(name string) (time.Duration, bool) {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	heard, known := mesh.heard[name]
+	if !known {
+		return 0, false
+	}
+	return mesh.clock.Now().Sub(heard.At), true
+}
+
+// Known returns how many hosts there are, this one included.
+func (mesh *Mesh) Known() int {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	return len(mesh.peers) + 1
+}
+
+// Asked notes that a key was asked for, to be told to the keeper.
+func (mesh *Mesh) Asked(service string, key int) {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	if len(mesh.asked[service]) < maxKeys {
+		mesh.asked[service] = append(mesh.asked[service], key)
+	}
+}
+
+// TellDemand sends the keys asked for since the last call to the keeper, which may be this host.
+func (mesh *Mesh) TellDemand(keeper string) {
+	mesh.mutex.Lock()
+	asked := mesh.asked
+	mesh.asked = map[string][]int{}
+	address := mesh.resolved[keeper]
+	mesh.mutex.Unlock()
+	for service, keys := range asked {
+		demand := Demand{Host: mesh.self.Name, Service: service, Keys: keys}
+		if keeper == mesh.self.Name {
+			mesh.demand(demand)
+			continue
+		}
+		if address == nil {
+			continue
+		}
+		data, err := encode(methodDemand, demand)
+		if err != nil {
+			events.Log(mesh.logger, events.MessageInvalid, zap.Error(err))
+			continue
+		}
+		_, _ = mesh.socket.WriteToUDP(data, address)
+	}
+}
+
+// DemandEvery is the pace at which TellDemand is to be called.
+func DemandEvery() time.Duration {
+	return demandEvery
+}
--- /dev/null
+++ b/spans/demand.go
@@ -0,0 +1,137 @@
+package spans
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"cherrykeel"
+)
+
+const (
+	// demandHalfLife is how fast counted requests are forgotten. Hot keys come and go within
+	// 4 to 5 s; with a shorter life chance alone would move keys at 30 requests a second an upstream.
+	demandHalfLife = 1500 * time.Millisecond
+	// forgetBelow drops keys whose remaining weight says nothing.
+	forgetBelow = 0.02
+)
+
+// Demand counts requests by key, older ones for less.
+type Demand struct {
+	weights map[int]float64
+	keys    []int
+	sums    []float64
+	decayed cherrykeel.Instant
+	sorted  bool
+}
+
+// NewDemand returns a count that has seen nothing.
+func NewDemand(now cherrykeel.Instant) *Demand {
+	return &Demand{weights: map[int]float64{}, decayed: now}
+}
+
+// Add counts requests for a key.
+func (demand *Demand) Add(key int, requests float64) {
+	demand.weights[key] += requests
+	demand.sorted = false
+}
+
+// Decay forgets with time.
+func (demand *Demand) Decay(now cherrykeel.Instant) {
+	elapsed := now.Sub(demand.decayed)
+	demand.decayed = now
+	factor := math.Exp2(-elapsed.Seconds() / demandHalfLife.Seconds())
+	for key, weight := range demand.weights {
+		weight *= factor
+		if weight < forgetBelow {
+			delete(demand.weights, key)
+			continue
+		}
+		demand.weights[key] = weight
+	}
+	demand.sorted = false
+}
+
+// perSecond turns a decayed count into a rate: a steady rate r has the count r * halfLife / ln 2.
+func perSecond(weight float64) float64 {
+	return weight * math.Ln2 / demandHalfLife.Seconds()
+}
+
+func (demand *Demand) sort() {
+	if demand.sorted {
+		return
+	}
+	demand.keys = demand.keys[:0]
+	for key := range demand.weights {
+		demand.keys = append(demand.keys, key)
+	}
+	sort.Ints(demand.keys)
+	demand.sums = demand.sums[:0]
+	sum := 0.0
+	for _, key := range demand.keys {
+		sum += demand.weights[key]
+		demand.sums = append(demand.sums, sum)
+	}
+	demand.sorted = true
+}
+
+// below returns the weight of all keys lower than the given one.
+func (demand *Demand) below(key int) float64 {
+	i := sort.SearchInts(demand.keys, key)
+	if i == 0 {
+		return 0
+	}
+	return demand.sums[i-1]
+}
+
+// Load returns the requests a second for a span.
+func (demand *Demand) Load(span cherrykeel.KeySpan) float64 {
+	demand.sort()
+	return perSecond(demand.below(span.Last+1) - demand.below(span.First))
+}
+
+// quantile returns the key below which a share of the load lies; without load, of the keys.
+func (demand *Demand) quantile(share float64) int {
+	demand.sort()
+	if len(demand.keys) == 0 {
+		return int(share*(cherrykeel.MaxKey+1)) - 1
+	}
+	wanted := share * demand.sums[len(demand.sums)-1]
+	i := sort.SearchFloat64s(demand.sums, wanted)
+	if i >= len(demand.keys) {
+		return cherrykeel.MaxKey
+	}
+	return demand.keys[i]
+}
+
+// prefix returns the start of a span that has about the wanted load and leaves a rest.
+func (demand *Demand) prefix(span cherrykeel.KeySpan, wanted float64) (cherrykeel.KeySpan, bool) {
+	demand.sort()
+	base := demand.below(span.First)
+	for i := sort.SearchInts(demand.keys, span.First); i < len(demand.keys); i++ {
+		key := demand.keys[i]
+		if key >= span.Last {
+			break
+		}
+		if perSecond(demand.sums[i]-base) >= wanted {
+			return cherrykeel.KeySpan{First: span.First, Last: key}, true
+		}
+	}
+	return cherrykeel.KeySpan{}, false
+}
+
+// suffix is prefix from the other end.
+func (demand *Demand) suffix(span cherrykeel.KeySpan, wanted float64) (cherrykeel.KeySpan, bool) {
+	demand.sort()
+	top := demand.below(span.Last + 1)
+	for i := sort.SearchInts(demand.keys, span.Last+1) - 1; i >= 0; i-- {
+		key := demand.keys[i]
+		if key <= span.First {
+			break
+		}
+		if perSecond(top-demand.below(key)) >= wanted {
+			return cherrykeel.KeySpan{First: key, Last: span.Last}, true
+		}
+	}
+	return cherrykeel.KeySpan{}, false
+}
--- /dev/null
+++ b/spans/next.go
@@ -0,0 +1,202 @@
+package spans
+
+import (
+	"math"
+
+	"cherrykeel"
+)
+
+const (
+	// pieceShare is the largest part of an upstream's mean load that one taker gets of a lost owner's keys:
+	// an eighth of all keys dumped on one upstream would double its load.
+	pieceShare = 0.3
+	maxPieces  = 4
+)
+
+// Facts is what the next table of a service rests on.
+type Facts struct {
+	// Offset is where the next table will stand; it becomes the fence of what changes hands.
+	Offset int64
+	// Candidates are the upstreams that may own keys.
+	Candidates []Candidate
+	Demand     *Demand
+	// Lost reports whether an upstream cannot be asked to give its keys back.
+	Lost func(owner string) bool
+	// Free reports whether no upstream may hold any key of the span.
+	Free func(span cherrykeel.KeySpan) bool
+	// Settled reports whether a span has been with its owner for long enough to be joined or moved again.
+	Settled func(owned Owned) bool
+	// Moves bounds the spans that may be taken for balance now.
+	Moves int
+}
+
+// Next returns the table's next list of spans for a service, and whether it differs.
+//
+// Owners that leave are asked to give back what they have; what nobody holds is given to new owners;
+// and spans are taken from upstreams with more load than others.
+func (table Table) Next(service string, facts Facts) ([]Owned, bool) {
+	list := table.Services[service]
+	if len(facts.Candidates) == 0 {
+		return list, false
+	}
+	if len(list) == 0 {
+		return dealt(facts), true
+	}
+	step := newStep(list, facts)
+	step.replaceOwners()
+	step.balance()
+	step.join()
+	return step.list, step.changed
+}
+
+func dealt(facts Facts) []Owned {
+	list := Divide(facts.Candidates, facts.Demand)
+	for i := range list {
+		list[i].Fence = facts.Offset
+	}
+	return list
+}
+
+type step struct {
+	facts   Facts
+	list    []Owned
+	fit     map[string]Candidate
+	load    map[string]float64
+	changed bool
+}
+
+func newStep(list []Owned, facts Facts) *step {
+	step := &step{facts: facts, list: append([]Owned(nil), list...), fit: map[string]Candidate{}, load: map[string]float64{}}
+	for _, candidate := range facts.Candidates {
+		step.fit[candidate.ID] = candidate
+	}
+	for _, owned := range list {
+		step.load[owned.Owner] += facts.Demand.Load(owned.Span())
+	}
+	return step
+}
+
+// replaceOwners gives spans that nobody holds to new owners, and takes spans from owners that leave.
+func (step *step) replaceOwners() {
+	var list []Owned
+	for _, owned := range step.list {
+		_, fit := step.fit[owned.Owner]
+		switch {
+		case fit && !owned.Moving:
+			list = append(list, owned)
+		case step.facts.Free(owned.Span()):
+			list = append(list, step.give(owned)...)
+			step.changed = true
+		case !owned.Moving && !step.facts.Lost(owned.Owner):
+			owned.Moving = true
+			list = append(list, owned)
+			step.changed = true
+		default:
+			list = append(list, owned)
+		}
+	}
+	step.list = list
+}
+
+// give deals a free span to the least used candidates.
+func (step *step) give(owned Owned) []Owned {
+	var given []Owned
+	for _, span := range step.pieces(owned.Span()) {
+		taker := step.leastUsed(owned)
+		step.load[taker.ID] += step.facts.Demand.Load(span)
+		given = append(given, Owned{First: span.First, Last: span.Last, Owner: taker.ID, Address: taker.Address, Fence: step.facts.Offset})
+	}
+	return given
+}
+
+func (step *step) pieces(span cherrykeel.KeySpan) []cherrykeel.KeySpan {
+	total := 0.0
+	for _, load := range step.load {
+		total += load
+	}
+	whole := step.facts.Demand.Load(span)
+	wanted := pieceShare * total / float64(len(step.facts.Candidates))
+	if wanted <= 0 {
+		return []cherrykeel.KeySpan{span}
+	}
+	count := min(maxPieces, int(math.Ceil(whole/wanted)))
+	var pieces []cherrykeel.KeySpan
+	for ; count > 1; count-- {
+		piece, found := step.facts.Demand.prefix(span, step.facts.Demand.Load(span)/float64(count))
+		if !found {
+			break
+		}
+		pieces = append(pieces, piece)
+		span.First = piece.Last + 1
+	}
+	return append(pieces, span)
+}
+
+func (step *step) leastUsed(owned Owned) Candidate {
+	best := Candidate{}
+	bestUse := math.Inf(1)
+	for _, candidate := range step.facts.Candidates {
+		use := step.load[candidate.ID] / max(candidate.Capacity, math.SmallestNonzeroFloat64)
+		if candidate.ID == owned.Owner && owned.Moving && len(step.fit) > 1 {
+			// What was taken for balance does not go back in the same breath.
+			use *= 1 + unevenness
+		}
+		if use < bestUse {
+			best = candidate
+			bestUse = use
+		}
+	}
+	return best
+}
+
+// balance marks spans of the most used upstreams as moving.
+func (step *step) balance() {
+	moving := 0
+	for _, owned := range step.list {
+		if owned.Moving {
+			moving++
+		}
+	}
+	if moving > 0 || step.facts.Moves == 0 {
+		return
+	}
+	for _, move := range Plan(step.list, step.facts.Candidates, step.facts.Demand, step.facts.Moves) {
+		table := Table{Services: map[string][]Owned{"": step.list}}
+		table.Split("", move.Span)
+		step.list = table.Services[""]
+		for i := range step.list {
+			owned := &step.list[i]
+			if owned.Span() == move.Span && owned.Owner == move.From && step.facts.Settled(*owned) {
+				owned.Moving = true
+				step.changed = true
+			}
+		}
+	}
+}
+
+// join makes one span of neighbours with one owner; it rides on changes and never causes one.
+func (step *step) join() {
+	if !step.changed {
+		return
+	}
+	var joined []Owned
+	for _, owned := range step.list {
+		last := len(joined) - 1
+		if last < 0 || !step.mayJoin(joined[last], owned) {
+			joined = append(joined, owned)
+			continue
+		}
+		if joined[last].Fence != owned.Fence {
+			joined[last].Fence = step.facts.Offset
+		}
+		joined[last].Last = owned.Last
+	}
+	step.list = joined
+}
+
+func (step *step) mayJoin(left, right Owned) bool {
+	if left.Owner != right.Owner || left.Moving || right.Moving {
+		return false
+	}
+	return left.Fence == right.Fence || step.facts.Settled(left) && step.facts.Settled(right)
+}
--- /dev/null
+++ b/watch/routes.go
@@ -0,0 +1,65 @@
+package watch
+
+import (
+	"sync"
+
+	"go.uber.org/zap"
+
+	"cherrykeel"
+	"cherrykeel/events"
+)
+
+// Routes keeps the newest routes; it never goes back to a lower version.
+type Routes struct {
+	key    string
+	decode func(value []byte) (cherrykeel.RouteSet, error)
+	logger *zap.Logger
+	change func(routes cherrykeel.RouteSet)
+
+	mutex  sync.Mutex
+	routes cherrykeel.RouteSet
+	known  bool
+}
+
+// NewRoutes returns a view of the routes under a key; change is called with each newer version.
+func NewRoutes(key string, decode func([]byte) (cherrykeel.RouteSet, error), logger *zap.Logger, change func(cherrykeel.RouteSet)) *Routes {
+	return &Routes{key: key, decode: decode, logger: logger, change: change}
+}
+
+// Apply takes what the topic brought.
+func (routes *Routes) Apply(update Update) {
+	for _, record := range update.Records {
+		if record.Key != routes.key || len(record.Value) == 0 {
+			continue
+		}
+		decoded, err := routes.decode(record.Value)
+		if err != nil {
+			events.Log(routes.logger, events.RecordInvalid, zap.String("Key", record.Key), zap.Int64("Offset", record.Offset), zap.Error(err))
+			continue
+		}
+		routes.take(decoded, record.Offset)
+	}
+}
+
+func (routes *Routes) take(decoded cherrykeel.RouteSet, offset int64) {
+	routes.mutex.Lock()
+	newer := !routes.known || decoded.Version > routes.routes.Version
+	if newer {
+		routes.routes = decoded
+		routes.known = true
+	}
+	routes.mutex.Unlock()
+	if !newer {
+		return
+	}
+	routes.change(decoded)
+	events.Log(routes.logger, events.RoutesInForce,
+		zap.Int64("Version", decoded.Version), zap.Int64("Offset", offset), zap.Int("Routes", len(decoded.Routes)))
+}
+
+// Current returns the routes in force; false while none are known.
+func (routes *Routes) Current() (cherrykeel.RouteSet, bool) {
+	routes.mutex.Lock()
+	defer routes.mutex.Unlock()
+	return routes.routes, routes.known
+}
--- /dev/null
+++ b/watch/table.go
@@ -0,0 +1,128 @@
+package watch
+
+import (
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cherrykeel"
+	"cherrykeel/events"
+	"cherrykeel/flow"
+	"cherrykeel/spans"
+)
+
+// SpansKey is the one key of the topic with the table of spans.
+const SpansKey = "table"
+
+// grantTime is about what the keeper needs from writing a new owner to granting it the keys. A request
+// that is sent sooner is refused and sent again, at the cost of the retry budget.
+const grantTime = 12 * time.Millisecond
+
+// Spans keeps the newest table of key spans.
+type Spans struct {
+	clock  cherrykeel.Clock
+	logger *zap.Logger
+	change func()
+
+	mutex sync.Mutex
+	table spans.Table
+	next  int64
+	known bool
+	// fresh has the spans that got another owner a moment ago.
+	fresh []freshSpan
+}
+
+type freshSpan struct {
+	service string
+	span    cherrykeel.KeySpan
+	until   cherrykeel.Instant
+}
+
+// NewSpans returns a view of the table; change is called after each newer one.
+func NewSpans(clock cherrykeel.Clock, logger *zap.Logger, change func()) *Spans {
+	return &Spans{clock: clock, logger: logger, change: change, table: spans.Table{Version: -1, Term: -1}}
+}
+
+// Wrote takes a table that this host has written.
+func (view *Spans) Wrote(value []byte, offset int64) {
+	view.Apply(Update{Records: []cherrykeel.KeyedRecord{{Key: SpansKey, Value: value, Offset: offset}}, Next: offset + 1})
+}
+
+// Apply takes what the topic brought.
+func (view *Spans) Apply(update Update) {
+	view.mutex.Lock()
+	changed := false
+	for _, record := range update.Records {
+		changed = view.take(record) || changed
+	}
+	view.next = max(view.next, update.Next)
+	view.known = true
+	view.mutex.Unlock()
+	if changed {
+		view.change()
+	}
+}
+
+func (view *Spans) take(record cherrykeel.KeyedRecord) bool {
+	if record.Key != SpansKey || record.Offset <= view.table.Version {
+		return false
+	}
+	table, err := spans.Decode(record.Value, record.Offset)
+	if err != nil {
+		events.Log(view.logger, events.RecordInvalid, zap.String("Key", record.Key), zap.Int64("Offset", record.Offset), zap.Error(err))
+		return false
+	}
+	view.refresh(table)
+	view.table = table
+	return true
+}
+
+// refresh notes which spans of the next table have another owner than before.
+func (view *Spans) refresh(next spans.Table) {
+	now := view.clock.Now()
+	kept := view.fresh[:0]
+	for _, fresh := range view.fresh {
+		if fresh.until > now {
+			kept = append(kept, fresh)
+		}
+	}
+	view.fresh = kept
+	for service, list := range next.Services {
+		for _, owned := range list {
+			before, known := view.table.Find(service, owned.First)
+			if known && before.Owner == owned.Owner && !before.Moving {
+				continue
+			}
+			view.fresh = append(view.fresh, freshSpan{service: service, span: owned.Span(), until: now.Add(grantTime)})
+		}
+	}
+}
+
+// Owner returns who has a key, as the scheduler asks for it.
+func (view *Spans) Owner(service string, key int) flow.Owner {
+	view.mutex.Lock()
+	defer view.mutex.Unlock()
+	owned, known := view.table.Find(service, key)
+	if !known {
+		return flow.Owner{}
+	}
+	owner := flow.Owner{ID: owned.Owner, Moving: owned.Moving}
+	if len(view.fresh) == 0 || owner.Moving {
+		return owner
+	}
+	now := view.clock.Now()
+	for _, fresh := range view.fresh {
+		if fresh.service == service && fresh.until > now && fresh.span.Contains(key) {
+			owner.Moving = true
+		}
+	}
+	return owner
+}
+
+// Current returns the table and the offset at which the next one would stand; false until the topic was read.
+func (view *Spans) Current() (spans.Table, int64, bool) {
+	view.mutex.Lock()
+	defer view.mutex.Unlock()
+	return view.table, view.next, view.known
+}
--- /dev/null
+++ b/watch/upstreams.go
@@ -0,0 +1,173 @@
+package watch
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cherrykeel"
+	"cherrykeel/events"
+)
+
+// returnTime is how long upstreams have, after the store is back, to renew entries that lapsed
+// meanwhile; the platform promises that a live one is back within about two seconds.
+const returnTime = 2200 * time.Millisecond
+
+// Upstreams keeps the upstreams that the store lists.
+type Upstreams struct {
+	decode  func(id string, value []byte) (cherrykeel.Upstream, error)
+	logger  *zap.Logger
+	clock   cherrykeel.Clock
+	settled time.Duration
+	change  func()
+
+	mutex   sync.Mutex
+	entries map[string]*entry
+	// troubled is when the topic was last found to be in trouble.
+	wellFor func() time.Duration
+}
+
+type entry struct {
+	upstream cherrykeel.Upstream
+	offset   int64
+	// missing says that the entry is gone from the store while that may be the store's own trouble.
+	missing bool
+	gone    bool
+}
+
+// NewUpstreams returns a view that believes a missing entry at once when the store has been well for
+// settled, and else only when the upstream had time to come back. Change is called when it changed.
+func NewUpstreams(decode func(string, []byte) (cherrykeel.Upstream, error), clock cherrykeel.Clock, settled time.Duration, logger *zap.Logger, change func()) *Upstreams {
+	return &Upstreams{
+		decode: decode, logger: logger, clock: clock, settled: settled, change: change,
+		entries: map[string]*entry{}, wellFor: func() time.Duration { return 0 },
+	}
+}
+
+// SetHealth tells where the topic's health is read.
+func (upstreams *Upstreams) SetHealth(wellFor func() time.Duration) {
+	upstreams.mutex.Lock()
+	defer upstreams.mutex.Unlock()
+	upstreams.wellFor = wellFor
+}
+
+// Apply takes what the topic brought.
+func (upstreams *Upstreams) Apply(update Update) {
+	upstreams.mutex.Lock()
+	changed := false
+	listed := map[string]bool{}
+	for _, record := range update.Records {
+		listed[record.Key] = true
+		if len(record.Value) == 0 {
+			changed = upstreams.drop(record.Key, record.Offset) || changed
+			continue
+		}
+		changed = upstreams.put(record) || changed
+	}
+	if update.Whole {
+		changed = upstreams.dropUnlisted(listed) || changed
+	}
+	upstreams.mutex.Unlock()
+	if changed {
+		upstreams.change()
+	}
+}
+
+func (upstreams *Upstreams) put(record cherrykeel.KeyedRecord) bool {
+	old, known := upstreams.entries[record.Key]
+	if known && record.Offset <= old.offset {
+		return false
+	}
+	upstream, err := upstreams.decode(record.Key, record.Value)
+	if err != nil {
+		events.Log(upstreams.logger, events.RecordInvalid, zap.String("Key", record.Key), zap.Int64("Offset", record.Offset), zap.Error(err))
+		return false
+	}
+	upstreams.entries[record.Key] = &entry{upstream: upstream, offset: record.Offset}
+	if known && !old.gone && old.upstream.Leaving == upstream.Leaving && old.upstream.Address == upstream.Address {
+		return false
+	}
+	events.Log(upstreams.logger, events.UpstreamSeen,
+		zap.String("Upstream", upstream.ID), zap.String("Service", upstream.Service), zap.String("Address", upstream.Address),
+		zap.Bool("Leaving", upstream.Leaving), zap.Int64("Offset", record.Offset))
+	return true
+}
+
+// drop handles an entry that is missing: while the store is in trouble, entries lapse of upstreams that live.
+func (upstreams *Upstreams) drop(id string, offset int64) bool {
+	old, known := upstreams.entries[id]
+	if !known || old.gone || offset > 0 && offset <= old.offset {
+		return false
+	}
+	old.offset = max(old.offset, offset)
+	old.missing = true
+	return upstreams.settle(old)
+}
+
+func (upstreams *Upstreams) dropUnlisted(listed map[string]bool) bool {
+	changed := false
+	for id := range upstreams.entries {
+		if !listed[id] {
+			changed = upstreams.drop(id, 0) || changed
+		}
+	}
+	return changed
+}
+
+func (upstreams *Upstreams) settle(entry *entry) bool {
+	well := upstreams.wellFor()
+	if !entry.missing || entry.gone || well < returnTime {
+		return false
+	}
+	entry.gone = true
+	events.Log(upstreams.logger, events.UpstreamGone,
+		zap.String("Upstream", entry.upstream.ID), zap.String("Service", entry.upstream.Service),
+		zap.Duration("StoreWell", well), zap.Int64("Offset", entry.offset))
+	return true
+}
+
+// Settle lets missing entries go whose upstreams had time to come back.
+func (upstreams *Upstreams) Settle() {
+	upstreams.mutex.Lock()
+	changed := false
+	for _, entry := range upstreams.entries {
+		changed = upstreams.settle(entry) || changed
+	}
+	upstreams.mutex.Unlock()
+	if changed {
+		upstreams.change()
+	}
+}
+
+// Current returns the upstreams that are not gone, in order of their IDs.
+func (upstreams *Upstreams) Current() []cherrykeel.Upstream {
+	upstreams.mutex.Lock()
+	defer upstreams.mutex.Unlock()
+	var list []cherrykeel.Upstream
+	for _, entry := range upstreams.entries {
+		if !entry.gone {
+			list = append(list, entry.upstream)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
+
+// Replaced reports whether another upstream has registered at the address after the given one, whose
+// process has therefore ended.
+func (upstreams *Upstreams) Replaced(id, address string) bool {
+	upstreams.mutex.Lock()
+	defer upstreams.mutex.Unlock()
+	old := int64(-1)
+	if entry, known := upstreams.entries[id]; known {
+		old = entry.offset
+	}
+	for other, entry := range upstreams.entries {
+		if other != id && entry.upstream.Address == address && entry.offset > old && old >= 0 {
+			return true
+		}
+	}
+	return false
+}
