Another host claims when the store does not serve the keeper; claims in turn

The log of killed keepers showed seven claims at once, and a claim against a keeper whose announcement was not yet read. Change: a keeper without the store is replaced after 1 s by a host that has it; writes pause after a failure; claims wait their turn from when the duty is open; a table newer than an announcement is believed. Ruled out: moving keys without the store (no record would say who has them).

--- a/caller/pump.go
+++ b/caller/pump.go
@@ -57,11 +57,6 @@
 	pump.deadline = deadline
 }
 
-// buffered reports whether bytes have arrived that nobody has read.
-func (pump *pump) buffered() bool {
-	return len(pump.rest) > 0 || len(pump.chunks) > 0
-}
-
 // Read implements io.Reader.
 func (pump *pump) Read(buffer []byte) (int, error) {
 	if len(pump.rest) == 0 {
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -1,9 +1,12 @@
 package entry
 
 import (
+	"time"
+
 	"cherrykeel"
 	"cherrykeel/relay"
 	"cherrykeel/share"
+	"cherrykeel/watch"
 )
 
 // The topics of the store, as hosts name them among each other.
@@ -26,7 +29,7 @@
 	if known {
 		report.Term = table.Term
 	}
-	report.StoreWell = host.upstreamsTopic.WellFor() > 0
+	report.StoreWell = host.storeWell() > 0
 	report.Offsets = host.offsets()
 }
 
@@ -50,6 +53,16 @@
 	}
 }
 
+// storeWell is how long the store has served this host; 0 while any topic cannot be read.
+func (host *Host) storeWell() time.Duration {
+	for _, topic := range []*watch.Follower{host.operatorTopic, host.hostsTopic, host.spansTopic} {
+		if topic.Lost() {
+			return 0
+		}
+	}
+	return host.upstreamsTopic.WellFor()
+}
+
 // heard takes in what other hosts report.
 func (host *Host) heard() {
 	host.gather()
--- a/entry/world.go
+++ b/entry/world.go
@@ -51,17 +51,18 @@
 	return world.host.relay.WorkTime(service, id)
 }
 
-// StoreWell implements grants.World; the servers' topic is read most often.
+// StoreWell implements grants.World.
 func (world *world) StoreWell() time.Duration {
 	if !world.host.spansTopic.Known() {
 		return 0
 	}
-	return world.host.upstreamsTopic.WellFor()
+	return world.host.storeWell()
 }
 
 // PeerLife implements grants.World.
-func (world *world) PeerLife(name string) (string, bool) {
-	return world.host.peerLife(name)
+func (world *world) PeerLife(name string) (string, time.Duration, bool) {
+	life, known := world.host.peerLife(name)
+	return life, world.host.peers.Age(name), known
 }
 
 // Rank implements grants.World.
--- a/flow/member.go
+++ b/flow/member.go
@@ -34,8 +34,7 @@
 	// own counts this host's requests there, others what the other hosts say of theirs.
 	own    int
 	others int
-	// waiting counts this host's requests that wait for this upstream alone.
-	waiting      int
+	// otherWaiting counts the other hosts' requests that wait for this upstream alone.
 	otherWaiting int
 	// work is the mean time of one request in a slot; 0 while unknown.
 	work time.Duration
--- a/grants/change.go
+++ b/grants/change.go
@@ -29,7 +29,7 @@
 // change writes the next table if upstreams joined, left or were lost, or load has shifted.
 func (keeper *Keeper) change(ctx context.Context, table spans.Table, next int64, now cherrykeel.Instant) {
 	keeper.release(ctx, table, now)
-	if keeper.writing || keeper.refused(ctx, table, next) {
+	if keeper.writing || now < keeper.writeAfter || keeper.refused(ctx, table, next) {
 		return
 	}
 	balance := now.Sub(keeper.plannedAt) >= planEvery
--- a/grants/claim.go
+++ b/grants/claim.go
@@ -22,43 +22,94 @@
 	writeTimeout = time.Second
 	// firstClaim is how long a host waits after its start to hear from the others.
 	firstClaim = 400 * time.Millisecond
+	// storelessKeeper is how long a keeper may be without the store while others have it.
+	storelessKeeper = time.Second
+	// announceTime is within what a host's announcement arrives that a table of its has overtaken.
+	announceTime = 500 * time.Millisecond
+	// writePause is waited after a write that the store did not take.
+	writePause = 500 * time.Millisecond
 )
 
-// consider claims the duty if nobody has it or its holder is silent.
+// consider claims the duty if nobody has it or its holder cannot do it.
 func (keeper *Keeper) consider(ctx context.Context, table spans.Table, next int64, now cherrykeel.Instant) {
-	if keeper.resigned || keeper.writing || keeper.world.StoreWell() == 0 || len(keeper.world.Keyed()) == 0 {
+	if keeper.writing || now < keeper.writeAfter || !keeper.able(now) {
+		keeper.open = false
 		return
 	}
-	uptime := now.Sub(keeper.started)
-	if uptime < firstClaim || len(keeper.world.Upstreams()) == 0 {
+	reason := keeper.vacancy(table, now)
+	if reason == "" {
+		keeper.open = false
 		return
 	}
-	stagger := time.Duration(keeper.world.Rank()) * claimStep
-	silence, reason := keeper.silence(table, uptime, now)
-	if silence < stagger {
-		return
+	if !keeper.open {
+		keeper.open = true
+		keeper.openSince = now
 	}
-	if !keeper.hearsMost() {
+	stagger := time.Duration(keeper.world.Rank()) * claimStep
+	if now.Sub(keeper.openSince) < stagger {
 		return
 	}
 	keeper.claim(ctx, table, next, reason)
 }
 
-// silence returns how long the duty has been open beyond doubt, negative while it is not.
-func (keeper *Keeper) silence(table spans.Table, uptime time.Duration, now cherrykeel.Instant) (time.Duration, string) {
-	open := min(uptime-firstClaim, now.Sub(keeper.seenAt))
+// able reports whether this host could do the duty.
+func (keeper *Keeper) able(now cherrykeel.Instant) bool {
+	if keeper.resigned || keeper.world.StoreWell() == 0 || now.Sub(keeper.started) < firstClaim {
+		return false
+	}
+	return len(keeper.world.Keyed()) > 0 && len(keeper.world.Upstreams()) > 0 && keeper.hearsMost()
+}
+
+// vacancy returns why another host should have the duty, or nothing.
+func (keeper *Keeper) vacancy(table spans.Table, now cherrykeel.Instant) string {
 	if table.Life == "" {
-		return open, "nobody has it"
+		return "nobody has it"
+	}
+	if keeper.startedAnew(table, now) {
+		return "its holder started anew"
 	}
-	life, known := keeper.world.PeerLife(table.Keeper)
-	if known && life != table.Life {
-		return open, "its holder started anew"
+	if keeper.storeless(table.Keeper, now) {
+		if now.Sub(keeper.storelessAt) < storelessKeeper {
+			return ""
+		}
+		return "the store does not serve its holder"
 	}
 	silence, heard := keeper.mesh.Silence(table.Keeper)
 	if !heard {
-		silence = min(uptime-firstClaim, now.Sub(keeper.seenAt))
+		silence = min(now.Sub(keeper.started)-firstClaim, now.Sub(keeper.seenAt))
+	}
+	if silence < silentKeeper {
+		return ""
+	}
+	return "its holder is silent"
+}
+
+// startedAnew reports whether the holder's process is another one than the table names. A table that is
+// newer than what the host last announced names the newer process, whose announcement is on its way.
+func (keeper *Keeper) startedAnew(table spans.Table, now cherrykeel.Instant) bool {
+	life, age, known := keeper.world.PeerLife(table.Keeper)
+	if !known || life == table.Life {
+		return false
+	}
+	tableAge := now.Sub(keeper.seenAt)
+	return age <= tableAge || tableAge > announceTime
+}
+
+// storeless reports whether the holder says that the store does not serve it, while it serves this host.
+// Such a keeper renews what there is and cannot move a key from a server that leaves or dies.
+func (keeper *Keeper) storeless(holder string, now cherrykeel.Instant) bool {
+	for _, heard := range keeper.mesh.Reports(evidenceAge) {
+		if heard.Report.Host != holder || heard.Report.StoreWell {
+			continue
+		}
+		if !keeper.holderStoreless {
+			keeper.holderStoreless = true
+			keeper.storelessAt = now
+		}
+		return true
 	}
-	return silence - silentKeeper, "its holder is silent"
+	keeper.holderStoreless = false
+	return false
 }
 
 // hearsMost reports whether this host hears more than half of the hosts: one that does not would win
@@ -87,13 +138,14 @@
 		ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 		defer cancel()
 		err := keeper.log.PutAt(ctx, keeper.key, value, at)
-		keeper.results <- func(cherrykeel.Instant) {
+		keeper.results <- func(now cherrykeel.Instant) {
 			keeper.writing = false
 			if err == nil {
 				keeper.table.Wrote(value, at)
 				return
 			}
 			if !errors.Is(err, cherrykeel.ErrReplaced) {
+				keeper.writeAfter = now.Add(writePause)
 				events.Log(keeper.logger, events.WriteFailed, zap.Int64("At", at), zap.Error(err))
 			}
 			// Whether it was written, and what was written instead, is in the store.
--- a/grants/keeper.go
+++ b/grants/keeper.go
@@ -62,8 +62,8 @@
 	WorkTime(service, id string) time.Duration
 	// StoreWell is how long the store has served this host without a failure.
 	StoreWell() time.Duration
-	// PeerLife is the life that a host last announced.
-	PeerLife(name string) (string, bool)
+	// PeerLife is the life that a host last announced, and how long ago that was read.
+	PeerLife(name string) (string, time.Duration, bool)
 	// Rank is this host's place among those that are heard, from 0.
 	Rank() int
 }
@@ -103,6 +103,13 @@
 	tickedAt  cherrykeel.Instant
 	seenTable int64
 	seenAt    cherrykeel.Instant
+	// writeAfter is when the next write may be tried.
+	writeAfter cherrykeel.Instant
+	// open says that the duty is to be claimed, since openSince.
+	open            bool
+	openSince       cherrykeel.Instant
+	holderStoreless bool
+	storelessAt     cherrykeel.Instant
 }
 
 // New returns a keeper that keeps nothing yet.
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -18,9 +18,6 @@
 	// a change has to be in force.
 	firstPause = 50 * time.Millisecond
 	lastPause  = 500 * time.Millisecond
-	// offDutyPace is the pace of a host that is told of changes by others: only when all of these
-	// messages are lost does it wait so long.
-	offDutyPace = 15 * time.Second
 	// nudgePace bounds how often a host reads because another one seems to know more.
 	nudgePace = 100 * time.Millisecond
 )
@@ -262,6 +259,13 @@
 	return follower.clock.Now().Sub(follower.wellSince)
 }
 
+// Lost reports whether the last read failed.
+func (follower *Follower) Lost() bool {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	return follower.lost
+}
+
 // Next returns the offset that the next record will get, as far as is known.
 func (follower *Follower) Next() int64 {
 	follower.mutex.Lock()
