--- /dev/null
+++ b/events/sink_test.go
@@ -0,0 +1,70 @@
+package events_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"cherrykeel/events"
+)
+
+func TestEvents(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "events")
+}
+
+// stalledOutput takes no byte until it is released.
+type stalledOutput struct {
+	release chan struct{}
+	mutex   sync.Mutex
+	buffer  bytes.Buffer
+}
+
+func (output *stalledOutput) Write(data []byte) (int, error) {
+	<-output.release
+	output.mutex.Lock()
+	defer output.mutex.Unlock()
+	return output.buffer.Write(data)
+}
+
+var _ = Describe("the log", func() {
+	// Whoever reads the log has stalled. Requests go on without waiting for it: lines beyond the buffer are
+	// dropped, and their number is written when the reader is back.
+	It("never waits for its reader, and counts what it drops", func() {
+		output := &stalledOutput{release: make(chan struct{})}
+		sink := events.NewSink(output)
+		logger := events.NewLogger(sink, zapcore.InfoLevel)
+		for range 10000 {
+			events.Log(logger, events.RequestServed)
+		}
+		Expect(sink.Dropped()).To(BeNumerically(">", 5000))
+		close(output.release)
+		sink.Close()
+		Expect(output.buffer.String()).To(ContainSubstring(events.LinesDropped.Text))
+		Expect(strings.Count(output.buffer.String(), "\n")).To(BeNumerically("<", 4200))
+	})
+
+	It("writes one JSON line with the event's number and an error's text, not its stack", func() {
+		var buffer bytes.Buffer
+		logger := events.NewLogger(zapcore.AddSync(&buffer), zapcore.InfoLevel)
+		events.Log(logger, events.TopicLost, zap.Error(errors.New("away")))
+		Expect(buffer.String()).To(ContainSubstring(`"Error":"away"`))
+		Expect(buffer.String()).To(ContainSubstring(`"Event":605`))
+		Expect(buffer.String()).NotTo(ContainSubstring("sink_test.go"))
+	})
+
+	It("numbers each event once", func() {
+		seen := map[int]bool{}
+		for _, event := range events.All {
+			Expect(seen).NotTo(HaveKey(event.Number))
+			seen[event.Number] = true
+		}
+	})
+})
--- /dev/null
+++ b/grants/grants_test.go
@@ -0,0 +1,514 @@
+package grants_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"cherrykeel"
+	"cherrykeel/grants"
+	"cherrykeel/share"
+	"cherrykeel/spans"
+)
+
+func TestGrants(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "grants")
+}
+
+const (
+	generous = "20s"
+	service  = "halls"
+	myself   = "host-1"
+)
+
+// shiftedClock is the process's clock, set forward by the test as a suspension does.
+type shiftedClock struct {
+	mutex sync.Mutex
+	shift time.Duration
+}
+
+var start = time.Now()
+
+func (clock *shiftedClock) Now() cherrykeel.Instant {
+	clock.mutex.Lock()
+	defer clock.mutex.Unlock()
+	return cherrykeel.Instant(time.Since(start) + clock.shift + time.Hour)
+}
+
+func (clock *shiftedClock) Wall() time.Time { return time.Time{} }
+
+// fakeStore is the log, the view of its table, and the world of one keeper.
+type fakeStore struct {
+	mutex     sync.Mutex
+	table     spans.Table
+	next      int64
+	away      bool
+	loseReply bool
+	writes    int
+	upstreams []cherrykeel.Upstream
+	ended     map[string]bool
+	rank      int
+}
+
+func newFakeStore(ids ...string) *fakeStore {
+	store := &fakeStore{table: spans.Table{Version: -1, Term: -1}, ended: map[string]bool{}}
+	for _, id := range ids {
+		store.upstreams = append(store.upstreams, cherrykeel.Upstream{ID: id, Service: service, Address: id, Slots: 3})
+	}
+	return store
+}
+
+func (store *fakeStore) Newest(context.Context) (cherrykeel.KeyedBatch, error) {
+	return cherrykeel.KeyedBatch{}, nil
+}
+
+func (store *fakeStore) Read(context.Context, int64, time.Duration) (cherrykeel.KeyedBatch, error) {
+	return cherrykeel.KeyedBatch{}, nil
+}
+
+func (store *fakeStore) Put(context.Context, string, []byte) (int64, error) { return 0, nil }
+
+func (store *fakeStore) PutAt(_ context.Context, _ string, value []byte, at int64) error {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.writes++
+	if store.away {
+		return errors.WithStack(cherrykeel.ErrStoreAway)
+	}
+	if at != store.next {
+		return errors.WithStack(cherrykeel.ErrReplaced)
+	}
+	store.take(value, at)
+	if store.loseReply {
+		return errors.WithStack(cherrykeel.ErrStoreAway)
+	}
+	return nil
+}
+
+func (store *fakeStore) take(value []byte, at int64) {
+	table, err := spans.Decode(value, at)
+	if err != nil || at < store.next {
+		return
+	}
+	store.table = table
+	store.next = at + 1
+}
+
+func (store *fakeStore) Current() (spans.Table, int64, bool) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return store.table, store.next, true
+}
+
+func (store *fakeStore) Wrote(value []byte, offset int64) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.take(value, offset)
+}
+
+func (store *fakeStore) Keyed() []cherrykeel.RoutedService {
+	return []cherrykeel.RoutedService{{Name: service, Keyed: true}}
+}
+
+func (store *fakeStore) Upstreams() []cherrykeel.Upstream {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return append([]cherrykeel.Upstream(nil), store.upstreams...)
+}
+
+func (store *fakeStore) Replaced(id, _ string) bool {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return store.ended[id]
+}
+
+func (store *fakeStore) Ended(id string) {
+	store.set(func() { store.ended[id] = true })
+}
+
+func (store *fakeStore) Reread() {}
+
+func (store *fakeStore) WorkTime(string, string) time.Duration { return 50 * time.Millisecond }
+
+func (store *fakeStore) StoreWell() time.Duration {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	if store.away {
+		return 0
+	}
+	return time.Hour
+}
+
+func (store *fakeStore) PeerLife(name string) (string, time.Duration, bool) {
+	return "life-" + name, time.Hour, true
+}
+
+func (store *fakeStore) Rank() int { return store.rank }
+
+func (store *fakeStore) set(change func()) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	change()
+}
+
+// claim writes a table of another host, as if it had claimed.
+func (store *fakeStore) claim(host string) {
+	store.set(func() {
+		store.table = store.table.Claimed(host, "life-"+host, store.next)
+		store.next++
+	})
+}
+
+func (store *fakeStore) keeper() string {
+	table, _, _ := store.Current()
+	return table.Keeper
+}
+
+// fakeMesh says what the test lets the other hosts say.
+type fakeMesh struct {
+	mutex   sync.Mutex
+	clock   *shiftedClock
+	known   int
+	reports []share.Heard
+}
+
+func (mesh *fakeMesh) Reports(age time.Duration) []share.Heard {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	var fresh []share.Heard
+	for _, heard := range mesh.reports {
+		if mesh.clock.Now().Sub(heard.At) <= age {
+			fresh = append(fresh, heard)
+		}
+	}
+	return fresh
+}
+
+func (mesh *fakeMesh) Silence(name string) (time.Duration, bool) {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	for _, heard := range mesh.reports {
+		if heard.Report.Host == name {
+			return mesh.clock.Now().Sub(heard.At), true
+		}
+	}
+	return 0, false
+}
+
+func (mesh *fakeMesh) Known() int {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	return mesh.known
+}
+
+// hear makes the hosts report the newest term of the store until the spec ends.
+func (mesh *fakeMesh) hear(store *fakeStore, known int, names ...string) (stop func()) {
+	mesh.mutex.Lock()
+	mesh.known = known
+	mesh.mutex.Unlock()
+	done := make(chan struct{})
+	var once sync.Once
+	stop = func() { once.Do(func() { close(done) }) }
+	DeferCleanup(stop)
+	go func() {
+		for {
+			table, _, _ := store.Current()
+			mesh.mutex.Lock()
+			mesh.reports = nil
+			for _, name := range names {
+				mesh.reports = append(mesh.reports, share.Heard{At: mesh.clock.Now(), Report: share.Report{Host: name, Term: table.Term, StoreWell: true}})
+			}
+			mesh.mutex.Unlock()
+			select {
+			case <-done:
+				return
+			case <-time.After(10 * time.Millisecond):
+			}
+		}
+	}()
+	return stop
+}
+
+type sentGrant struct {
+	id    string
+	grant cherrykeel.SpanGrant
+}
+
+// fakeGranter keeps what servers hold and checks that no key has two owners.
+type fakeGranter struct {
+	mutex    sync.Mutex
+	sent     []sentGrant
+	held     map[string]map[cherrykeel.KeySpan]time.Time
+	dead     map[string]bool
+	fences   map[string]int64
+	twice    int
+	released []string
+	hold     chan struct{}
+}
+
+func newFakeGranter() *fakeGranter {
+	return &fakeGranter{held: map[string]map[cherrykeel.KeySpan]time.Time{}, dead: map[string]bool{}, fences: map[string]int64{}}
+}
+
+func (granter *fakeGranter) Grant(_ context.Context, upstream cherrykeel.Upstream, grant cherrykeel.SpanGrant) error {
+	granter.mutex.Lock()
+	defer granter.mutex.Unlock()
+	if granter.dead[upstream.ID] {
+		return errors.WithStack(cherrykeel.ErrNoAnswer)
+	}
+	if granter.fences[upstream.ID] > grant.Fence {
+		return errors.WithStack(cherrykeel.ErrFenced)
+	}
+	granter.sent = append(granter.sent, sentGrant{id: upstream.ID, grant: grant})
+	for other, spans := range granter.held {
+		for span, until := range spans {
+			overlaps := span.First <= grant.Span.Last && span.Last >= grant.Span.First
+			if other != upstream.ID && overlaps && time.Now().Before(until) {
+				granter.twice++
+			}
+		}
+	}
+	if granter.held[upstream.ID] == nil {
+		granter.held[upstream.ID] = map[cherrykeel.KeySpan]time.Time{}
+	}
+	granter.held[upstream.ID][grant.Span] = time.Now().Add(grant.Hold)
+	return nil
+}
+
+func (granter *fakeGranter) Release(ctx context.Context, upstream cherrykeel.Upstream, span cherrykeel.KeySpan, _ int64) (string, error) {
+	if granter.hold != nil {
+		select {
+		case <-granter.hold:
+		case <-ctx.Done():
+			return "", errors.WithStack(cherrykeel.ErrNoAnswer)
+		}
+	}
+	granter.mutex.Lock()
+	defer granter.mutex.Unlock()
+	if granter.dead[upstream.ID] {
+		return "", errors.WithStack(cherrykeel.ErrNoAnswer)
+	}
+	granter.released = append(granter.released, upstream.ID)
+	for held := range granter.held[upstream.ID] {
+		if held.First <= span.Last && held.Last >= span.First {
+			delete(granter.held[upstream.ID], held)
+		}
+	}
+	return "token-" + upstream.ID, nil
+}
+
+func (granter *fakeGranter) count(id string) func() int {
+	return func() int {
+		granter.mutex.Lock()
+		defer granter.mutex.Unlock()
+		count := 0
+		for _, sent := range granter.sent {
+			if sent.id == id {
+				count++
+			}
+		}
+		return count
+	}
+}
+
+func (granter *fakeGranter) last(id string) cherrykeel.SpanGrant {
+	granter.mutex.Lock()
+	defer granter.mutex.Unlock()
+	var last cherrykeel.SpanGrant
+	for _, sent := range granter.sent {
+		if sent.id == id {
+			last = sent.grant
+		}
+	}
+	return last
+}
+
+var _ = Describe("the keeper", func() {
+	var (
+		clock   *shiftedClock
+		store   *fakeStore
+		mesh    *fakeMesh
+		granter *fakeGranter
+		keeper  *grants.Keeper
+	)
+
+	BeforeEach(func() {
+		clock = &shiftedClock{}
+		store = newFakeStore("u1", "u2")
+		mesh = &fakeMesh{clock: clock, known: 1}
+		granter = newFakeGranter()
+		bounds := func() cherrykeel.Bounds { return cherrykeel.Bounds{MaxHold: 10 * time.Second} }
+		keeper = grants.New(cherrykeel.Peer{Name: myself, Life: "life-" + myself}, clock, zap.NewNop(), store, "table", store, store, mesh, granter, bounds)
+		DeferCleanup(func() { Expect(granter.twice).To(BeZero(), "a key had two owners") })
+	})
+
+	run := func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go keeper.Run(ctx)
+	}
+
+	It("claims, divides the keys and renews its grants", func() {
+		run()
+		Eventually(store.keeper, generous).Should(Equal(myself))
+		Eventually(granter.count("u1"), generous).Should(BeNumerically(">=", 2))
+		Eventually(granter.count("u2"), generous).Should(BeNumerically(">=", 2))
+		table, _, _ := store.Current()
+		Expect(granter.last("u1").Fence).To(Equal(table.Services[service][0].Fence))
+	})
+
+	// The reply to the claim is lost. The table that was written says who keeps, and nothing else does.
+	It("finds its claim in the store when the reply was lost", func() {
+		store.loseReply = true
+		run()
+		Eventually(granter.count("u1"), generous).Should(BeNumerically(">=", 1))
+		Expect(store.keeper()).To(Equal(myself))
+	})
+
+	// The keeper is cut off from the other hosts, or sleeps. It cannot know whether another has claimed, so
+	// it grants nothing more; with its grants going on, a server cut off with it would keep keys that the
+	// next keeper has given away.
+	It("stops granting when too few hosts confirm it, and goes on when they do", func() {
+		stop := mesh.hear(store, 3, "host-2", "host-3")
+		run()
+		Eventually(granter.count("u1"), generous).Should(BeNumerically(">=", 1))
+		stop()
+		time.Sleep(1500 * time.Millisecond)
+		before := granter.count("u1")()
+		Consistently(granter.count("u1"), "1500ms").Should(Equal(before))
+		mesh.hear(store, 3, "host-2")
+		Eventually(granter.count("u1"), generous).Should(BeNumerically(">", before))
+	})
+
+	It("grants nothing after a suspension before it has looked again", func() {
+		stop := mesh.hear(store, 3, "host-2", "host-3")
+		run()
+		Eventually(granter.count("u1"), generous).Should(BeNumerically(">=", 1))
+		stop()
+		clock.mutex.Lock()
+		clock.shift = 20 * time.Second
+		clock.mutex.Unlock()
+		time.Sleep(200 * time.Millisecond)
+		before := granter.count("u1")()
+		Consistently(granter.count("u1"), "1s").Should(Equal(before))
+	})
+
+	It("leaves the duty to another host that has claimed it", func() {
+		mesh.hear(store, 3, "host-2", "host-3")
+		run()
+		Eventually(granter.count("u1"), generous).Should(BeNumerically(">=", 1))
+		store.claim("host-2")
+		time.Sleep(300 * time.Millisecond)
+		before := granter.count("u1")()
+		Consistently(granter.count("u1"), "1s").Should(Equal(before))
+	})
+
+	// The keeper before this one may have granted until a moment ago, and a server that does not answer may
+	// hold its keys until then. They go to another server only when the longest hold has passed; the servers
+	// that answer go on at once under the higher fence.
+	It("takes over owners that answer at once, and waits for those that do not", func() {
+		mesh.hear(store, 3, "host-2", "host-3")
+		store.table = spans.Table{Version: 0, Term: 0, Keeper: "host-9", Life: "", Services: map[string][]spans.Owned{service: {
+			{First: 0, Last: 29999, Owner: "u1", Address: "u1", Fence: 0}, {First: 30000, Last: cherrykeel.MaxKey, Owner: "u2", Address: "u2", Fence: 0},
+		}}}
+		store.next = 1
+		granter.dead["u2"] = true
+		granter.held["u2"] = map[cherrykeel.KeySpan]time.Time{{First: 30000, Last: cherrykeel.MaxKey}: time.Now().Add(10 * time.Second)}
+		run()
+		Eventually(granter.count("u1"), generous).Should(BeNumerically(">=", 1))
+		Expect(granter.last("u1").Span.Last).To(Equal(29999))
+		Consistently(func() bool {
+			table, _, _ := store.Current()
+			owned, _ := table.Find(service, 40000)
+			return owned.Owner == "u2"
+		}, "5s").Should(BeTrue())
+		Eventually(func() string {
+			table, _, _ := store.Current()
+			owned, _ := table.Find(service, 40000)
+			return owned.Owner
+		}, generous).Should(Equal("u1"))
+	})
+
+	// Another server answers at the address of one that was granted keys: that one has ended, and its keys
+	// are free without waiting.
+	It("gives an ended server's keys on at once", func() {
+		run()
+		Eventually(granter.count("u2"), generous).Should(BeNumerically(">=", 1))
+		store.set(func() {
+			store.ended["u2"] = true
+			store.upstreams = store.upstreams[:1]
+		})
+		granter.mutex.Lock()
+		granter.dead["u2"] = true
+		granter.held["u2"] = nil
+		granter.mutex.Unlock()
+		begun := time.Now()
+		Eventually(func() string {
+			table, _, _ := store.Current()
+			owned, _ := table.Find(service, cherrykeel.MaxKey)
+			return owned.Owner
+		}, generous).Should(Equal("u1"))
+		_ = begun
+	})
+
+	It("moves a leaving server's keys with the handover, after its running work", func() {
+		granter.hold = make(chan struct{})
+		run()
+		Eventually(granter.count("u2"), generous).Should(BeNumerically(">=", 1))
+		store.set(func() { store.upstreams[1].Leaving = true })
+		Eventually(func() bool {
+			table, _, _ := store.Current()
+			owned, _ := table.Find(service, cherrykeel.MaxKey)
+			return owned.Moving
+		}, generous).Should(BeTrue())
+		Consistently(func() string {
+			table, _, _ := store.Current()
+			owned, _ := table.Find(service, cherrykeel.MaxKey)
+			return owned.Owner
+		}, "300ms").Should(Equal("u2"))
+		close(granter.hold)
+		Eventually(func() string { return granter.last("u1").Handover }, generous).Should(Equal("token-u2"))
+	})
+
+	// The store is away. Nothing changes hands, and holds are as long as they may be, so that the owners go
+	// on if this keeper dies before the store is back.
+	It("grants long holds while the store is away, and short ones after", func() {
+		run()
+		Eventually(granter.count("u1"), generous).Should(BeNumerically(">=", 1))
+		Expect(granter.last("u1").Hold).To(BeNumerically("<", 3*time.Second))
+		store.set(func() { store.away = true })
+		Eventually(func() time.Duration { return granter.last("u1").Hold }, generous).Should(Equal(10 * time.Second))
+		store.set(func() { store.away = false })
+		Eventually(func() time.Duration { return granter.last("u1").Hold }, generous).Should(BeNumerically("<", 3*time.Second))
+	})
+
+	// A grant meets a higher fence though this host keeps. The same fence can never be taken; a new claim
+	// raises it, and the server is not asked with the old one again.
+	It("claims anew after a refusal by a higher fence", func() {
+		run()
+		Eventually(granter.count("u1"), generous).Should(BeNumerically(">=", 1))
+		table, _, _ := store.Current()
+		granter.mutex.Lock()
+		granter.fences["u1"] = table.Version + 1
+		granter.mutex.Unlock()
+		Eventually(func() int64 { table, _, _ := store.Current(); return table.Term }, generous).Should(BeNumerically(">", table.Term))
+		Eventually(func() int64 { return granter.last("u1").Fence }, generous).Should(BeNumerically(">", table.Version))
+	})
+
+	It("resigns so that another may claim", func() {
+		run()
+		Eventually(store.keeper, generous).Should(Equal(myself))
+		Eventually(granter.count("u1"), generous).Should(BeNumerically(">=", 1))
+		keeper.Resign(context.Background())
+		table, _, _ := store.Current()
+		Expect(table.Life).To(BeEmpty())
+		Consistently(func() string { table, _, _ := store.Current(); return table.Life }, "500ms").Should(BeEmpty())
+	})
+})
