A missed message among hosts is noticed; loads slow down with the number of hosts

Change: a told change names the change before it; positions read without a gap are compared; the keeper's own writes count as read; nudged reads keep their pace. Ruled out: reading each topic each second (cost).

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -53,6 +53,17 @@
 	}
 }
 
+// readThrough tells up to where this host has read without a gap. Upstreams' heartbeats are not told, so
+// there the newest change counts, and each message names the change before.
+func (host *Host) readThrough() map[string]int64 {
+	return map[string]int64{
+		topicSettings:  host.operatorTopic.Next() - 1,
+		topicUpstreams: host.upstreams.Offset(),
+		topicHosts:     host.hostsTopic.Next() - 1,
+		topicSpans:     host.spansTopic.Next() - 1,
+	}
+}
+
 // storeWell is how long the store has served this host; 0 while any topic cannot be read.
 func (host *Host) storeWell() time.Duration {
 	for _, topic := range []*watch.Follower{host.operatorTopic, host.hostsTopic, host.spansTopic} {
@@ -66,7 +77,7 @@
 // heard takes in what other hosts report.
 func (host *Host) heard() {
 	host.gather()
-	own := host.offsets()
+	own := host.readThrough()
 	for _, heard := range host.mesh.Fresh() {
 		for topic, offset := range heard.Report.Offsets {
 			if offset > own[topic] {
@@ -95,7 +106,11 @@
 	case topicSettings:
 		host.operatorTopic.Told(told.Records)
 	case topicUpstreams:
+		missed := host.upstreams.Offset() < told.Before
 		host.upstreamsTopic.Told(told.Records)
+		if missed {
+			host.upstreamsTopic.Nudge()
+		}
 	case topicHosts:
 		host.hostsTopic.Told(told.Records)
 	case topicSpans:
@@ -105,7 +120,7 @@
 
 func (host *Host) tellOne(topic string) func(record cherrykeel.KeyedRecord) {
 	return func(record cherrykeel.KeyedRecord) {
-		host.mesh.Tell(topic, []cherrykeel.KeyedRecord{record})
+		host.mesh.Tell(topic, []cherrykeel.KeyedRecord{record}, share.NoChange)
 	}
 }
 
--- a/entry/host.go
+++ b/entry/host.go
@@ -155,14 +155,14 @@
 	host.routes = watch.NewRoutes(host.platform.RoutesKey, host.platform.DecodeRoutes, host.logger, host.relay.SetRoutes, host.tellOne(topicSettings))
 	host.upstreams = watch.NewUpstreams(host.platform.DecodeUpstream, host.clock, host.settings.Bounds.Settled, host.logger,
 		func() { host.relay.SetUpstreams(host.upstreams.Current()) },
-		func(records []cherrykeel.KeyedRecord) { host.mesh.Tell(topicUpstreams, records) })
+		func(records []cherrykeel.KeyedRecord, before int64) { host.mesh.Tell(topicUpstreams, records, before) })
 	host.peers = watch.NewPeers(host.clock, host.logger, host.takePeers, host.tellOne(topicHosts))
 	host.operatorTopic = host.follow(topicSettings, host.platform.Operator, host.routes.Apply, host.settingsSchedule)
 	host.upstreamsTopic = host.follow(topicUpstreams, host.platform.Upstreams, host.upstreams.Apply, host.upstreamsSchedule)
 	host.hostsTopic = host.follow(topicHosts, host.platform.Hosts, host.peers.Apply, host.tableSchedule)
 	host.spansTopic = host.follow(topicSpans, host.platform.Spans, host.spans.Apply, host.tableSchedule)
 	host.upstreams.SetHealth(host.upstreamsTopic.WellFor)
-	host.keeper = grants.New(host.self, host.clock, host.logger, host.platform.Spans, watch.SpansKey, host.spans,
+	host.keeper = grants.New(host.self, host.clock, host.logger, host.platform.Spans, watch.SpansKey, &ownTable{host: host},
 		&world{host: host}, host.mesh, host.platform.Granter, host.currentBounds)
 }
 
--- a/entry/world.go
+++ b/entry/world.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"cherrykeel"
+	"cherrykeel/spans"
+	"cherrykeel/watch"
 )
 
 // world shows the keeper what its host knows.
@@ -75,3 +77,20 @@
 	}
 	return rank
 }
+
+// ownTable is the keeper's view of the table; what it writes counts as read and is told.
+type ownTable struct {
+	host *Host
+}
+
+// Current implements grants.Table.
+func (table *ownTable) Current() (spans.Table, int64, bool) {
+	return table.host.spans.Current()
+}
+
+// Wrote implements grants.Table.
+func (table *ownTable) Wrote(value []byte, offset int64) {
+	record := cherrykeel.KeyedRecord{Key: watch.SpansKey, Value: value, Offset: offset}
+	table.host.spansTopic.Told([]cherrykeel.KeyedRecord{record})
+	table.host.tellOne(topicSpans)(record)
+}
--- a/share/mesh.go
+++ b/share/mesh.go
@@ -24,6 +24,11 @@
 	calmEvery = 160 * time.Millisecond
 	// reportEvery is the pace of reports, and of loads that do not change.
 	reportEvery = 250 * time.Millisecond
+	// fullPaceHosts is up to how many hosts keep these paces. Each host tells each other one, so the messages
+	// grow with the square of the hosts; with more hosts each sends its loads as much less often, and its
+	// reports at most reportSlowdown times, since a silent keeper has to be missed within a second.
+	fullPaceHosts  = 12
+	reportSlowdown = 2
 	// staleAfter is when a silent host's counts are no longer believed.
 	staleAfter = time.Second
 	// demandEvery is the pace at which keys are told to the keeper.
@@ -146,7 +151,8 @@
 func (mesh *Mesh) sendReport(sender *sender, now cherrykeel.Instant) {
 	report := Report{Host: mesh.self.Name, Life: mesh.self.Life, Term: -1}
 	mesh.state.Report(&report)
-	if reflect.DeepEqual(report, sender.report) && now.Sub(sender.reportAt) < reportEvery {
+	pace := min(mesh.slowed(reportEvery), reportSlowdown*reportEvery)
+	if reflect.DeepEqual(report, sender.report) && now.Sub(sender.reportAt) < pace {
 		return
 	}
 	sender.report = report
@@ -164,7 +170,7 @@
 	if reflect.DeepEqual(load, sender.load) {
 		pace = reportEvery
 	}
-	if now.Sub(sender.loadAt)+busyEvery/2 < pace {
+	if now.Sub(sender.loadAt)+busyEvery/2 < mesh.slowed(pace) {
 		return
 	}
 	sender.load = load
@@ -173,6 +179,11 @@
 	mesh.broadcast(methodLoad, load)
 }
 
+// slowed returns a pace for as many hosts as there are.
+func (mesh *Mesh) slowed(pace time.Duration) time.Duration {
+	return pace * time.Duration(max(fullPaceHosts, mesh.Known())) / fullPaceHosts
+}
+
 func (mesh *Mesh) nextSequence() uint64 {
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
@@ -254,11 +265,11 @@
 }
 
 // Tell passes records on to all other hosts; what is too large they read for themselves.
-func (mesh *Mesh) Tell(topic string, records []cherrykeel.KeyedRecord) {
+func (mesh *Mesh) Tell(topic string, records []cherrykeel.KeyedRecord, before int64) {
 	if mesh.socket == nil {
 		return
 	}
-	data, err := encode(methodTell, Told{Host: mesh.self.Name, Topic: topic, Records: records})
+	data, err := encode(methodTell, Told{Host: mesh.self.Name, Topic: topic, Records: records, Before: before})
 	if err != nil {
 		events.Log(mesh.logger, events.MessageInvalid, zap.Error(err))
 		return
--- a/share/message.go
+++ b/share/message.go
@@ -73,8 +73,13 @@
 	Host    string
 	Topic   string
 	Records []cherrykeel.KeyedRecord
+	// Before is the offset of the change before these, or NoChange; who does not know it has missed one.
+	Before int64
 }
 
+// NoChange stands for no change before.
+const NoChange = -1
+
 // Demand tells the keeper which keys were asked for since the last one.
 type Demand struct {
 	Host    string
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -170,9 +170,9 @@
 
 	It("pass on records that they have read", func() {
 		record := cherrykeel.KeyedRecord{Key: "table", Value: []byte("x"), Offset: 4}
-		one.mesh.Tell("spans", []cherrykeel.KeyedRecord{record})
+		one.mesh.Tell("spans", []cherrykeel.KeyedRecord{record}, 3)
 		Eventually(func() []share.Told { two.mutex.Lock(); defer two.mutex.Unlock(); return two.told }, generous).
-			Should(Equal([]share.Told{{Host: "host-1", Topic: "spans", Records: []cherrykeel.KeyedRecord{record}}}))
+			Should(Equal([]share.Told{{Host: "host-1", Topic: "spans", Records: []cherrykeel.KeyedRecord{record}, Before: 3}}))
 	})
 
 	It("go on after a message that cannot be read", func() {
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -83,7 +83,7 @@
 			return
 		}
 		follower.failed(err)
-		follower.sleep(ctx, pause)
+		wait(ctx, pause)
 		pause = min(2*pause, lastPause)
 	}
 }
@@ -94,12 +94,28 @@
 	begun := follower.clock.Now()
 	for ctx.Err() == nil {
 		left := follower.schedule().Pace - follower.clock.Now().Sub(begun)
-		if left <= 0 || follower.sleep(ctx, min(left, nudgePace)) {
+		if left <= 0 {
+			return
+		}
+		if follower.sleep(ctx, min(left, nudgePace)) {
+			wait(ctx, nudgePace-follower.clock.Now().Sub(begun))
 			return
 		}
 	}
 }
 
+func wait(ctx context.Context, pause time.Duration) {
+	if pause <= 0 {
+		return
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // Nudge makes the follower read now, also when it waits for an answer; a waiting read can hang on a
 // connection that went silent.
 func (follower *Follower) Nudge() {
@@ -111,10 +127,7 @@
 	}
 	interrupt := follower.interrupt
 	follower.mutex.Unlock()
-	if tooSoon {
-		return
-	}
-	if interrupt != nil {
+	if interrupt != nil && !tooSoon {
 		interrupt()
 	}
 	select {
--- a/watch/upstreams.go
+++ b/watch/upstreams.go
@@ -22,14 +22,15 @@
 	clock   cherrykeel.Clock
 	settled time.Duration
 	change  func()
-	tell    func(records []cherrykeel.KeyedRecord)
+	tell    func(records []cherrykeel.KeyedRecord, before int64)
 
 	mutex   sync.Mutex
 	entries map[string]*entry
 	wellFor func() time.Duration
 	// offset is where the newest change stands, and untold what the other hosts are to be told.
-	offset int64
-	untold []cherrykeel.KeyedRecord
+	offset     int64
+	untold     []cherrykeel.KeyedRecord
+	toldBefore int64
 }
 
 type entry struct {
@@ -44,10 +45,11 @@
 
 // NewUpstreams returns a view that believes a missing entry at once when the store has been well for
 // settled, and else only when the upstream had time to come back. Change is called when it changed, and
-// tell with the records of changes that this host found itself; a gone upstream's record has no value.
-func NewUpstreams(decode func(string, []byte) (cherrykeel.Upstream, error), clock cherrykeel.Clock, settled time.Duration, logger *zap.Logger, change func(), tell func([]cherrykeel.KeyedRecord)) *Upstreams {
+// tell with the records of changes that this host found itself and the offset of the change before them; a
+// gone upstream's record has no value.
+func NewUpstreams(decode func(string, []byte) (cherrykeel.Upstream, error), clock cherrykeel.Clock, settled time.Duration, logger *zap.Logger, change func(), tell func(records []cherrykeel.KeyedRecord, before int64)) *Upstreams {
 	return &Upstreams{
-		decode: decode, logger: logger, clock: clock, settled: settled, change: change, tell: tell, offset: -1,
+		decode: decode, logger: logger, clock: clock, settled: settled, change: change, tell: tell, offset: -1, toldBefore: -1,
 		entries: map[string]*entry{}, wellFor: func() time.Duration { return 0 },
 	}
 }
@@ -88,13 +90,15 @@
 // changed unlocks and tells of a change.
 func (upstreams *Upstreams) changed(changed bool) {
 	untold := upstreams.untold
+	before := upstreams.toldBefore
 	upstreams.untold = nil
+	upstreams.toldBefore = upstreams.offset
 	upstreams.mutex.Unlock()
 	if changed {
 		upstreams.change()
 	}
 	if len(untold) > 0 {
-		upstreams.tell(untold)
+		upstreams.tell(untold, before)
 	}
 }
 
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -212,6 +212,8 @@
 		view *watch.Upstreams
 		well time.Duration
 		told []cherrykeel.KeyedRecord
+		// before is the offset of the change before the ones last told.
+		before int64
 	)
 
 	BeforeEach(func() {
@@ -221,7 +223,10 @@
 			return cherrykeel.Upstream{ID: id, Address: string(value), Leaving: string(value) == "leaving"}, nil
 		}
 		view = watch.NewUpstreams(decode, &manualClock{}, 3*time.Second, zap.NewNop(), func() {},
-			func(records []cherrykeel.KeyedRecord) { told = append(told, records...) })
+			func(records []cherrykeel.KeyedRecord, after int64) {
+				told = append(told, records...)
+				before = after
+			})
 		view.SetHealth(func() time.Duration { return well })
 		view.Apply(watch.Update{Whole: true, Records: []cherrykeel.KeyedRecord{record("a", "10.0.0.1:1", 1), record("b", "10.0.0.2:1", 2)}})
 	})
@@ -262,6 +267,18 @@
 		Expect(names()).To(Equal([]string{"b"}))
 	})
 
+	// A message that tells of a change is lost, the next one arrives. It names the change before its own, so
+	// the host that gets it knows that it has missed one and reads the store; else an upstream that leaves
+	// would get work until the next slow read, 15 s later.
+	It("tell of a change together with the one before", func() {
+		Expect(before).To(Equal(int64(-1)))
+		view.Apply(watch.Update{Records: []cherrykeel.KeyedRecord{record("a", "10.0.0.1:1", 3), record("b", "leaving", 4)}})
+		Expect(before).To(Equal(int64(2)))
+		view.Apply(watch.Update{Records: []cherrykeel.KeyedRecord{record("a", "leaving", 8)}})
+		Expect(before).To(Equal(int64(4)))
+		Expect(view.Offset()).To(Equal(int64(8)))
+	})
+
 	It("are not brought back by an older record", func() {
 		view.Apply(watch.Update{Records: []cherrykeel.KeyedRecord{record("a", "", 5)}})
 		view.Apply(watch.Update{Records: []cherrykeel.KeyedRecord{record("a", "10.0.0.1:1", 4)}})
