The keeper takes all hosts' word on upstreams' speed; verdicts log what they rest on

The same log could not say why a request was refused. Change: the messages of asked keys carry each host's mean times, the keeper averages those of the last 3 s; refusals and answers log owner, fence, load, others' part, requests ahead, expected work and wait. Ruled out: reports to all hosts (bytes; only the keeper needs them).

--- a/entry/host.go
+++ b/entry/host.go
@@ -257,7 +257,7 @@
 		case <-demand.C:
 			table, _, known := host.spans.Current()
 			if known {
-				host.mesh.TellDemand(table.Keeper)
+				host.mesh.TellDemand(table.Keeper, host.relay.WorkTimes)
 			}
 		}
 	}
--- a/entry/world.go
+++ b/entry/world.go
@@ -48,11 +48,6 @@
 	world.host.spansTopic.Nudge()
 }
 
-// WorkTime implements grants.World.
-func (world *world) WorkTime(service, id string) time.Duration {
-	return world.host.relay.WorkTime(service, id)
-}
-
 // StoreWell implements grants.World.
 func (world *world) StoreWell() time.Duration {
 	if !world.host.spansTopic.Known() {
--- a/flow/choose.go
+++ b/flow/choose.go
@@ -144,13 +144,6 @@
 	if service.keyed {
 		return service.ownerWait(ticket, now)
 	}
-	ahead := 0
-	for _, other := range service.waiting {
-		if other.before(ticket) {
-			ahead++
-		}
-	}
-	ahead += service.otherWaiting
 	usual := service.usual()
 	rate := 0.0
 	for _, member := range service.members {
@@ -161,23 +154,35 @@
 	if rate == 0 {
 		return usual
 	}
-	return time.Duration(float64(ahead+1)/rate) + usual
+	return time.Duration(float64(service.ahead(ticket)+1)/rate) + usual
 }
 
 func (service *Service) ownerWait(ticket *Ticket, now cherrykeel.Instant) time.Duration {
 	usual := service.usual()
-	id := service.owner(ticket.Key).ID
-	member, known := service.members[id]
+	member, known := service.members[service.ownerOf(ticket).ID]
 	if !known {
 		return usual
 	}
-	ahead := member.otherWaiting
+	work := member.workTime(usual, now)
+	turns := float64(service.ahead(ticket)+1+max(0, member.load()-member.upstream.Slots)) / float64(member.upstream.Slots)
+	return time.Duration(turns*float64(work)) + work
+}
+
+// ahead counts the requests that wait before a ticket: here in its order, and all at the other hosts.
+func (service *Service) ahead(ticket *Ticket) int {
+	owner := service.ownerOf(ticket).ID
+	ahead := 0
 	for _, other := range service.waiting {
-		if other.before(ticket) && service.owner(other.Key).ID == id {
+		if other.before(ticket) && (!service.keyed || service.owner(other.Key).ID == owner) {
 			ahead++
 		}
 	}
-	work := member.workTime(usual, now)
-	turns := float64(ahead+1+max(0, member.load()-member.upstream.Slots)) / float64(member.upstream.Slots)
-	return time.Duration(turns*float64(work)) + work
+	if !service.keyed {
+		return ahead + service.otherWaiting
+	}
+	member, known := service.members[owner]
+	if !known {
+		return ahead
+	}
+	return ahead + member.otherWaiting
 }
--- a/flow/flow_test.go
+++ b/flow/flow_test.go
@@ -143,7 +143,7 @@
 			_, verdicts := ask(service, 0, func(ticket *flow.Ticket) { ticket.Tried = []string{other} })
 			service.Leave((*verdicts)[0].Place, flow.Answered, cherrykeel.UpstreamLoad{}, at(took))
 		}
-		Expect(service.WorkTime("a")).To(Equal(150 * time.Millisecond))
+		Expect(service.WorkTimes()).To(Equal(map[string]time.Duration{"a": 150 * time.Millisecond, "b": 50 * time.Millisecond}))
 		for range 3 {
 			_, verdicts := ask(service, time.Second, keep)
 			Expect((*verdicts)[0].Place.Upstream.ID).To(Equal("b"))
--- a/flow/member.go
+++ b/flow/member.go
@@ -55,7 +55,7 @@
 }
 
 // limit is how many requests may be there at once: its slots and a few in its own queue, so that a slot
-// that becomes free is used at once, though other hosts learn of it some 25 ms later.
+// that becomes free is used at once, though other hosts learn of it some 80 ms later.
 func (member *member) limit() int {
 	return member.upstream.Slots + (member.upstream.Slots+2)/3
 }
--- a/flow/service.go
+++ b/flow/service.go
@@ -42,8 +42,24 @@
 type Verdict struct {
 	Place  *Place
 	Reason Reason
-	// Expected is the time that the answer was expected to take.
-	Expected time.Duration
+	// Inputs are what the verdict rests on.
+	Inputs Inputs
+}
+
+// Inputs are the figures behind a verdict, for the log.
+type Inputs struct {
+	// Owner has the request's key; Fence is the version of the table that gave it to it.
+	Owner  string
+	Moving bool
+	Fence  int64
+	// Load is how many requests were at the upstream in question, Others the part that other hosts told.
+	Load   int
+	Others int
+	// Ahead is how many requests waited before this one, at all hosts.
+	Ahead int
+	// Work is the expected time in a slot, Wait the expected time to the answer.
+	Work time.Duration
+	Wait time.Duration
 }
 
 // Place is a request's place on an upstream, counted until it is left.
@@ -76,6 +92,8 @@
 type Owner struct {
 	ID     string
 	Moving bool
+	// Fence is the version that gave the key to its owner.
+	Fence int64
 }
 
 // Service schedules the requests to one service. It is not safe for use by several goroutines.
@@ -154,13 +172,15 @@
 	return waiting, len(service.waiting)
 }
 
-// WorkTime returns the mean time that a request spends in a slot of an upstream, or 0.
-func (service *Service) WorkTime(id string) time.Duration {
-	member, known := service.members[id]
-	if !known {
-		return 0
+// WorkTimes returns the mean time that a request spends in a slot of each upstream that has answered.
+func (service *Service) WorkTimes() map[string]time.Duration {
+	times := map[string]time.Duration{}
+	for id, member := range service.members {
+		if member.work > 0 {
+			times[id] = member.work.Round(time.Millisecond)
+		}
 	}
-	return member.work
+	return times
 }
 
 // Offer gives a ticket a place, lets it wait, or refuses it at once; Wake tells which, now or later.
@@ -169,12 +189,12 @@
 	ticket.order = service.arrivals
 	place := service.place(ticket, now)
 	if place != nil && !service.overtakes(ticket) {
-		ticket.Wake(Verdict{Place: place.take(now), Expected: place.expected(service.usual(), now)})
+		ticket.Wake(service.granted(ticket, place, now))
 		return
 	}
 	reason, refused := service.refuse(ticket, now)
 	if refused {
-		ticket.Wake(Verdict{Reason: reason})
+		ticket.Wake(service.refusal(ticket, reason, now))
 		return
 	}
 	service.insert(ticket)
@@ -239,15 +259,48 @@
 func (service *Service) decide(ticket *Ticket, now cherrykeel.Instant) (Verdict, bool) {
 	member := service.place(ticket, now)
 	if member != nil {
-		expected := member.expected(service.usual(), now)
-		return Verdict{Place: member.take(now), Expected: expected}, true
+		return service.granted(ticket, member, now), true
 	}
 	if service.hopeless(ticket, now) {
-		return Verdict{Reason: TooLate}, true
+		return service.refusal(ticket, TooLate, now), true
 	}
 	return Verdict{}, false
 }
 
+func (service *Service) granted(ticket *Ticket, member *member, now cherrykeel.Instant) Verdict {
+	inputs := service.inputs(ticket, member, now)
+	inputs.Wait = member.expected(service.usual(), now)
+	return Verdict{Place: member.take(now), Inputs: inputs}
+}
+
+func (service *Service) refusal(ticket *Ticket, reason Reason, now cherrykeel.Instant) Verdict {
+	owner := service.ownerOf(ticket)
+	inputs := service.inputs(ticket, service.members[owner.ID], now)
+	inputs.Ahead = service.ahead(ticket)
+	inputs.Wait = service.wait(ticket, now)
+	return Verdict{Reason: reason, Inputs: inputs}
+}
+
+// inputs gathers what is known of the upstream in question, which may be nil.
+func (service *Service) inputs(ticket *Ticket, member *member, now cherrykeel.Instant) Inputs {
+	owner := service.ownerOf(ticket)
+	inputs := Inputs{Owner: owner.ID, Moving: owner.Moving, Fence: owner.Fence, Work: service.usual()}
+	if member != nil {
+		inputs.Load = member.load()
+		inputs.Others = member.others
+		inputs.Work = member.workTime(inputs.Work, now)
+	}
+	return inputs
+}
+
+// ownerOf returns who has the ticket's key; nobody, for requests without one.
+func (service *Service) ownerOf(ticket *Ticket) Owner {
+	if !service.keyed || ticket.Key == cherrykeel.NoKey {
+		return Owner{}
+	}
+	return service.owner(ticket.Key)
+}
+
 func (member *member) take(now cherrykeel.Instant) *Place {
 	member.own++
 	return &Place{Upstream: member.upstream, Load: member.load(), Begun: now, member: member}
--- a/grants/change.go
+++ b/grants/change.go
@@ -108,7 +108,7 @@
 	total := time.Duration(0)
 	upstreams := keeper.world.Upstreams()
 	for _, upstream := range upstreams {
-		work := keeper.world.WorkTime(service, upstream.ID)
+		work := keeper.workTime(upstream.ID, now)
 		if upstream.Service == service && work > 0 {
 			known = append(known, work)
 			total += work
@@ -122,13 +122,13 @@
 		if upstream.Service != service || upstream.Leaving || keeper.lost(upstream.ID, now) {
 			continue
 		}
-		candidates = append(candidates, spans.Candidate{ID: upstream.ID, Address: upstream.Address, Capacity: keeper.capacity(service, upstream, mean)})
+		candidates = append(candidates, spans.Candidate{ID: upstream.ID, Address: upstream.Address, Capacity: keeper.capacity(upstream, mean, now)})
 	}
 	return candidates
 }
 
-func (keeper *Keeper) capacity(service string, upstream cherrykeel.Upstream, mean time.Duration) float64 {
-	work := keeper.world.WorkTime(service, upstream.ID)
+func (keeper *Keeper) capacity(upstream cherrykeel.Upstream, mean time.Duration, now cherrykeel.Instant) float64 {
+	work := keeper.workTime(upstream.ID, now)
 	if work == 0 {
 		work = mean
 	}
--- a/grants/grants_test.go
+++ b/grants/grants_test.go
@@ -135,8 +135,6 @@
 
 func (store *fakeStore) Reread() {}
 
-func (store *fakeStore) WorkTime(string, string) time.Duration { return 50 * time.Millisecond }
-
 func (store *fakeStore) StoreWell() time.Duration {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
@@ -502,6 +500,36 @@
 		Eventually(func() int64 { return granter.last("u1").Fence }, generous).Should(BeNumerically(">", table.Version))
 	})
 
+	// A server turns five times slower. Each host has few answers from it; the keeper takes all hosts' word
+	// and moves keys to the others, which have time for them.
+	It("moves keys from a server that the hosts find slow", func() {
+		run()
+		Eventually(granter.count("u1"), generous).Should(BeNumerically(">=", 1))
+		width := func() int {
+			table, _, _ := store.Current()
+			width := 0
+			for _, owned := range table.Services[service] {
+				if owned.Owner == "u1" {
+					width += owned.Last - owned.First + 1
+				}
+			}
+			return width
+		}
+		before := width()
+		work := map[string]time.Duration{"u1": 300 * time.Millisecond, "u2": 60 * time.Millisecond}
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go func() {
+			for key := 0; ctx.Err() == nil; key += 1009 {
+				for _, host := range []string{"host-1", "host-2"} {
+					keeper.Demand(share.Demand{Host: host, Service: service, Keys: []int{key % (cherrykeel.MaxKey + 1)}, Work: work})
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		}()
+		Eventually(width, generous).Should(BeNumerically("<", before/2))
+	})
+
 	It("resigns so that another may claim", func() {
 		run()
 		Eventually(store.keeper, generous).Should(Equal(myself))
--- a/grants/keeper.go
+++ b/grants/keeper.go
@@ -20,6 +20,8 @@
 	planEvery = 250 * time.Millisecond
 	// movesAtOnce bounds the spans that are without an owner for balance's sake.
 	movesAtOnce = 4
+	// wordAge is how long a host's word on an upstream's speed counts.
+	wordAge = 3 * time.Second
 	// callsAtOnce bounds the orders under way to upstreams.
 	callsAtOnce = 64
 	// silentKeeper is when another host claims: reports come each 200 ms at the least.
@@ -58,8 +60,6 @@
 	Ended(id string)
 	// Reread makes the host read the table anew.
 	Reread()
-	// WorkTime is the mean time that a request takes at an upstream, or 0.
-	WorkTime(service, id string) time.Duration
 	// StoreWell is how long the store has served this host without a failure.
 	StoreWell() time.Duration
 	// PeerLife is the life that a host last announced, and how long ago that was read.
@@ -91,6 +91,7 @@
 	unsure    bool
 	ledger    spans.Ledger
 	demand    map[string]*spans.Demand
+	work      map[string]map[string]workWord
 	grants    map[grantKey]*grantState
 	releases  map[grantKey]*releaseState
 	contacts  map[string]*contact
@@ -119,7 +120,7 @@
 		granter: granter, bounds: bounds, pool: pond.NewPool(callsAtOnce),
 		results: make(chan func(cherrykeel.Instant), 4*callsAtOnce), demands: make(chan share.Demand, callsAtOnce),
 		resign: make(chan chan struct{}, 1),
-		term:   -1, demand: map[string]*spans.Demand{}, grants: map[grantKey]*grantState{},
+		term:   -1, demand: map[string]*spans.Demand{}, work: map[string]map[string]workWord{}, grants: map[grantKey]*grantState{},
 		releases: map[grantKey]*releaseState{}, contacts: map[string]*contact{}, seenTable: -1,
 	}
 }
@@ -176,6 +177,40 @@
 	for _, key := range demand.Keys {
 		counted.Add(key, 1)
 	}
+	now := keeper.clock.Now()
+	for id, work := range demand.Work {
+		words, known := keeper.work[id]
+		if !known {
+			words = map[string]workWord{}
+			keeper.work[id] = words
+		}
+		words[demand.Host] = workWord{work: work, at: now}
+	}
+}
+
+// workWord is what one host says of an upstream's speed.
+type workWord struct {
+	work time.Duration
+	at   cherrykeel.Instant
+}
+
+// workTime is the mean over what the hosts have said lately, or 0. Each host sees but a part of an
+// upstream's answers; together they notice within a second or two that it has turned slow.
+func (keeper *Keeper) workTime(id string, now cherrykeel.Instant) time.Duration {
+	var total time.Duration
+	count := 0
+	for host, word := range keeper.work[id] {
+		if now.Sub(word.at) > wordAge {
+			delete(keeper.work[id], host)
+			continue
+		}
+		total += word.work
+		count++
+	}
+	if count == 0 {
+		return 0
+	}
+	return total / time.Duration(count)
 }
 
 func (keeper *Keeper) demandOf(service string) *spans.Demand {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -157,15 +157,15 @@
 	}
 }
 
-// WorkTime returns the mean time that a request of a service takes at an upstream, or 0.
-func (relay *Relay) WorkTime(service, id string) time.Duration {
+// WorkTimes returns the mean time that a request of a service takes at each upstream that has answered.
+func (relay *Relay) WorkTimes(service string) map[string]time.Duration {
 	lane := relay.lane(service)
 	if lane == nil {
-		return 0
+		return nil
 	}
 	lane.mutex.Lock()
 	defer lane.mutex.Unlock()
-	return lane.service.WorkTime(id)
+	return lane.service.WorkTimes()
 }
 
 func (relay *Relay) all() []*lane {
--- a/relay/trip.go
+++ b/relay/trip.go
@@ -52,6 +52,8 @@
 	// mayHaveRun says that no refusal may be told any more.
 	mayHaveRun bool
 	last       string
+	// inputs are what the last verdict of the scheduler rested on.
+	inputs flow.Inputs
 }
 
 // ServeHTTP implements http.Handler.
@@ -152,6 +154,7 @@
 	defer timer.Stop()
 	select {
 	case verdict := <-verdicts:
+		trip.inputs = verdict.Inputs
 		if verdict.Place == nil {
 			return verdict, trip.refuse(string(verdict.Reason), "no upstream can answer in time")
 		}
@@ -251,6 +254,7 @@
 	trip.relay.meter.served(trip.lane.name, result.status, took)
 	events.Log(trip.relay.Logger, events.RequestServed, append(trip.fields(),
 		zap.Int("Status", result.status), zap.String("Upstream", place.Upstream.ID), zap.Int("Load", place.Load),
+		zap.Int("Others", trip.inputs.Others), zap.Int64("Fence", trip.inputs.Fence), zap.Duration("Expected", trip.inputs.Wait),
 		zap.Int("Attempts", trip.attempts), zap.Duration("Took", took), zap.Error(err))...)
 }
 
@@ -269,6 +273,9 @@
 	events.Log(trip.relay.Logger, event, append(trip.fields(),
 		zap.Int("Status", failure.Status), zap.String("Code", failure.Code), zap.String("Outcome", string(failure.Outcome)),
 		zap.String("Detail", failure.Detail), zap.Int("Attempts", trip.attempts), zap.Strings("Tried", trip.tried),
+		zap.String("Owner", trip.inputs.Owner), zap.Bool("Moving", trip.inputs.Moving), zap.Int64("Fence", trip.inputs.Fence),
+		zap.Int("Load", trip.inputs.Load), zap.Int("Others", trip.inputs.Others), zap.Int("Ahead", trip.inputs.Ahead),
+		zap.Duration("Work", trip.inputs.Work), zap.Duration("Wait", trip.inputs.Wait),
 		zap.Duration("RetryAfter", failure.RetryAfter), zap.Duration("Took", took))...)
 	header := trip.writer.Header()
 	header.Set(cherrykeel.HeaderOutcome, string(failure.Outcome))
--- a/share/mesh.go
+++ b/share/mesh.go
@@ -370,15 +370,16 @@
 	}
 }
 
-// TellDemand sends the keys asked for since the last call to the keeper, which may be this host.
-func (mesh *Mesh) TellDemand(keeper string) {
+// TellDemand sends the keys asked for since the last call to the keeper, which may be this host, with what
+// work tells of a service's upstreams.
+func (mesh *Mesh) TellDemand(keeper string, work func(service string) map[string]time.Duration) {
 	mesh.mutex.Lock()
 	asked := mesh.asked
 	mesh.asked = map[string][]int{}
 	address := mesh.resolved[keeper]
 	mesh.mutex.Unlock()
 	for service, keys := range asked {
-		demand := Demand{Host: mesh.self.Name, Service: service, Keys: keys}
+		demand := Demand{Host: mesh.self.Name, Service: service, Keys: keys, Work: work(service)}
 		if keeper == mesh.self.Name {
 			mesh.demand(demand)
 			continue
--- a/share/message.go
+++ b/share/message.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -80,11 +81,13 @@
 // NoChange stands for no change before.
 const NoChange = -1
 
-// Demand tells the keeper which keys were asked for since the last one.
+// Demand tells the keeper which keys were asked for since the last one, and how fast their owners are.
 type Demand struct {
 	Host    string
 	Service string
 	Keys    []int
+	// Work is the mean time that a request takes at each upstream, as the host finds it.
+	Work map[string]time.Duration `json:",omitempty"`
 }
 
 func encode(method string, message any) ([]byte, error) {
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -82,6 +83,8 @@
 	return member
 }
 
+func noWork(string) map[string]time.Duration { return nil }
+
 func join(members ...*member) {
 	var peers []cherrykeel.Peer
 	for _, member := range members {
@@ -158,13 +161,13 @@
 	It("tell the keeper which keys are asked for, which may be the host itself", func() {
 		one.mesh.Asked("halls", 7)
 		one.mesh.Asked("halls", 9)
-		one.mesh.TellDemand("host-2")
+		one.mesh.TellDemand("host-2", noWork)
 		Eventually(func() []share.Demand { two.mutex.Lock(); defer two.mutex.Unlock(); return two.demands }, generous).
 			Should(Equal([]share.Demand{{Host: "host-1", Service: "halls", Keys: []int{7, 9}}}))
 		one.mesh.Asked("halls", 8)
-		one.mesh.TellDemand("host-1")
+		one.mesh.TellDemand("host-1", noWork)
 		Expect(one.demands).To(HaveLen(1))
-		one.mesh.TellDemand("host-1")
+		one.mesh.TellDemand("host-1", noWork)
 		Expect(one.demands).To(HaveLen(1))
 	})
 
--- a/watch/table.go
+++ b/watch/table.go
@@ -119,7 +119,7 @@
 	if !known {
 		return flow.Owner{}
 	}
-	owner := flow.Owner{ID: owned.Owner, Moving: owned.Moving}
+	owner := flow.Owner{ID: owned.Owner, Moving: owned.Moving, Fence: owned.Fence}
 	if len(view.fresh) == 0 || owner.Moving {
 		return owner
 	}
