A stopping host refuses what would outlast it

Change: after 2.7 of 6 s requests are taken only if three times their usual work fits before the end; the process uses the grace up to 150 ms. Ruled out: refusing all after 3 s (deposits of 40 ms still end in time).

--- a/entry/stop.go
+++ b/entry/stop.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"cherrykeel"
 	"cherrykeel/events"
 )
 
@@ -13,11 +14,13 @@
 	// acceptShare is the part of the grace in which new connections are still served: the balancer
 	// notices after two missed questions, 2 to 3 s of 6, and goes on sending until then.
 	acceptShare = 0.6
+	// takeShare is the part in which every request is taken; after it only those that will likely end in time.
+	takeShare = 0.45
 	// endMargin is kept of the grace for the process to end by itself.
-	endMargin = 250 * time.Millisecond
+	endMargin = 150 * time.Millisecond
 	stopPace  = 50 * time.Millisecond
-	// withdrawTimeout bounds the last write, which leaves endMargin to the end of the process.
-	withdrawTimeout = 200 * time.Millisecond
+	// withdrawTimeout bounds the write that takes the host's record away, made this long before the end.
+	withdrawTimeout = 400 * time.Millisecond
 )
 
 // stop serves what the balancer still sends, lets each connection end with its next answer, and returns
@@ -29,19 +32,33 @@
 	host.server.Stop()
 	go host.keeper.Resign(ctx)
 	grace := host.currentBounds().Grace
-	accepting := time.Duration(acceptShare * float64(grace))
-	for host.clock.Now().Sub(begun) < accepting {
-		pause(ctx, stopPace)
-	}
+	host.waitUntil(ctx, begun, time.Duration(takeShare*float64(grace)))
+	host.relay.EndAt(begun.Add(grace - endMargin))
+	host.waitUntil(ctx, begun, time.Duration(acceptShare*float64(grace)))
 	_ = host.listener.Close()
 	for host.server.Open() > 0 && host.clock.Now().Sub(begun) < grace-endMargin-withdrawTimeout {
 		host.server.CloseIdle()
 		pause(ctx, stopPace)
 	}
-	host.withdraw(ctx)
+	withdrawn := make(chan struct{})
+	go func() {
+		defer close(withdrawn)
+		host.withdraw(ctx)
+	}()
+	for host.server.Open() > 0 && host.clock.Now().Sub(begun) < grace-endMargin {
+		host.server.CloseIdle()
+		pause(ctx, stopPace)
+	}
+	<-withdrawn
 	events.Log(host.logger, events.EntryStopped, zap.Int("Cut", host.server.Open()), zap.Duration("Took", host.clock.Now().Sub(begun)))
 }
 
+func (host *Host) waitUntil(ctx context.Context, begun cherrykeel.Instant, elapsed time.Duration) {
+	for host.clock.Now().Sub(begun) < elapsed && ctx.Err() == nil {
+		pause(ctx, stopPace)
+	}
+}
+
 // withdraw takes this host's record away. The others count hosts to tell whether they are more than half;
 // those that have left for good would make that impossible.
 func (host *Host) withdraw(ctx context.Context) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -46,6 +47,14 @@
 	matcher   *matcher
 	lanes     map[string]*lane
 	upstreams []cherrykeel.Upstream
+	// endsAt is when the host's process ends, or 0.
+	endsAt atomic.Int64
+}
+
+// EndAt tells when the host's process will have ended: from now on requests are refused that would
+// likely outlast it and be cut off.
+func (relay *Relay) EndAt(end cherrykeel.Instant) {
+	relay.endsAt.Store(int64(end))
 }
 
 // New returns a relay that knows no routes and refuses all requests.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -3,11 +3,14 @@
 import (
 	"math"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
 
 	"cherrykeel"
 )
@@ -112,3 +115,51 @@
 		Entry("408 that does not say that nothing ran", 408, signed, http.Header{}, uncertain),
 	)
 })
+
+// silentDialect knows no headers.
+type silentDialect struct{}
+
+func (silentDialect) Asked(*http.Request) cherrykeel.Asked {
+	return cherrykeel.Asked{ID: "r", Key: cherrykeel.NoKey}
+}
+func (silentDialect) Direct(http.Header, cherrykeel.Upstream, time.Duration) {}
+func (silentDialect) Echo(http.Header, string)                               {}
+func (silentDialect) Reply(int, http.Header) cherrykeel.Reply                { return cherrykeel.Reply{} }
+
+type stillClock struct{}
+
+func (stillClock) Now() cherrykeel.Instant { return cherrykeel.Instant(time.Hour) }
+func (stillClock) Wall() time.Time         { return time.Time{} }
+
+var _ = Describe("a host that is about to end", func() {
+	// A host was told to stop 3.5 s ago and has 2 s left. A caller sends a search that takes a second or two
+	// on a connection it kept. Taken, it is cut off when the process ends; refused, the caller asks another
+	// host at once. What surely ends in time is still served.
+	DescribeTable("refuses what would outlast it", func(left time.Duration, refused bool) {
+		relay := New(Settings{
+			Zone: "z", Clock: stillClock{}, Dialect: silentDialect{}, Logger: zap.NewNop(), Scope: tally.NoopScope,
+			Bounds: func() cherrykeel.Bounds { return cherrykeel.Bounds{RetryWindow: 10 * time.Second} }, Hosts: func() int { return 1 },
+		})
+		relay.SetRoutes(cherrykeel.RouteSet{
+			Version:  1,
+			Services: map[string]cherrykeel.RoutedService{"s": {Name: "s"}},
+			Routes:   []cherrykeel.Route{{Domain: "h", PathPrefix: "/", Timeout: time.Second, Parts: []cherrykeel.RoutePart{part("s", 1)}}},
+		})
+		if left > 0 {
+			relay.EndAt(stillClock{}.Now().Add(left))
+		}
+		writer := httptest.NewRecorder()
+		relay.ServeHTTP(writer, httptest.NewRequest(http.MethodGet, "http://h/x", nil))
+		Expect(writer.Code).To(Equal(http.StatusServiceUnavailable))
+		Expect(writer.Header().Get("Retry-After")).NotTo(BeEmpty())
+		if refused {
+			Expect(writer.Body.String()).To(HavePrefix("stopping"))
+			return
+		}
+		Expect(writer.Body.String()).To(HavePrefix("no-upstream"), "taken, and refused only for want of an upstream")
+	},
+		Entry("with 200 ms left for work of 80 ms that may take three times as long", 200*time.Millisecond, true),
+		Entry("with a second left", time.Second, false),
+		Entry("not stopping", time.Duration(0), false),
+	)
+})
--- a/relay/trip.go
+++ b/relay/trip.go
@@ -29,6 +29,11 @@
 	latestReturn   = 0.3
 	// unknownPatience is assumed of callers of routes without a timeout that do not say how long they wait.
 	unknownPatience = 2 * time.Second
+	// longWork is by how much a request may exceed the usual work time; 1 in 100 takes 3 to 5 times it, and
+	// those that began early in the host's last seconds have that long.
+	longWork = 3
+	// elsewhere sends a caller to another host at once.
+	elsewhere = 10 * time.Millisecond
 	// settingsRetryAfter is when a host that has just started knows the routes at the latest, as measured.
 	settingsRetryAfter = 200 * time.Millisecond
 )
@@ -100,6 +105,11 @@
 		return cherrykeel.Refuse(http.StatusBadRequest, "body-broke", "%s", err)
 	}
 	trip.body = body
+	if trip.outlastsHost() {
+		failure := trip.refuse("stopping", "this host ends before the request would")
+		failure.RetryAfter = elsewhere
+		return failure
+	}
 	trip.lane.arrived(trip.arrived)
 	if trip.lane.keyed && trip.asked.Key != cherrykeel.NoKey {
 		trip.relay.Asked(service, trip.asked.Key)
@@ -107,6 +117,17 @@
 	return nil
 }
 
+// outlastsHost reports whether the host's process would likely end before the request does. Its caller is
+// better served by another host at once than cut off here.
+func (trip *trip) outlastsHost() bool {
+	end := trip.relay.endsAt.Load()
+	if end == 0 {
+		return false
+	}
+	left := cherrykeel.Instant(end).Sub(trip.arrived)
+	return longWork*trip.lane.usual() > left
+}
+
 // run makes attempts until one brings an answer or none can any more.
 func (trip *trip) run() *cherrykeel.Failure {
 	ctx := trip.request.Context()
