--- a/cmd/cherrykeel/operate.go
+++ b/cmd/cherrykeel/operate.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"os"
+	"path/filepath"
 	"time"
 
 	"cherrykeel/opctl"
+	adapter "cherrykeel/platform"
 )
 
 // platform says where the platform is and how to print.
@@ -31,14 +33,26 @@
 }
 
 type checkCommand struct {
-	Dir string `arg:"" help:"Directory with firm.toml and CUSTOMER/SERVICE.toml."`
+	Dir string `arg:"" help:"Directory with firm.toml and CUSTOMER/SERVICE.toml, or a settings file of the users' platform (.json)."`
 }
 
 func (command *checkCommand) Run() error {
+	if filepath.Ext(command.Dir) == ".json" {
+		return command.checkSettings()
+	}
 	_, err := opctl.Check(os.Stdout, command.Dir)
 	return err
 }
 
+func (command *checkCommand) checkSettings() error {
+	settings, err := adapter.LoadSettings(command.Dir)
+	if err != nil {
+		return &opctl.ExitError{Code: opctl.ExitInvalid, Err: err}
+	}
+	fmt.Printf("%s: host %s in %s, store %s\n", command.Dir, settings.Name, settings.Zone, settings.StoreURL)
+	return nil
+}
+
 type planCommand struct {
 	platform
 	Dir   string `arg:"" help:"Directory with the settings tree."`
