Announcements back off while the store is away; SIGHUP always leaves a line

Cause: a host run by hand without a store wrote its announcement 3 times a second for ever (8 hosts: 27 priced calls a second in an outage), and SIGHUP with an unchanged file left no line. Change: pauses double up to 1.2 s; a reload that was asked for is logged. Ruled out: nothing.

--- a/cmd/cherrykeel/entry.go
+++ b/cmd/cherrykeel/entry.go
@@ -83,10 +83,12 @@
 	defer ticker.Stop()
 	last, _ := adapter.LoadSettings(command.Config)
 	for {
+		asked := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-hangup:
+			asked = true
 		case <-ticker.C:
 		}
 		settings, err := adapter.LoadSettings(command.Config)
@@ -94,7 +96,7 @@
 			events.Log(logger, events.SettingsInvalid, zap.Error(err))
 			continue
 		}
-		if settings != last {
+		if asked || settings != last {
 			last = settings
 			reload(settings)
 		}
--- a/entry/host.go
+++ b/entry/host.go
@@ -28,6 +28,9 @@
 	dispatchEvery = 10 * time.Millisecond
 	settleEvery   = 250 * time.Millisecond
 	announcePause = 300 * time.Millisecond
+	// longestAnnouncePause bounds the pauses while the store does not take the announcement: refused calls
+	// have their price too, and the others miss this host for no longer than that after its return.
+	longestAnnouncePause = 1200 * time.Millisecond
 	// dialTimeout and userTimeout end tries to reach an upstream that does not answer at all; the way
 	// there and back takes 3 ms, and one lost packet is sent again after 200 ms.
 	dialTimeout = 300 * time.Millisecond
@@ -283,18 +286,21 @@
 		events.Log(host.logger, events.WriteFailed, zap.Error(err))
 		return
 	}
+	wait := announcePause
 	for ctx.Err() == nil {
 		life, _ := host.peerLife(host.self.Name)
 		if life != host.self.Life && !host.stopping.Load() {
 			offset, err := host.platform.Hosts.Put(ctx, host.self.Name, value)
 			if err != nil {
 				events.Log(host.logger, events.WriteFailed, zap.String("Key", host.self.Name), zap.Error(err))
+				wait = min(2*wait, longestAnnouncePause)
 			} else {
+				wait = announcePause
 				host.hostsTopic.Told([]cherrykeel.KeyedRecord{{Key: host.self.Name, Value: value, Offset: offset}})
 				host.tellOne(topicHosts)(cherrykeel.KeyedRecord{Key: host.self.Name, Value: value, Offset: offset})
 			}
 		}
-		pause(ctx, announcePause)
+		pause(ctx, wait)
 	}
 }
 
