Hosts tell how old their reads are; each reads for itself when nobody has read for a part of the bound

Cause: one host read the upstreams' entries closely and a second one less closely. Both lost the store in one moment (four hosts cut off).

Change: reports carry the age of the host's own last read of settings and of upstreams. The bounds are those of the settings file (drain, configApply). The fixed second reader is gone. An interrupted read no longer counts as an answer of the store. The keeper reads its table each second, so that it notices a store that hangs.

Ruled out: a third fixed reader (three lost at once would do the same); all hosts reading (300 calls a second by the earlier measure); shorter patience alone (a store that answers in 0.4 s would never be read).

--- a/entry/duty.go
+++ b/entry/duty.go
@@ -11,23 +11,26 @@
 	"cherrykeel/watch"
 )
 
-// One host reads the store closely and tells the others; a second one reads somewhat less closely, in
-// case the first is dead or its connection silent; the rest read seldom, and at once when another host
-// reports a change that they have not been told of. With each host reading for itself a quiet day cost
-// 39 calls a second for 8 hosts, in this way 14.
+// One host reads the store closely and tells the others; each report of a host says how long ago it has
+// read itself. The others read seldom, at once when another host reports a change that they have not been
+// told of, and for themselves when nobody has read for a part of the bound within which a change has to be
+// known. With each host reading for itself a quiet day cost 39 calls a second for 8 hosts, in this way 14.
+// With a fixed second reader in place of the ages each reader that was lost cost its whole patience, one
+// after the other, and two at once left eleven hosts sending work to an upstream for over 2 s after its leave.
 const (
-	// settingsWait bounds a waiting read of what has to be in force within 2 s: one that hangs on a
-	// silent connection is noticed a second after it.
-	settingsWait = time.Second
-	backupWait   = 3 * time.Second
-	// upstreamsPace is the pace of reads of the upstreams' entries, which change with each heartbeat. An
-	// upstream that leaves may get work for 2 s after the store knows.
-	upstreamsPace = 400 * time.Millisecond
-	backupPace    = time.Second
+	// settingsWait bounds a waiting read of the settings, as a part of the time in which they have to be in
+	// force: a change is known at once, and the read's end shows the others that it goes on.
+	settingsWait = 0.3
+	// upstreamsPace is the pace of reads of the upstreams' entries, which change with each heartbeat, as a
+	// part of the time in which a leaving upstream may still get work.
+	upstreamsPace = 0.2
 	// seldomPace is the pace of what others tell; it counts only when all their messages are lost.
 	seldomPace = 30 * time.Second
 	// spansPace is the pace of reads of the table, of whose changes its writer tells.
 	spansPace = 10 * time.Second
+	// keeperPace is the same for the keeper. One that the store no longer serves moves no keys, and another
+	// one takes over a second after it has said so.
+	keeperPace = time.Second
 	// goneAfter is when the record of a silent host is dropped; cuts and freezes of up to 12 s are known,
 	// but a host that is back announces itself again at once.
 	goneAfter = 8 * time.Second
@@ -41,28 +44,57 @@
 	return host.mesh.Rank(func(report share.Report) bool { return report.StoreWell })
 }
 
-// byRank returns the schedule of the first host, the second, or the rest.
-func (host *Host) byRank(first, second watch.Schedule) watch.Schedule {
-	switch host.rank() {
-	case 0:
+func (host *Host) settingsSchedule() watch.Schedule {
+	bound := host.currentBounds().InForce
+	return host.schedule(host.operatorTopic, topicSettings, bound, watch.Schedule{Wait: part(bound, settingsWait)})
+}
+
+func (host *Host) upstreamsSchedule() watch.Schedule {
+	bound := host.currentBounds().Drain
+	return host.schedule(host.upstreamsTopic, topicUpstreams, bound, watch.Schedule{Pace: part(bound, upstreamsPace)})
+}
+
+// schedule returns the first host's schedule to that one, and lets the others read when what they know is
+// too old for the bound.
+func (host *Host) schedule(topic *watch.Follower, name string, bound time.Duration, first watch.Schedule) watch.Schedule {
+	rank := host.rank()
+	if rank == 0 {
 		return first
-	case 1:
-		return second
-	default:
-		return watch.Schedule{Pace: seldomPace}
 	}
+	if watch.Overdue(bound, rank, host.age(topic, name)) {
+		return watch.Schedule{}
+	}
+	return watch.Schedule{Pace: seldomPace}
 }
 
-func (host *Host) settingsSchedule() watch.Schedule {
-	return host.byRank(watch.Schedule{Wait: settingsWait}, watch.Schedule{Wait: backupWait})
+// age returns how old the youngest state of a topic is that this host knows: from a read of its own, or of
+// another host that knows of no newer change. One that does makes this host read at once (heard).
+func (host *Host) age(topic *watch.Follower, name string) time.Duration {
+	youngest, known := topic.Age()
+	if !known {
+		return seldomPace
+	}
+	own := host.readThrough()[name]
+	for _, heard := range host.mesh.Fresh() {
+		age, told := heard.Report.Ages[name]
+		if told && heard.Report.Offsets[name] <= own {
+			youngest = min(youngest, age+host.clock.Now().Sub(heard.At))
+		}
+	}
+	return youngest
 }
 
-func (host *Host) upstreamsSchedule() watch.Schedule {
-	return host.byRank(watch.Schedule{Pace: upstreamsPace}, watch.Schedule{Pace: backupPace})
+func part(bound time.Duration, share float64) time.Duration {
+	return time.Duration(share * float64(bound))
 }
 
+// tableSchedule is closer at the keeper, for whom no other host could notice that its store calls hang.
 func (host *Host) tableSchedule() watch.Schedule {
-	return host.byRank(watch.Schedule{Pace: spansPace}, watch.Schedule{Pace: spansPace})
+	table, _, known := host.spans.Current()
+	if known && table.Keeper == host.self.Name && table.Life == host.self.Life {
+		return watch.Schedule{Pace: keeperPace}
+	}
+	return watch.Schedule{Pace: spansPace}
 }
 
 // dropSilent takes away the records of hosts that have been silent for long; one host does so for all.
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -35,6 +35,7 @@
 	}
 	report.StoreWell = host.storeWell() > 0
 	report.Offsets = host.offsets()
+	report.Ages = host.ages()
 }
 
 // Load implements share.State.
@@ -57,6 +58,22 @@
 	}
 }
 
+// ages tells how long ago this host began the last reads that were answered; the others do not need those
+// that would be overdue anyway.
+func (host *Host) ages() map[string]time.Duration {
+	bounds := host.currentBounds()
+	ages := map[string]time.Duration{}
+	note := func(name string, topic *watch.Follower, bound time.Duration) {
+		age, known := topic.Age()
+		if known && age < bound {
+			ages[name] = age.Round(time.Millisecond)
+		}
+	}
+	note(topicSettings, host.operatorTopic, bounds.InForce)
+	note(topicUpstreams, host.upstreamsTopic, bounds.Drain)
+	return ages
+}
+
 // readThrough tells up to where this host has read without a gap. Upstreams' heartbeats are not told, so
 // there the newest change counts, and each message names the change before.
 func (host *Host) readThrough() map[string]int64 {
--- a/settings.go
+++ b/settings.go
@@ -28,6 +28,8 @@
 type Bounds struct {
 	// Drain is how long a leaving upstream may still get work.
 	Drain time.Duration
+	// InForce is within what accepted settings have to be in force.
+	InForce time.Duration
 	// Grace is the time from the request to stop to the kill.
 	Grace time.Duration
 	// MaxHold is the longest hold that an upstream takes.
--- a/share/message.go
+++ b/share/message.go
@@ -36,6 +36,9 @@
 	Offsets map[string]int64
 	// StoreWell says that the store serves the host.
 	StoreWell bool
+	// Ages has, by topic, how long before this report the host's own last read of it was begun. Together
+	// with Offsets it tells how old the receiver's knowledge is; reads longer ago are left out.
+	Ages map[string]time.Duration `json:",omitempty"`
 }
 
 // Counts are requests at upstreams and waiting. They are sent most often of all, so upstreams and services
--- a/share/send.go
+++ b/share/send.go
@@ -60,6 +60,9 @@
 	report := Report{Host: mesh.self.Name, Life: mesh.self.Life, Term: -1}
 	mesh.state.Report(&report)
 	mesh.noteStore(report.StoreWell)
+	// Ages are other ones in each report; that alone is no change to tell of.
+	ages := report.Ages
+	report.Ages = nil
 	pace := reportEvery
 	if !mesh.currentPlan().Full {
 		pace *= reportSlowdown
@@ -70,6 +73,7 @@
 	sender.report = report
 	sender.reportAt = now
 	report.Sequence = mesh.nextSequence()
+	report.Ages = ages
 	mesh.send(methodReport, report, mesh.reportTo(now))
 }
 
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -22,6 +22,9 @@
 	nudgePace = 100 * time.Millisecond
 )
 
+// errInterrupted means that a read was given up to be made anew, which says nothing of the store.
+var errInterrupted = errors.New("the read was interrupted")
+
 // Schedule says how closely a topic is read.
 type Schedule struct {
 	// Wait lets a read wait for a record, so that a change is known as soon as it is there.
@@ -59,9 +62,10 @@
 	// interrupt ends the read that waits now.
 	interrupt context.CancelFunc
 	nudgedAt  cherrykeel.Instant
-	// wellSince is when the topic was last found to be read again, readAt when it was last read.
+	// wellSince is when the topic was last found to be read again.
 	wellSince cherrykeel.Instant
-	readAt    cherrykeel.Instant
+	// currentAt is a time up to which all changes are known from a read of this host's own.
+	currentAt cherrykeel.Instant
 }
 
 // NewFollower returns a follower of the log that hands on what it reads, in order.
@@ -173,22 +177,30 @@
 	if !known {
 		return follower.readNewest(ctx)
 	}
-	batch, err := follower.read(ctx, next)
+	wait := follower.schedule().Wait
+	begun := follower.clock.Now()
+	batch, err := follower.read(ctx, next, wait)
+	if errors.Is(err, errInterrupted) {
+		return nil
+	}
 	if errors.Is(err, cherrykeel.ErrForgotten) {
 		return follower.readNewest(ctx)
 	}
 	if err != nil {
 		return err
 	}
-	follower.succeeded(batch.Next)
+	if len(batch.Records) == 0 {
+		// The store has waited that long before it answered that there is nothing.
+		begun = min(begun.Add(wait), follower.clock.Now())
+	}
+	follower.succeeded(batch.Next, begun)
 	if len(batch.Records) > 0 {
 		follower.apply(Update{Records: batch.Records, Next: batch.Next})
 	}
 	return nil
 }
 
-func (follower *Follower) read(ctx context.Context, next int64) (cherrykeel.KeyedBatch, error) {
-	wait := follower.schedule().Wait
+func (follower *Follower) read(ctx context.Context, next int64, wait time.Duration) (cherrykeel.KeyedBatch, error) {
 	reading, interrupt := context.WithCancel(ctx)
 	defer interrupt()
 	if wait > 0 {
@@ -197,8 +209,7 @@
 	}
 	batch, err := follower.log.Read(reading, next, wait)
 	if err != nil && reading.Err() != nil && ctx.Err() == nil {
-		// Interrupted to read anew; that says nothing of the store.
-		return cherrykeel.KeyedBatch{Next: next}, nil
+		return cherrykeel.KeyedBatch{}, errInterrupted
 	}
 	return batch, err
 }
@@ -210,11 +221,12 @@
 }
 
 func (follower *Follower) readNewest(ctx context.Context) error {
+	begun := follower.clock.Now()
 	batch, err := follower.log.Newest(ctx)
 	if err != nil {
 		return err
 	}
-	if !follower.succeeded(batch.Next) {
+	if !follower.succeeded(batch.Next, begun) {
 		// An older state than the one known: nothing in it is news, and what it lacks may be there.
 		return nil
 	}
@@ -222,8 +234,9 @@
 	return nil
 }
 
-// succeeded notes a read and reports whether it is not older than the ones before.
-func (follower *Follower) succeeded(next int64) bool {
+// succeeded notes a read that shows all changes up to a time, and reports whether it is not older than the
+// ones before.
+func (follower *Follower) succeeded(next int64, current cherrykeel.Instant) bool {
 	follower.mutex.Lock()
 	now := follower.clock.Now()
 	back := follower.lost || !follower.known
@@ -232,11 +245,11 @@
 		follower.wellSince = now
 	}
 	follower.lost = false
-	follower.readAt = now
 	forward := !follower.known || next >= follower.next
 	follower.known = true
 	if forward {
 		follower.next = next
+		follower.currentAt = max(follower.currentAt, current)
 	}
 	follower.mutex.Unlock()
 	if back {
@@ -255,6 +268,16 @@
 	}
 }
 
+// Age returns how old the newest state is that this host has read itself; false if it has read none.
+func (follower *Follower) Age() (time.Duration, bool) {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	if !follower.known {
+		return 0, false
+	}
+	return follower.clock.Now().Sub(follower.currentAt), true
+}
+
 // Known reports whether the topic has been read since the start.
 func (follower *Follower) Known() bool {
 	follower.mutex.Lock()
