Upstreams beyond the most used are relieved too; a hot key goes alone to the taker that it leaves least used

The planner looked at the most used upstream only; while the key was too hot for any of them nothing else moved (1.0 s from the next key's start to its first move, 2.4 s on slow owners). A free span went to the candidate with the least use before it got it, so the hot key with its neighbours landed on an idle slow one, and had to stay for a second.

Change: up to six givers are tried, the most used first; the fastest upstreams are considered as takers besides the least used; a move has to bring a tenth of what the giver can do, not of a use of 4; a free span is cut around a key that has most of its load, and its pieces are dealt the heaviest first to whoever will be the least used with it.

Ruled out: detection (the first move came 0.37 s after the key became hot) and the move itself (60 ms for the work that runs, 10 ms for record and grant).

--- a/spans/next.go
+++ b/spans/next.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sort"
 
 	"cherrykeel"
 )
@@ -98,27 +99,38 @@
 	step.list = list
 }
 
-// give deals a free span to the least used candidates.
+// give deals a free span to the candidates that will be the least used with it, the heaviest piece first.
 func (step *step) give(owned Owned) []Owned {
-	var given []Owned
-	for _, span := range step.pieces(owned.Span()) {
-		taker := step.leastUsed(owned)
-		step.load[taker.ID] += step.facts.Demand.Load(span)
-		given = append(given, Owned{First: span.First, Last: span.Last, Owner: taker.ID, Address: taker.Address, Fence: step.facts.Offset})
+	pieces := step.pieces(owned.Span())
+	order := make([]int, len(pieces))
+	for i := range order {
+		order[i] = i
+	}
+	sort.SliceStable(order, func(i, j int) bool {
+		return step.facts.Demand.Load(pieces[order[i]]) > step.facts.Demand.Load(pieces[order[j]])
+	})
+	given := make([]Owned, len(pieces))
+	for _, i := range order {
+		load := step.facts.Demand.Load(pieces[i])
+		taker := step.leastUsed(owned, load)
+		step.load[taker.ID] += load
+		given[i] = Owned{First: pieces[i].First, Last: pieces[i].Last, Owner: taker.ID, Address: taker.Address, Fence: step.facts.Offset}
 	}
 	return given
 }
 
+// pieces cuts a span by its load, and around a key that has most of it: with its neighbours it would keep an
+// upstream busy that could just serve it alone.
 func (step *step) pieces(span cherrykeel.KeySpan) []cherrykeel.KeySpan {
-	total := 0.0
-	for _, load := range step.load {
-		total += load
-	}
+	wanted := pieceShare * step.total() / float64(len(step.facts.Candidates))
 	whole := step.facts.Demand.Load(span)
-	wanted := pieceShare * total / float64(len(step.facts.Candidates))
-	if wanted <= 0 {
+	if wanted <= 0 || whole <= wanted {
 		return []cherrykeel.KeySpan{span}
 	}
+	key, load := step.facts.Demand.hottest(span)
+	if load > whole/2 {
+		return around(span, key)
+	}
 	count := min(maxPieces, int(math.Ceil(whole/wanted)))
 	var pieces []cherrykeel.KeySpan
 	for ; count > 1; count-- {
@@ -132,11 +144,34 @@
 	return append(pieces, span)
 }
 
-func (step *step) leastUsed(owned Owned) Candidate {
+// around cuts a key out of a span.
+func around(span cherrykeel.KeySpan, key int) []cherrykeel.KeySpan {
+	var pieces []cherrykeel.KeySpan
+	if span.First < key {
+		pieces = append(pieces, cherrykeel.KeySpan{First: span.First, Last: key - 1})
+	}
+	pieces = append(pieces, cherrykeel.KeySpan{First: key, Last: key})
+	if span.Last > key {
+		pieces = append(pieces, cherrykeel.KeySpan{First: key + 1, Last: span.Last})
+	}
+	return pieces
+}
+
+func (step *step) total() float64 {
+	total := 0.0
+	for _, load := range step.load {
+		total += load
+	}
+	return total
+}
+
+// leastUsed returns the candidate that will have the least use with some more load. By its use before, a key
+// that is hot for all went to a slow one that happened to be idle, for the second that it had to stay there.
+func (step *step) leastUsed(owned Owned, more float64) Candidate {
 	best := Candidate{}
 	bestUse := math.Inf(1)
 	for _, candidate := range step.facts.Candidates {
-		use := step.load[candidate.ID] / max(candidate.Capacity, math.SmallestNonzeroFloat64)
+		use := (step.load[candidate.ID] + more) / max(candidate.Capacity, math.SmallestNonzeroFloat64)
 		if candidate.ID == owned.Owner && owned.Moving && len(step.fit) > 1 {
 			// What was taken for balance does not go back in the same breath.
 			use *= 1 + unevenness
--- a/spans/plan.go
+++ b/spans/plan.go
@@ -38,7 +38,8 @@
 	// overUse is the use at which an upstream is relieved whatever chance may have to do with it: its callers
 	// wait now.
 	overUse = 1.2
-	// smallestGain is the least part of an upstream's use that a move has to bring.
+	// smallestGain is the least part of an upstream's use, or of all that it can do, that a move has to bring. A
+	// share of a use of 4 would leave everything else beside the key that is too hot.
 	smallestGain = 0.1
 	// widthPrice is what the move of all keys would cost, in use: keys that change hands have a price, and
 	// each has no owner while it moves.
@@ -50,8 +51,13 @@
 	// get: anywhere else it would be as much too hot, and the callers would wait for the move in vain.
 	dominant   = 0.6
 	muchFaster = 1.3
-	// maxTakers bounds the upstreams that are considered as takers, the least used first.
-	maxTakers = 6
+	// maxTakers bounds the upstreams that are considered as takers, the least used first, and fastTakers those
+	// besides that are considered for their capacity: a key that is hot for one upstream may be none for them.
+	maxTakers  = 6
+	fastTakers = 3
+	// maxGivers bounds the upstreams that are considered for relief, the most used first. With one alone a key
+	// that is too hot for every upstream kept all others from being relieved for as long as it was hot.
+	maxGivers = 6
 )
 
 // Divide deals the whole key space to the candidates, in shares by capacity, weighing keys by their load.
@@ -141,38 +147,65 @@
 		if !owned.Moving || len(planner.order) == 0 {
 			continue
 		}
+		load := planner.demand.Load(owned.Span())
 		to := planner.order[0]
 		for _, id := range planner.order {
-			if planner.use(id) < planner.use(to) {
+			if planner.useWith(id, load) < planner.useWith(to, load) {
 				to = id
 			}
 		}
-		planner.load[to] += planner.demand.Load(owned.Span())
+		planner.load[to] += load
 		planner.count[to]++
 	}
 }
 
 func (planner *planner) use(id string) float64 {
+	return planner.useWith(id, 0)
+}
+
+// useWith is an upstream's use with some more load.
+func (planner *planner) useWith(id string, more float64) float64 {
 	capacity := planner.candidates[id].Capacity
 	if capacity <= 0 {
 		return 0
 	}
-	return planner.load[id] / capacity
+	return (planner.load[id] + more) / capacity
 }
 
-// next finds the move that helps the most used upstream most.
+// next finds the move that helps the most used upstream most, or the next one if nothing helps that.
 func (planner *planner) next() (Move, bool) {
 	if len(planner.order) < 2 {
 		return Move{}, false
 	}
 	sort.SliceStable(planner.order, func(i, j int) bool { return planner.use(planner.order[i]) < planner.use(planner.order[j]) })
-	from := planner.order[len(planner.order)-1]
-	takers := planner.order[:min(maxTakers, len(planner.order)-1)]
-	newcomer := planner.count[takers[0]] == 0 && planner.load[from] > 0
-	uneven := planner.use(from) >= min(overUse, planner.bound()*planner.mean) && planner.use(from) >= spareUse
-	if !newcomer && !uneven {
-		return Move{}, false
+	last := len(planner.order) - 1
+	for i := last; i > max(0, last-maxGivers); i-- {
+		from := planner.order[i]
+		newcomer := i == last && planner.count[planner.order[0]] == 0 && planner.load[from] > 0
+		uneven := planner.use(from) >= min(overUse, planner.bound()*planner.mean) && planner.use(from) >= spareUse
+		if !newcomer && !uneven {
+			return Move{}, false
+		}
+		move, found := planner.relieve(from, planner.takers(i))
+		if found {
+			return move, true
+		}
 	}
+	return Move{}, false
+}
+
+// takers returns who may take keys from the upstream at a place in the order of use.
+func (planner *planner) takers(giver int) []string {
+	least := min(maxTakers, giver)
+	takers := append([]string(nil), planner.order[:least]...)
+	rest := append([]string(nil), planner.order[least:giver]...)
+	sort.SliceStable(rest, func(i, j int) bool {
+		return planner.candidates[rest[i]].Capacity > planner.candidates[rest[j]].Capacity
+	})
+	return append(takers, rest[:min(fastTakers, len(rest))]...)
+}
+
+func (planner *planner) relieve(from string, takers []string) (Move, bool) {
 	var best Move
 	bestScore := 0.0
 	for _, to := range takers {
@@ -226,7 +259,7 @@
 			if planner.count[to] > 0 {
 				score -= widthPrice*width(span) + busyPrice*load/max(planner.total, load)
 			}
-			if gain >= smallestGain*before && score > bestScore {
+			if gain >= smallestGain*min(before, 1) && score > bestScore {
 				best.Span = span
 				bestScore = score
 			}
