A host that has started makes the others read once, not ten times a second; tables are read each 30 s

A host that starts takes all entries for changes, so it reports the offset of the newest heartbeat; the others compared that with the newest change that they knew, found it higher, read, knew no newer change, and read again at its next report.

Change: what a host has read counts, not only the changes in it. The tables of hosts and spans, of whose changes each host is told and whose newest offsets all report, are read each 30 s in place of 10 s; by the keeper each 2 s.

Ruled out: reports without that offset. A change that a dead reader had not told would be missed by all who rely on the new one.

--- a/entry/duty.go
+++ b/entry/duty.go
@@ -24,13 +24,12 @@
 	// upstreamsPace is the pace of reads of the upstreams' entries, which change with each heartbeat, as a
 	// part of the time in which a leaving upstream may still get work.
 	upstreamsPace = 0.2
-	// seldomPace is the pace of what others tell; it counts only when all their messages are lost.
+	// seldomPace is the pace of what others tell, and report the newest offset of; it counts only when all their
+	// messages are lost.
 	seldomPace = 30 * time.Second
-	// spansPace is the pace of reads of the table, of whose changes its writer tells.
-	spansPace = 10 * time.Second
-	// keeperPace is the same for the keeper. One that the store no longer serves moves no keys, and another
-	// one takes over a second after it has said so.
-	keeperPace = time.Second
+	// keeperPace is the pace of the keeper's reads of its table, of which it tells all others itself. One that
+	// the store no longer serves moves no keys, and another one takes over a second after it has said so.
+	keeperPace = 2 * time.Second
 	// goneAfter is when the record of a silent host is dropped; cuts and freezes of up to 12 s are known,
 	// but a host that is back announces itself again at once.
 	goneAfter = 8 * time.Second
@@ -94,7 +93,7 @@
 	if known && table.Keeper == host.self.Name && table.Life == host.self.Life {
 		return watch.Schedule{Pace: keeperPace}
 	}
-	return watch.Schedule{Pace: spansPace}
+	return watch.Schedule{Pace: seldomPace}
 }
 
 // dropSilent takes away the records of hosts that have been silent for long; one host does so for all.
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -74,12 +74,14 @@
 	return ages
 }
 
-// readThrough tells up to where this host has read without a gap. Upstreams' heartbeats are not told, so
-// there the newest change counts, and each message names the change before.
+// readThrough tells up to where this host has read without a gap. Of upstreams, whose heartbeats are not
+// told, the newest change counts too. A host that has just started takes all that it finds for changes, and
+// reports an offset up to which the others have known all changes and read no heartbeats: they read once. While
+// only the newest change counted they read ten times a second each, until the next change.
 func (host *Host) readThrough() map[string]int64 {
 	return map[string]int64{
 		topicSettings:  host.operatorTopic.Next() - 1,
-		topicUpstreams: host.upstreams.Offset(),
+		topicUpstreams: max(host.upstreams.Offset(), host.upstreamsTopic.Next()-1),
 		topicHosts:     host.hostsTopic.Next() - 1,
 		topicSpans:     host.spansTopic.Next() - 1,
 	}
@@ -126,7 +128,7 @@
 	case topicSettings:
 		host.operatorTopic.Told(told.Records)
 	case topicUpstreams:
-		missed := host.upstreams.Offset() < told.Before
+		missed := host.readThrough()[topicUpstreams] < told.Before
 		host.upstreamsTopic.Told(told.Records)
 		if missed {
 			host.upstreamsTopic.Nudge()
