A keeper tells when its last grants end; successors do not outwait the longest hold for keys that nobody holds

Three owners that had said that they leave ended after it. Its successor knew nothing of its grants: it had to wait 12 s for whatever might have been granted, and granted the silent owners anew, 10 s each time, since the store had just come back. Then all hosts were killed, and the next one waited 12 s again: a quarter of all keys without an owner from 25.7 s to 45 s.

Change: an owner that leaves and has not answered two grants is granted nothing more in the term. Reports of the keeper name such owners and the time in which all that was granted to them has ended; a process that ends while it keeps says so of all owners, twice. Each host passes it on. A successor whose claim replaced exactly that term goes by these times, and asks departed owners no more. An owner that has not answered the last grant gets short holds. If an owner that counts as departed stays after all (its health check lied and messages were lost), the keeper claims a new term for it after 5 s.

Ruled out: taking a refused connection for an owner's end (owners were seen working after it); writing the last holds to the store (it is away, and no clock of it is shared); a word of the keeper alone without passing on (the host that restarts first is mostly the one that claims, and has heard nothing).

The specs of a successor fail without it: owners asked that must not be, 12 s.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -36,6 +36,7 @@
 	report.StoreWell = host.storeWell() > 0
 	report.Offsets = host.offsets()
 	report.Ages = host.ages()
+	report.Finals = host.keeper.Finals()
 }
 
 // Load implements share.State.
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -21,6 +21,8 @@
 	stopPace  = 50 * time.Millisecond
 	// withdrawTimeout bounds the write that takes the host's record away, made this long before the end.
 	withdrawTimeout = 400 * time.Millisecond
+	// finishTimeout bounds the last word of a keeper, which waits for no call.
+	finishTimeout = 50 * time.Millisecond
 )
 
 // stop serves what the balancer still sends, lets each connection end with its next answer, and returns
@@ -51,9 +53,24 @@
 		pause(ctx, stopPace)
 	}
 	<-withdrawn
+	host.finishKeeping(ctx)
 	events.Log(host.logger, events.EntryStopped, zap.Int("Cut", host.server.Open()), zap.Duration("Took", host.clock.Now().Sub(begun)))
 }
 
+// finishKeeping tells the others that this host grants nothing any more, should it be keeper still: it could
+// not resign while the store is away. The word is sent twice, since a datagram may be lost; each host that has
+// it passes it on.
+func (host *Host) finishKeeping(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, finishTimeout)
+	defer cancel()
+	host.keeper.Finish(ctx)
+	if ctx.Err() != nil {
+		return
+	}
+	host.mesh.Farewell()
+	host.mesh.Farewell()
+}
+
 func (host *Host) waitUntil(ctx context.Context, begun cherrykeel.Instant, elapsed time.Duration) {
 	for host.clock.Now().Sub(begun) < elapsed && ctx.Err() == nil {
 		pause(ctx, stopPace)
--- a/grants/change.go
+++ b/grants/change.go
@@ -29,7 +29,7 @@
 // change writes the next table if upstreams joined, left or were lost, or load has shifted.
 func (keeper *Keeper) change(ctx context.Context, table spans.Table, next int64, now cherrykeel.Instant) {
 	keeper.release(ctx, table, now)
-	if keeper.writing || now < keeper.writeAfter || keeper.refused(ctx, table, next) {
+	if keeper.writing || now < keeper.writeAfter || keeper.refused(ctx, table, next) || keeper.revives(ctx, table, next, now) {
 		return
 	}
 	balance := now.Sub(keeper.plannedAt) >= planEvery
@@ -84,7 +84,7 @@
 
 func (keeper *Keeper) lost(id string, now cherrykeel.Instant) bool {
 	contact, known := keeper.contacts[id]
-	return known && contact.misses >= lostAfter && now < contact.lostUntil
+	return known && (contact.departed || contact.misses >= lostAfter && now < contact.lostUntil)
 }
 
 // settled reports whether a span has been with its owner for long enough to be moved. A part of it that has
--- a/grants/claim.go
+++ b/grants/claim.go
@@ -121,6 +121,7 @@
 
 func (keeper *Keeper) claim(ctx context.Context, table spans.Table, next int64, reason string) {
 	claimed := table.Claimed(keeper.self.Name, keeper.self.Life, next)
+	keeper.claimed = claimOf{at: next, before: table.Term}
 	events.Log(keeper.logger, events.KeeperClaimed,
 		zap.String("Reason", reason), zap.String("Before", table.Keeper), zap.Int64("OldTerm", table.Term), zap.Int64("At", next))
 	keeper.write(ctx, claimed, next)
@@ -192,9 +193,9 @@
 		}
 	}
 	known := keeper.mesh.Known()
-	if 2*knowing > known && !keeper.told {
-		keeper.told = true
-		keeper.toldAt = now
+	if 2*knowing > known && !keeper.known {
+		keeper.known = true
+		keeper.knownAt = now
 	}
 	return keeper.noteSure(2*confirming > known, confirming)
 }
@@ -210,9 +211,9 @@
 // bound lowers what the keeper before may have granted to what it can have: it stopped when its
 // evidence had aged, and its last grant ends after the longest hold.
 func (keeper *Keeper) bound(now cherrykeel.Instant) {
-	if !keeper.told {
+	if !keeper.known {
 		return
 	}
-	lastArrival := keeper.toldAt.Add(evidenceAge + callTimeout)
+	lastArrival := keeper.knownAt.Add(evidenceAge + callTimeout)
 	keeper.ledger.Bound(spans.End(lastArrival, keeper.bounds().MaxHold))
 }
--- /dev/null
+++ b/grants/departed.go
@@ -0,0 +1,173 @@
+package grants
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"cherrykeel"
+	"cherrykeel/share"
+	"cherrykeel/spans"
+)
+
+// reviveAfter is how long an owner has to count as departed, and the store to have been well, for one that is
+// listed there still to be taken for alive: the entry of one that has ended lapses after three heartbeats, and
+// is believed to be gone 2.2 s later.
+const reviveAfter = 5 * time.Second
+
+// A keeper tells the other hosts what it grants no more in its term, and when all of that has surely ended: the
+// keys of an owner that has departed, which is one that said that it leaves and answers no grant any more; and
+// at the end of its process the keys of all owners. A successor that knows this need not outwait the longest
+// hold, 12 s, for keys that nobody holds.
+//
+// This is sound since a term has one keeper, which keeps its word until it ends, and a claim replaces exactly
+// the term that it names: what is told of any other term is not used. The time is told as a remainder and
+// counted from when it is read, by each host that passes it on, so that a message that is late can only make
+// the successor wait longer.
+
+// finals is what is known of the grants that a term's keeper makes no more.
+type finals struct {
+	term int64
+	// until is when all that was granted to an owner has ended.
+	until map[string]cherrykeel.Instant
+	// departed owners are not to be asked again.
+	departed map[string]bool
+}
+
+func newFinals(term int64) *finals {
+	return &finals{term: term, until: map[string]cherrykeel.Instant{}, departed: map[string]bool{}}
+}
+
+// claimOf is the claim that this host made last: at the offset that becomes its term, in place of a term.
+type claimOf struct {
+	at     int64
+	before int64
+}
+
+// depart notes that an owner that leaves has not answered; it is not asked again in this term.
+func (contact *contact) depart(now cherrykeel.Instant) {
+	if contact.leaving && contact.misses >= lostAfter && !contact.departed {
+		contact.departed = true
+		contact.departedAt = now
+	}
+}
+
+// revives claims anew if an owner that counts as departed lives and stays: its health check has lied while
+// messages to it were lost. It may be granted keys in the new term only, since hosts remember that it gets none
+// in this one.
+func (keeper *Keeper) revives(ctx context.Context, table spans.Table, next int64, now cherrykeel.Instant) bool {
+	if keeper.world.StoreWell() < reviveAfter {
+		return false
+	}
+	for _, upstream := range keeper.world.Upstreams() {
+		contact, known := keeper.contacts[upstream.ID]
+		if known && contact.departed && !upstream.Leaving && now.Sub(contact.departedAt) >= reviveAfter {
+			keeper.claim(ctx, table, next, "an owner that had departed stays")
+			return true
+		}
+	}
+	return false
+}
+
+// publish puts what is final of this keeper's term where reports take it from: all of it when the keeper ends.
+func (keeper *Keeper) publish(now cherrykeel.Instant, all bool) {
+	told := newFinals(keeper.term)
+	for id, contact := range keeper.contacts {
+		held := keeper.ledger.Held(id)
+		if held != spans.Never && (all || contact.departed) {
+			told.until[id] = max(held, now)
+		}
+		if contact.departed {
+			told.departed[id] = true
+		}
+	}
+	keeper.told.Store(told)
+}
+
+// Finals returns what to report of grants that are made no more in the present term; nil if nothing is known.
+func (keeper *Keeper) Finals() *share.Finals {
+	told := keeper.told.Load()
+	if told == nil || len(told.until) == 0 {
+		return nil
+	}
+	now := keeper.clock.Now()
+	report := &share.Finals{Term: told.term, Within: map[string]time.Duration{}}
+	for id, until := range told.until {
+		report.Within[id] = max(0, until.Sub(now))
+		if told.departed[id] {
+			report.Departed = append(report.Departed, id)
+		}
+	}
+	return report
+}
+
+// remember takes what others report of the present term, in case this host succeeds its keeper, and passes it
+// on: the host that restarts first may be the next one, and has heard nothing of the last one's end.
+func (keeper *Keeper) remember(table spans.Table) {
+	if keeper.finals == nil || keeper.finals.term != table.Term {
+		keeper.finals = newFinals(table.Term)
+	}
+	for _, heard := range keeper.mesh.Reports(evidenceAge) {
+		told := heard.Report.Finals
+		if told == nil || told.Term != table.Term {
+			continue
+		}
+		for id, within := range told.Within {
+			until := heard.At.Add(within)
+			known, exists := keeper.finals.until[id]
+			if !exists || until < known {
+				keeper.finals.until[id] = until
+			}
+		}
+		for _, id := range told.Departed {
+			keeper.finals.departed[id] = true
+		}
+	}
+	keeper.told.Store(&finals{term: table.Term, until: maps.Clone(keeper.finals.until), departed: maps.Clone(keeper.finals.departed)})
+}
+
+// inherited returns what is final of the term that this host's claim has replaced.
+func (keeper *Keeper) inherited(term int64) *finals {
+	if keeper.finals == nil || keeper.claimed.at != term || keeper.claimed.before != keeper.finals.term {
+		return newFinals(term)
+	}
+	return keeper.finals
+}
+
+// inherit takes over the owners of a table: what each may hold, and which of them are not to be asked.
+func (keeper *Keeper) inherit(table spans.Table, now cherrykeel.Instant) {
+	before := keeper.inherited(table.Term)
+	for service, list := range table.Services {
+		for _, owned := range list {
+			until, known := before.until[owned.Owner]
+			if !known {
+				until = spans.Never
+			}
+			keeper.ledger.May(service, owned.Owner, owned.Span(), until)
+			contact := keeper.contact(owned.Owner)
+			contact.departed = before.departed[owned.Owner]
+			contact.departedAt = now
+		}
+	}
+}
+
+// Finish ends all grants by this host for good; afterwards Finals tells when the last ones have ended.
+func (keeper *Keeper) Finish(ctx context.Context) {
+	done := make(chan struct{})
+	select {
+	case keeper.finish <- done:
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// finished publishes the end of this host's term, if it has one.
+func (keeper *Keeper) finished() {
+	if keeper.term >= 0 {
+		keeper.publish(keeper.clock.Now(), true)
+	}
+}
--- /dev/null
+++ b/grants/departed_test.go
@@ -0,0 +1,141 @@
+package grants_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"cherrykeel"
+	"cherrykeel/grants"
+	"cherrykeel/share"
+	"cherrykeel/spans"
+)
+
+var _ = Describe("owners that have departed", func() {
+	var (
+		clock   *shiftedClock
+		store   *fakeStore
+		mesh    *fakeMesh
+		granter *fakeGranter
+		keeper  *grants.Keeper
+	)
+
+	BeforeEach(func() {
+		clock = &shiftedClock{}
+		store = newFakeStore("u1", "u2")
+		mesh = &fakeMesh{clock: clock, known: 1}
+		granter = newFakeGranter()
+		bounds := func() cherrykeel.Bounds { return cherrykeel.Bounds{MaxHold: 10 * time.Second} }
+		keeper = grants.New(cherrykeel.Peer{Name: myself, Life: "life-" + myself}, clock, zap.NewNop(), store, "table", store, store, mesh, granter, bounds)
+		DeferCleanup(func() { Expect(granter.twice).To(BeZero(), "a key had two owners") })
+	})
+
+	run := func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go keeper.Run(ctx)
+	}
+
+	ownerOf := func(key int) func() string {
+		return func() string {
+			table, _, _ := store.Current()
+			owned, _ := table.Find(service, key)
+			return owned.Owner
+		}
+	}
+
+	// resigned is a table whose keeper has given up, with u2's keys held for one second more.
+	resigned := func(finals *share.Finals) {
+		store.table = spans.Table{Version: 0, Term: 0, Keeper: "host-2", Life: "", Services: map[string][]spans.Owned{service: {
+			{First: 0, Last: 29999, Owner: "u1", Address: "u1", Fence: 0}, {First: 30000, Last: cherrykeel.MaxKey, Owner: "u2", Address: "u2", Fence: 0},
+		}}}
+		store.next = 1
+		mesh.finals = finals
+		mesh.hear(store, 3, "host-2", "host-3")
+		granter.dead["u2"] = true
+		granter.held["u2"] = map[cherrykeel.KeySpan]time.Time{{First: 30000, Last: cherrykeel.MaxKey}: time.Now().Add(time.Second)}
+	}
+
+	// The store is away, an owner says when it is asked that it leaves, and then answers no grant. Another grant
+	// would only start its hold anew, and a successor of this keeper could not know when its keys are free.
+	It("are told to the other hosts and granted nothing more", func() {
+		run()
+		Eventually(granter.count("u1"), generous).Should(BeNumerically(">=", 1))
+		Expect(keeper.Finals()).To(BeNil())
+		granter.set(func() { granter.leaving = map[string]bool{"u1": true} })
+		store.set(func() { store.away = true })
+		Eventually(func() time.Duration { return granter.last("u1").Hold }, generous).Should(BeNumerically("<", 3*time.Second))
+		granter.set(func() { granter.dead["u1"] = true })
+		Eventually(func() *share.Finals { return keeper.Finals() }, generous).ShouldNot(BeNil())
+		departed := keeper.Finals()
+		Expect(departed.Within).To(HaveLen(1))
+		Expect(departed.Within["u1"]).To(BeNumerically("<", 4*time.Second))
+		tries := granter.tries("u1")
+		Consistently(func() int { return granter.tries("u1") }, "1s").Should(Equal(tries))
+	})
+
+	// The keeper stops while the store is away. Its successor finds an owner that does not answer; it would
+	// have to wait 12 s for whatever may have been granted to that, and each further grant would begin anew.
+	It("are not asked by a successor, whose keys of theirs are free when they were said to be", func() {
+		resigned(&share.Finals{Term: 0, Within: map[string]time.Duration{"u2": time.Second}, Departed: []string{"u2"}})
+		run()
+		Eventually(ownerOf(40000), generous).Should(Equal("u1"))
+		Expect(granter.tries("u2")).To(BeZero())
+	})
+
+	// The keeper's process ends while the store is away, and an owner dies after it. Nobody could grant that one
+	// anything since; its keys are given on when the successor's own grants to it, short ones, have ended.
+	It("need not be known as such when the keeper has told its end", func() {
+		resigned(&share.Finals{Term: 0, Within: map[string]time.Duration{"u1": time.Second, "u2": time.Second}})
+		store.set(func() { store.unwell = true })
+		run()
+		Eventually(granter.count("u1"), generous).Should(BeNumerically(">=", 1))
+		Eventually(ownerOf(40000), generous).Should(Equal("u1"))
+		Expect(granter.tries("u2")).To(BeNumerically("<=", 2), "it was not granted anew while its keys waited for the longest hold")
+	})
+
+	It("are all told when the keeper ends", func() {
+		run()
+		Eventually(granter.count("u2"), generous).Should(BeNumerically(">=", 1))
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		keeper.Finish(ctx)
+		Expect(keeper.Finals().Within).To(And(HaveKey("u1"), HaveKey("u2")))
+		Expect(keeper.Finals().Departed).To(BeEmpty())
+		tries := granter.tries("u1")
+		Consistently(func() int { return granter.tries("u1") }, "1s").Should(BeNumerically("<=", tries+1))
+	})
+
+	// What was told of another term says nothing: between the two a keeper may have granted anything.
+	It("of another term are not believed", func() {
+		resigned(&share.Finals{Term: 7, Within: map[string]time.Duration{"u2": 0}, Departed: []string{"u2"}})
+		run()
+		Eventually(func() int { return granter.tries("u2") }, generous).Should(BeNumerically(">=", 1))
+		Consistently(ownerOf(40000), "3s").Should(Equal("u2"))
+	})
+
+	// The health check lied, and messages to the owner were lost for a moment. The store lists it as staying
+	// when it is back; without a new term it would never own a key again.
+	It("own keys again in a new term if they stay", func() {
+		run()
+		Eventually(granter.count("u1"), generous).Should(BeNumerically(">=", 1))
+		granter.set(func() { granter.leaving = map[string]bool{"u1": true} })
+		store.set(func() { store.away = true })
+		Eventually(func() time.Duration { return granter.last("u1").Hold }, generous).Should(BeNumerically("<", 3*time.Second))
+		granter.set(func() { granter.dead["u1"] = true })
+		Eventually(func() *share.Finals { return keeper.Finals() }, generous).ShouldNot(BeNil())
+		granter.set(func() { granter.dead["u1"] = false })
+		term := func() int64 {
+			table, _, _ := store.Current()
+			return table.Term
+		}
+		before := term()
+		store.set(func() { store.away = false })
+		Eventually(term, generous).Should(BeNumerically(">", before))
+		tries := granter.tries("u1")
+		Eventually(func() int { return granter.tries("u1") }, generous).Should(BeNumerically(">", tries))
+	})
+})
--- a/grants/fakes_test.go
+++ b/grants/fakes_test.go
@@ -37,10 +37,12 @@
 
 // fakeStore is the log, the view of its table, and the world of one keeper.
 type fakeStore struct {
-	mutex     sync.Mutex
-	table     spans.Table
-	next      int64
-	away      bool
+	mutex sync.Mutex
+	table spans.Table
+	next  int64
+	away  bool
+	// unwell stores have just come back.
+	unwell    bool
 	loseReply bool
 	writes    int
 	upstreams []cherrykeel.Upstream
@@ -132,6 +134,9 @@
 	if store.away {
 		return 0
 	}
+	if store.unwell {
+		return time.Millisecond
+	}
 	return time.Hour
 }
 
@@ -166,6 +171,7 @@
 	clock   *shiftedClock
 	known   int
 	reports []share.Heard
+	finals  *share.Finals
 }
 
 func (mesh *fakeMesh) Reports(age time.Duration) []share.Heard {
@@ -219,7 +225,7 @@
 			mesh.mutex.Lock()
 			mesh.reports = nil
 			for _, name := range names {
-				mesh.reports = append(mesh.reports, share.Heard{At: mesh.clock.Now(), Report: share.Report{Host: name, Term: table.Term, StoreWell: true}})
+				mesh.reports = append(mesh.reports, share.Heard{At: mesh.clock.Now(), Report: share.Report{Host: name, Term: table.Term, StoreWell: true, Finals: mesh.finals}})
 			}
 			mesh.mutex.Unlock()
 			select {
@@ -249,15 +255,18 @@
 	hold     chan struct{}
 	leaving  map[string]bool
 	probed   int
+	// asked counts all grants that were sent, answered or not.
+	asked map[string]int
 }
 
 func newFakeGranter() *fakeGranter {
-	return &fakeGranter{held: map[string]map[cherrykeel.KeySpan]time.Time{}, dead: map[string]bool{}, fences: map[string]int64{}}
+	return &fakeGranter{held: map[string]map[cherrykeel.KeySpan]time.Time{}, dead: map[string]bool{}, fences: map[string]int64{}, asked: map[string]int{}}
 }
 
 func (granter *fakeGranter) Grant(_ context.Context, upstream cherrykeel.Upstream, grant cherrykeel.SpanGrant) error {
 	granter.mutex.Lock()
 	defer granter.mutex.Unlock()
+	granter.asked[upstream.ID]++
 	if granter.dead[upstream.ID] {
 		return errors.WithStack(cherrykeel.ErrNoAnswer)
 	}
@@ -309,6 +318,18 @@
 	return granter.leaving[upstream.ID], nil
 }
 
+func (granter *fakeGranter) tries(id string) int {
+	granter.mutex.Lock()
+	defer granter.mutex.Unlock()
+	return granter.asked[id]
+}
+
+func (granter *fakeGranter) set(change func()) {
+	granter.mutex.Lock()
+	defer granter.mutex.Unlock()
+	change()
+}
+
 func (granter *fakeGranter) count(id string) func() int {
 	return func() int {
 		granter.mutex.Lock()
--- a/grants/keeper.go
+++ b/grants/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -90,18 +91,23 @@
 	results chan func(now cherrykeel.Instant)
 	demands chan share.Demand
 	resign  chan chan struct{}
+	finish  chan chan struct{}
 
 	// The rest belongs to the goroutine of Run.
-	term      int64
-	unsure    bool
-	ledger    spans.Ledger
-	demand    map[string]*spans.Demand
-	work      map[string]map[string]workWord
-	grants    map[grantKey]*grantState
-	releases  map[grantKey]*releaseState
-	contacts  map[string]*contact
-	toldAt    cherrykeel.Instant
-	told      bool
+	term     int64
+	unsure   bool
+	ledger   spans.Ledger
+	demand   map[string]*spans.Demand
+	work     map[string]map[string]workWord
+	grants   map[grantKey]*grantState
+	releases map[grantKey]*releaseState
+	contacts map[string]*contact
+	// knownAt is since when more than half of the hosts have known the term.
+	knownAt cherrykeel.Instant
+	known   bool
+	// finals are those of the present term while another host keeps, claimed is the last claim of this host.
+	finals    *finals
+	claimed   claimOf
 	plannedAt cherrykeel.Instant
 	writing   bool
 	started   cherrykeel.Instant
@@ -116,6 +122,9 @@
 	openSince       cherrykeel.Instant
 	holderStoreless bool
 	storelessAt     cherrykeel.Instant
+
+	// told is what reports say of grants that are made no more; any goroutine may read it.
+	told atomic.Pointer[finals]
 }
 
 // New returns a keeper that keeps nothing yet.
@@ -124,8 +133,8 @@
 		self: self, clock: clock, logger: logger, log: log, key: key, table: table, world: world, mesh: mesh,
 		granter: granter, bounds: bounds, pool: pond.NewPool(callsAtOnce),
 		results: make(chan func(cherrykeel.Instant), 4*callsAtOnce), demands: make(chan share.Demand, callsAtOnce),
-		resign: make(chan chan struct{}, 1),
-		term:   -1, demand: map[string]*spans.Demand{}, work: map[string]map[string]workWord{}, grants: map[grantKey]*grantState{},
+		resign: make(chan chan struct{}, 1), finish: make(chan chan struct{}, 1),
+		term: -1, demand: map[string]*spans.Demand{}, work: map[string]map[string]workWord{}, grants: map[grantKey]*grantState{},
 		releases: map[grantKey]*releaseState{}, contacts: map[string]*contact{}, seenTable: -1,
 	}
 }
@@ -174,6 +183,10 @@
 		case done := <-keeper.resign:
 			keeper.giveUp(ctx)
 			close(done)
+		case done := <-keeper.finish:
+			keeper.finished()
+			close(done)
+			return
 		}
 	}
 }
@@ -252,15 +265,17 @@
 	}
 	if table.Keeper != keeper.self.Name || table.Life != keeper.self.Life {
 		keeper.stand(table)
+		keeper.remember(table)
 		keeper.consider(ctx, table, next, now)
 		return
 	}
-	keeper.enter(table)
+	keeper.enter(table, now)
 	if !keeper.sure(table.Term, now) {
 		return
 	}
 	keeper.bound(now)
 	keeper.ledger.Forget(now)
+	keeper.publish(now, false)
 	keeper.change(ctx, table, next, now)
 	keeper.probe(ctx, table, now)
 	keeper.renew(ctx, table, now)
@@ -273,6 +288,7 @@
 	}
 	events.Log(keeper.logger, events.KeeperResigned, zap.Int64("Term", keeper.term), zap.String("Keeper", table.Keeper), zap.Int64("NewTerm", table.Term))
 	keeper.term = -1
+	keeper.told.Store(nil)
 	keeper.grants = map[grantKey]*grantState{}
 	keeper.releases = map[grantKey]*releaseState{}
 	keeper.contacts = map[string]*contact{}
@@ -281,20 +297,16 @@
 
 // enter takes up the duty of a term: whoever kept before may have granted all that the table says, and
 // may go on until enough hosts know the new term.
-func (keeper *Keeper) enter(table spans.Table) {
+func (keeper *Keeper) enter(table spans.Table, now cherrykeel.Instant) {
 	if keeper.term == table.Term {
 		return
 	}
 	keeper.term = table.Term
-	keeper.told = false
+	keeper.known = false
 	keeper.grants = map[grantKey]*grantState{}
 	keeper.releases = map[grantKey]*releaseState{}
 	keeper.contacts = map[string]*contact{}
 	keeper.ledger = spans.Ledger{}
-	for service, list := range table.Services {
-		for _, owned := range list {
-			keeper.ledger.May(service, owned.Owner, owned.Span(), spans.Never)
-		}
-	}
+	keeper.inherit(table, now)
 	events.Log(keeper.logger, events.KeeperClaimed, zap.Int64("Term", table.Term), zap.Int("Hosts", keeper.mesh.Known()))
 }
--- a/grants/renew.go
+++ b/grants/renew.go
@@ -53,6 +53,8 @@
 
 // contact is what is known of an upstream's answers to grants.
 type contact struct {
+	// answers says that it has answered the last grant.
+	answers   bool
 	misses    int
 	lostUntil cherrykeel.Instant
 	// probing says that it is being asked whether it leaves; leaving is what it said last.
@@ -60,6 +62,9 @@
 	probed   bool
 	probedAt cherrykeel.Instant
 	leaving  bool
+	// departed says that it is granted nothing any more in this term, as this host has known since departedAt.
+	departed   bool
+	departedAt cherrykeel.Instant
 }
 
 func (keeper *Keeper) contact(id string) *contact {
@@ -72,9 +77,11 @@
 }
 
 // hold is longer while the store is away: should this keeper die then, nobody can take over before the
-// store is back, and the owners go on until then. An owner that leaves is soon gone whoever keeps.
+// store is back, and the owners go on until then. An owner that leaves is soon gone whoever keeps, and one
+// that does not answer may be gone: a long hold would only keep its keys from others.
 func (keeper *Keeper) hold(owner string) time.Duration {
-	if keeper.world.StoreWell() >= calmStore || keeper.contact(owner).leaving {
+	contact := keeper.contact(owner)
+	if keeper.world.StoreWell() >= calmStore || contact.leaving || !contact.answers {
 		return min(calmHold, keeper.bounds().MaxHold)
 	}
 	return keeper.bounds().MaxHold
@@ -182,6 +189,7 @@
 	case err == nil:
 		keeper.ledger.Holds(key.service, key.owner, key.span, spans.End(now, grant.Hold))
 		contact.misses = 0
+		contact.answers = true
 		if !state.taken {
 			keeper.noteTaken(state, now)
 			events.Log(keeper.logger, events.SpanGiven, append(fields, zap.Bool("Handover", grant.Handover != ""), zap.Duration("Hold", grant.Hold))...)
@@ -195,9 +203,11 @@
 		keeper.world.Ended(key.owner)
 	default:
 		contact.misses++
+		contact.answers = false
 		if contact.misses >= lostAfter {
 			contact.lostUntil = now.Add(lostFor)
 		}
+		contact.depart(now)
 		if contact.misses <= lostAfter {
 			events.Log(keeper.logger, events.GrantOpen, append(fields, zap.Int("Misses", contact.misses), zap.Error(err))...)
 		}
--- a/share/message.go
+++ b/share/message.go
@@ -39,6 +39,17 @@
 	// Ages has, by topic, how long before this report the host's own last read of it was begun. Together
 	// with Offsets it tells how old the receiver's knowledge is; reads longer ago are left out.
 	Ages map[string]time.Duration `json:",omitempty"`
+	// Finals is told by the keeper of spans, and passed on by the others.
+	Finals *Finals `json:",omitempty"`
+}
+
+// Finals tells of owners that the keeper of a term grants nothing any more.
+type Finals struct {
+	Term int64
+	// Within is the time from this report in which all that was granted to an owner has surely ended.
+	Within map[string]time.Duration
+	// Departed are owners that leave and answer nothing any more.
+	Departed []string `json:",omitempty"`
 }
 
 // Counts are requests at upstreams and waiting. They are sent most often of all, so upstreams and services
--- a/share/send.go
+++ b/share/send.go
@@ -60,9 +60,9 @@
 	report := Report{Host: mesh.self.Name, Life: mesh.self.Life, Term: -1}
 	mesh.state.Report(&report)
 	mesh.noteStore(report.StoreWell)
-	// Ages are other ones in each report; that alone is no change to tell of.
-	ages := report.Ages
-	report.Ages = nil
+	// Times are other ones in each report; that alone is no change to tell of.
+	ages, finals := report.Ages, report.Finals
+	report.Ages, report.Finals = nil, nil
 	pace := reportEvery
 	if !mesh.currentPlan().Full {
 		pace *= reportSlowdown
@@ -73,10 +73,21 @@
 	sender.report = report
 	sender.reportAt = now
 	report.Sequence = mesh.nextSequence()
-	report.Ages = ages
+	report.Ages, report.Finals = ages, finals
 	mesh.send(methodReport, report, mesh.reportTo(now))
 }
 
+// Farewell reports to all hosts once more, whatever was reported before.
+func (mesh *Mesh) Farewell() {
+	report := Report{Host: mesh.self.Name, Life: mesh.self.Life, Term: -1}
+	mesh.state.Report(&report)
+	report.Sequence = mesh.nextSequence()
+	mesh.mutex.Lock()
+	names := mesh.names()
+	mesh.mutex.Unlock()
+	mesh.send(methodReport, report, names)
+}
+
 func (mesh *Mesh) noteStore(well bool) {
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
