An unanswered grant's end is kept though a shorter one was answered

Reading found one that fits: the ledger replaced all that an owner may hold by what an answered grant gives it, also grants of the same fence that were sent before and not answered. These may be carried out later, and are longer when the store was unwell as they were sent.

Change: the ledger keeps each sent grant until it is answered or refused, has ended, or a release with a higher fence has been answered. Only what was answered is replaced.

Ruled out: releases (their fence is above that of all grants), another process at the address (none was seen), a successor's use of finals (they are taken from the same ledger, which now has these grants).

--- a/grants/renew.go
+++ b/grants/renew.go
@@ -158,7 +158,7 @@
 	state.pending = true
 	state.sent = true
 	state.sentAt = now
-	keeper.ledger.May(key.service, key.owner, key.span, spans.End(now.Add(callTimeout), grant.Hold))
+	call := keeper.ledger.Sent(key.service, key.owner, key.span, spans.End(now.Add(callTimeout), grant.Hold))
 	term := keeper.term
 	keeper.pool.Submit(func() {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -172,9 +172,13 @@
 		}
 		keeper.results <- func(now cherrykeel.Instant) {
 			state.pending = false
-			if keeper.term == term {
-				keeper.granted(key, state, grant, err, now)
+			if keeper.term != term {
+				return
 			}
+			if err == nil || errors.Is(err, cherrykeel.ErrFenced) {
+				keeper.ledger.Answered(call)
+			}
+			keeper.granted(key, state, grant, err, now)
 		}
 	})
 }
--- a/spans/ledger.go
+++ b/spans/ledger.go
@@ -18,12 +18,15 @@
 	owner   string
 	span    cherrykeel.KeySpan
 	until   cherrykeel.Instant
+	// call is the grant that was sent and not answered, or 0. It may be carried out after later ones.
+	call int64
 }
 
 // Ledger knows the latest time until which each upstream may hold each span. Two upstreams
 // that hold one key are two owners of its state, so nothing is granted that another may hold.
 type Ledger struct {
 	holds []hold
+	calls int64
 }
 
 // End returns when a hold that arrives by the given time has surely ended.
@@ -35,7 +38,7 @@
 func (ledger *Ledger) May(service, owner string, span cherrykeel.KeySpan, until cherrykeel.Instant) {
 	kept := ledger.holds[:0]
 	for _, old := range ledger.holds {
-		covered := old.service == service && old.owner == owner && old.until <= until &&
+		covered := old.call == 0 && old.service == service && old.owner == owner && old.until <= until &&
 			old.span.First >= span.First && old.span.Last <= span.Last
 		if !covered {
 			kept = append(kept, old)
@@ -44,18 +47,44 @@
 	ledger.holds = append(kept, hold{service: service, owner: owner, span: span, until: until})
 }
 
-// Holds notes that an upstream holds a span until a time and no longer: it took a grant whose
-// fence is above that of all that was sent to it before.
+// Sent notes a grant that is under way, and returns its number. Until it is answered it may be carried out at
+// any time up to until, also after a later one of the same fence that was answered.
+func (ledger *Ledger) Sent(service, owner string, span cherrykeel.KeySpan, until cherrykeel.Instant) int64 {
+	ledger.calls++
+	ledger.holds = append(ledger.holds, hold{service: service, owner: owner, span: span, until: until, call: ledger.calls})
+	return ledger.calls
+}
+
+// Answered notes that a grant was carried out or refused, and will not be carried out later.
+func (ledger *Ledger) Answered(call int64) {
+	kept := ledger.holds[:0]
+	for _, old := range ledger.holds {
+		if old.call != call {
+			kept = append(kept, old)
+		}
+	}
+	ledger.holds = kept
+}
+
+// Holds notes that an upstream has answered a grant of a span and holds it until a time: no longer by any
+// earlier grant, but for those that were not answered. A long hold whose answer was lost, followed by a short
+// one that was answered, was forgotten once; carried out late, it had the upstream work on keys that another
+// one was given meanwhile.
 func (ledger *Ledger) Holds(service, owner string, span cherrykeel.KeySpan, until cherrykeel.Instant) {
-	ledger.Freed(service, owner, span)
+	ledger.cut(span, func(old hold) bool { return old.call == 0 && old.service == service && old.owner == owner })
 	ledger.May(service, owner, span, until)
 }
 
-// Freed notes that an upstream holds a span no longer.
+// Freed notes that an upstream holds a span no longer, and takes no grant that was sent before.
 func (ledger *Ledger) Freed(service, owner string, span cherrykeel.KeySpan) {
+	ledger.cut(span, func(old hold) bool { return old.service == service && old.owner == owner })
+}
+
+// cut takes a span out of the holds that are chosen.
+func (ledger *Ledger) cut(span cherrykeel.KeySpan, chosen func(old hold) bool) {
 	var kept []hold
 	for _, old := range ledger.holds {
-		if old.service != service || old.owner != owner {
+		if !chosen(old) {
 			kept = append(kept, old)
 			continue
 		}
--- a/spans/suite_test.go
+++ b/spans/suite_test.go
@@ -49,6 +49,25 @@
 		Expect(ledger.FreeAt(service, "a", span(10, 10))).To(BeZero())
 	})
 
+	// A grant of 10 s is sent and its answer lost; one of 2.5 s under the same fence is answered. The first may
+	// be carried out seconds later, after the second, though its time counts from its arrival: the upstream
+	// works until then on keys that would have been given on.
+	It("keeps an unanswered grant's end though a shorter one was answered", func() {
+		var ledger spans.Ledger
+		all := cherrykeel.KeySpan{First: 0, Last: 99}
+		part := cherrykeel.KeySpan{First: 50, Last: 99}
+		long := ledger.Sent(service, "a", all, at(10*time.Second))
+		short := ledger.Sent(service, "a", part, at(4*time.Second))
+		ledger.Answered(short)
+		ledger.Holds(service, "a", part, at(3*time.Second))
+		Expect(ledger.FreeAt(service, "", part)).To(Equal(at(10 * time.Second)))
+		ledger.Answered(long)
+		Expect(ledger.FreeAt(service, "", part)).To(Equal(at(3 * time.Second)))
+		ledger.Sent(service, "a", part, at(10*time.Second))
+		ledger.Freed(service, "a", part)
+		Expect(ledger.FreeAt(service, "", part)).To(BeZero(), "a release raises the fence above all that was sent")
+	})
+
 	It("frees a part of a span", func() {
 		var ledger spans.Ledger
 		ledger.Holds(service, "a", span(0, 99), at(5*time.Second))
