Figures of the played loads as the specs give them

The comment on standing queues said 62% in target, which was the figure of a variant that held every queue at the target at once.

--- a/flow/owned.go
+++ b/flow/owned.go
@@ -73,7 +73,8 @@
 // hasTurn reports whether this host may send one more request to an owner. While requests wait anywhere each
 // host has a share of the owner's room, by what it has running and waiting. Without shares whoever gets an
 // answer sends the next request at once, so that a host without a running one waits until its requests are
-// given up, and several hosts that see the same free slot all send.
+// given up, and several hosts that see the same free slot all send. In the played load of 150 requests a second
+// for 158 that an owner can do, 96% are answered within their target in place of 92%.
 func (owned *owned) hasTurn(member *member) bool {
 	waiting := owned.queued[member.upstream.ID]
 	if waiting+member.otherWaiting == 0 || member.load() < member.upstream.Slots {
--- a/flow/standing.go
+++ b/flow/standing.go
@@ -22,7 +22,7 @@
 // request waits through it: all are answered late, and as many are refused as with a short one. So a queue
 // that has kept answers beyond the target for as long as the time to the target is let grow only as far as
 // answers still meet it. A burst that ends sooner is served late, not refused. In the played load of a key
-// with 190 requests a second for 158 that its owner can do, 62% are answered within their target in place
+// with 190 requests a second for 158 that its owner can do, 57% are answered within their target in place
 // of 47%, and 10% in place of 8% fail in the end.
 type standing struct {
 	stands bool
