The keeper tells by what evidence a span was free when it is given on; orders are counted with their wait for a worker

Cause: in the incident of a key given on under its holder's work nothing said why the keeper held the key for free. Change: event 711 (From, To, FreeBy, FreeFor), Waited in 705 and 707, counters of orders by result and of evidence. No change of decisions.

--- a/entry/host.go
+++ b/entry/host.go
@@ -182,7 +182,7 @@
 	host.spans.SetLongestHold(func() time.Duration { return host.currentBounds().MaxHold })
 	host.upstreams.SetHealth(host.upstreamsTopic.WellFor)
 	host.keeper = grants.New(host.self, host.clock, host.logger, host.platform.Spans, watch.SpansKey, &ownTable{host: host},
-		&world{host: host}, host.mesh, host.platform.Granter, host.currentBounds)
+		&world{host: host}, host.mesh, host.platform.Granter, host.currentBounds, grants.WithMetrics(host.scope))
 }
 
 func (host *Host) spansChanged() {
--- a/events/events.go
+++ b/events/events.go
@@ -110,6 +110,7 @@
 	SpanGiven      = define(708, zap.InfoLevel, "span was given to an owner")
 	OwnerLeaves    = define(709, zap.InfoLevel, "owner was asked whether it leaves")
 	HoldsChanged   = define(710, zap.InfoLevel, "holds are long, or usual again")
+	SpanGivenOn    = define(711, zap.InfoLevel, "free span is given on")
 )
 
 // Log writes one line for the event.
--- a/grants/change.go
+++ b/grants/change.go
@@ -24,7 +24,9 @@
 	pending  bool
 	done     bool
 	failedAt cherrykeel.Instant
-	handover string
+	// answeredAt is when the upstream said that its work on the keys had ended.
+	answeredAt cherrykeel.Instant
+	handover   string
 }
 
 // again reports whether a release that went unanswered is to be sent once more. A release is never refused and
@@ -56,6 +58,7 @@
 		return
 	}
 	events.Log(keeper.logger, events.KeeperChanged, zap.Int64("At", next), zap.Int64("Term", table.Term))
+	keeper.logGiven(table, proposal, next, now)
 	keeper.write(ctx, proposal, next)
 }
 
@@ -205,7 +208,9 @@
 	keeper.pool.Submit(func() {
 		ctx, cancel := context.WithTimeout(ctx, hold+releaseMargin)
 		defer cancel()
+		waited := keeper.clock.Now().Sub(now)
 		handover, err := keeper.granter.Release(ctx, upstream, key.span, key.fence)
+		keeper.meter.ordered(orderRelease, err, waited)
 		keeper.results <- func(ended cherrykeel.Instant) {
 			state.pending = false
 			keeper.urgent = true
@@ -213,15 +218,16 @@
 				return
 			}
 			state.failedAt = ended
-			keeper.released(key, state, handover, err, ended.Sub(now))
+			state.answeredAt = ended
+			keeper.released(key, state, handover, err, ended.Sub(now), waited)
 		}
 	})
 }
 
-func (keeper *Keeper) released(key grantKey, state *releaseState, handover string, err error, took time.Duration) {
+func (keeper *Keeper) released(key grantKey, state *releaseState, handover string, err error, took, waited time.Duration) {
 	fields := []zap.Field{
 		zap.String("Service", key.service), zap.String("Upstream", key.owner), zap.Int("First", key.span.First),
-		zap.Int("Last", key.span.Last), zap.Duration("Took", took),
+		zap.Int("Last", key.span.Last), zap.Duration("Took", took), zap.Duration("Waited", waited),
 	}
 	if err != nil {
 		events.Log(keeper.logger, events.GrantOpen, append(fields, zap.Error(err))...)
--- a/grants/claim.go
+++ b/grants/claim.go
@@ -216,5 +216,8 @@
 		return
 	}
 	lastArrival := keeper.knownAt.Add(evidenceAge + callTimeout)
-	keeper.ledger.Bound(spans.End(lastArrival, keeper.bounds().MaxHold))
+	until := spans.End(lastArrival, keeper.bounds().MaxHold)
+	for _, owner := range keeper.ledger.Bound(until) {
+		keeper.contact(owner).holds(until)
+	}
 }
--- a/grants/departed.go
+++ b/grants/departed.go
@@ -146,6 +146,9 @@
 			}
 			keeper.ledger.May(service, owned.Owner, owned.Span(), until)
 			contact := keeper.contact(owned.Owner)
+			if known {
+				contact.holds(until)
+			}
 			contact.departed = before.departed[owned.Owner]
 			contact.departedAt = now
 		}
--- /dev/null
+++ b/grants/evidence.go
@@ -0,0 +1,57 @@
+package grants
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"cherrykeel"
+	"cherrykeel/events"
+	"cherrykeel/spans"
+)
+
+// evidence is what tells the keeper that an upstream holds a span no longer.
+type evidence string
+
+const (
+	// answeredRelease is the upstream's answer to a release, which comes when its work on the keys has ended.
+	answeredRelease evidence = "released"
+	// endedProcess is that the upstream's process is known to be gone.
+	endedProcess evidence = "process ended"
+	// passedHold is that the longest hold that it may have been granted has passed.
+	passedHold evidence = "hold passed"
+)
+
+// logGiven tells of each span that a table gives on who had it, and by what evidence it was free for how long. Two
+// owners of one key are traced from here: the evidence that was wrong is named.
+func (keeper *Keeper) logGiven(table, proposal spans.Table, at int64, now cherrykeel.Instant) {
+	for service, list := range table.Services {
+		for _, before := range list {
+			after, found := proposal.Find(service, before.First)
+			if !found || after.Owner == before.Owner {
+				continue
+			}
+			by, since := keeper.freedBy(service, before, now)
+			keeper.meter.gave(by)
+			events.Log(keeper.logger, events.SpanGivenOn,
+				zap.String("Service", service), zap.Int("First", before.First), zap.Int("Last", before.Last),
+				zap.String("From", before.Owner), zap.String("To", after.Owner), zap.Int64("At", at), zap.Int64("Fence", before.Fence),
+				zap.String("FreeBy", string(by)), zap.Duration("FreeFor", since))
+		}
+	}
+}
+
+// freedBy returns the evidence by which a span is free, and for how long it has been.
+func (keeper *Keeper) freedBy(service string, before spans.Owned, now cherrykeel.Instant) (evidence, time.Duration) {
+	for key, state := range keeper.releases {
+		covers := key.service == service && key.owner == before.Owner && key.span.First <= before.First && key.span.Last >= before.Last
+		if covers && state.done {
+			return answeredRelease, now.Sub(state.answeredAt)
+		}
+	}
+	contact := keeper.contact(before.Owner)
+	if contact.ended {
+		return endedProcess, now.Sub(contact.endedAt)
+	}
+	return passedHold, now.Sub(contact.heldUntil)
+}
--- a/grants/keeper.go
+++ b/grants/keeper.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/alitto/pond/v2"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"cherrykeel"
@@ -89,6 +90,7 @@
 	granter cherrykeel.SpanGranter
 	bounds  func() cherrykeel.Bounds
 	pool    pond.Pool
+	meter   meter
 
 	results chan func(now cherrykeel.Instant)
 	demands chan share.Demand
@@ -140,16 +142,30 @@
 	told atomic.Pointer[finals]
 }
 
+// Option changes a Keeper under construction.
+type Option func(*Keeper)
+
+// WithMetrics sets where orders and changes of owners are counted; without it they are not.
+func WithMetrics(scope tally.Scope) Option {
+	return func(keeper *Keeper) {
+		keeper.meter = meter{scope: scope}
+	}
+}
+
 // New returns a keeper that keeps nothing yet.
-func New(self cherrykeel.Peer, clock cherrykeel.Clock, logger *zap.Logger, log cherrykeel.KeyedLog, key string, table Table, world World, mesh Mesh, granter cherrykeel.SpanGranter, bounds func() cherrykeel.Bounds) *Keeper {
-	return &Keeper{
+func New(self cherrykeel.Peer, clock cherrykeel.Clock, logger *zap.Logger, log cherrykeel.KeyedLog, key string, table Table, world World, mesh Mesh, granter cherrykeel.SpanGranter, bounds func() cherrykeel.Bounds, options ...Option) *Keeper {
+	keeper := &Keeper{
 		self: self, clock: clock, logger: logger, log: log, key: key, table: table, world: world, mesh: mesh,
-		granter: granter, bounds: bounds, pool: pond.NewPool(callsAtOnce),
+		granter: granter, bounds: bounds, pool: pond.NewPool(callsAtOnce), meter: meter{scope: tally.NoopScope},
 		results: make(chan func(cherrykeel.Instant), 4*callsAtOnce), demands: make(chan share.Demand, callsAtOnce),
 		resign: make(chan chan struct{}, 1), finish: make(chan chan struct{}, 1),
 		term: -1, demand: map[string]*spans.Demand{}, work: map[string]map[string]workWord{}, meanWorks: map[string]meanWork{}, grants: map[grantKey]*grantState{},
 		releases: map[grantKey]*releaseState{}, contacts: map[string]*contact{}, seenTable: -1,
 	}
+	for _, option := range options {
+		option(keeper)
+	}
+	return keeper
 }
 
 // Resign gives up the spans so that another host claims at once; it returns when that is written or failed.
--- /dev/null
+++ b/grants/meter.go
@@ -0,0 +1,50 @@
+package grants
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"cherrykeel"
+)
+
+// waitBuckets reach from a free worker to the time after which an order is not sent any more.
+var waitBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12)
+
+const (
+	orderGrant   = "grant"
+	orderRelease = "release"
+)
+
+// meter counts orders to upstreams and what came of them, and the evidence by which spans changed hands.
+type meter struct {
+	scope tally.Scope
+}
+
+// ordered counts an order by its result, and how long it waited for a worker.
+func (meter meter) ordered(order string, err error, waited time.Duration) {
+	scope := meter.scope.Tagged(map[string]string{"order": order, "result": result(err)})
+	scope.Counter("orders").Inc(1)
+	meter.scope.Tagged(map[string]string{"order": order}).Histogram("order_wait", waitBuckets).RecordDuration(waited)
+}
+
+// gave counts a span that was given on.
+func (meter meter) gave(by evidence) {
+	meter.scope.Tagged(map[string]string{"free_by": string(by)}).Counter("spans_given_on").Inc(1)
+}
+
+func result(err error) string {
+	switch {
+	case err == nil:
+		return "answered"
+	case errors.Is(err, cherrykeel.ErrFenced):
+		return "fenced"
+	case errors.Is(err, cherrykeel.ErrEnded):
+		return "ended"
+	case errors.Is(err, cherrykeel.ErrNotSent):
+		return "not_sent"
+	default:
+		return "unanswered"
+	}
+}
--- a/grants/renew.go
+++ b/grants/renew.go
@@ -65,6 +65,11 @@
 	// departed says that it is granted nothing any more in this term, as this host has known since departedAt.
 	departed   bool
 	departedAt cherrykeel.Instant
+	// ended says that its process is known to be gone, since endedAt.
+	ended   bool
+	endedAt cherrykeel.Instant
+	// heldUntil is the latest end of all that it was granted in this term.
+	heldUntil cherrykeel.Instant
 	// born is when its present life began, if it says so, and reborn that there was another before in this term.
 	born   int64
 	reborn bool
@@ -85,6 +90,20 @@
 	contact.answers = true
 }
 
+// holds notes that the upstream may hold keys until a time.
+func (contact *contact) holds(until cherrykeel.Instant) {
+	contact.heldUntil = max(contact.heldUntil, until)
+}
+
+// end notes that the upstream's process is gone.
+func (contact *contact) end(now cherrykeel.Instant) {
+	if contact.ended {
+		return
+	}
+	contact.ended = true
+	contact.endedAt = now
+}
+
 // missed notes that a grant went unanswered, which may make the upstream count as lost.
 func (contact *contact) missed(now cherrykeel.Instant) {
 	if contact.misses == 0 {
@@ -134,7 +153,7 @@
 	if state.pending || state.refused || state.sent && now.Sub(state.sentAt) < pace || keeper.lost(key.owner, now) {
 		return
 	}
-	if keeper.ledger.FreeAt(key.service, key.owner, key.span) > now || keeper.ended(key.owner, owned.Address) {
+	if keeper.ledger.FreeAt(key.service, key.owner, key.span) > now || keeper.ended(key.owner, owned.Address, now) {
 		return
 	}
 	keeper.send(ctx, key, state, now)
@@ -160,11 +179,12 @@
 }
 
 // noteEnded takes it that a life of an upstream has ended, unless the next one is known: that may hold keys.
-func (keeper *Keeper) noteEnded(upstream cherrykeel.Upstream) {
+func (keeper *Keeper) noteEnded(upstream cherrykeel.Upstream, now cherrykeel.Instant) {
 	if keeper.contact(upstream.ID).born > upstream.Born {
 		return
 	}
 	keeper.ledger.Ended(upstream.ID)
+	keeper.contact(upstream.ID).end(now)
 	keeper.world.Ended(upstream.ID)
 }
 
@@ -184,11 +204,12 @@
 }
 
 // ended reports whether the upstream's process is known to be gone.
-func (keeper *Keeper) ended(id, address string) bool {
+func (keeper *Keeper) ended(id, address string, now cherrykeel.Instant) bool {
 	if !keeper.world.Replaced(id, address) {
 		return false
 	}
 	keeper.ledger.Ended(id)
+	keeper.contact(id).end(now)
 	return true
 }
 
@@ -197,18 +218,22 @@
 	state.pending = true
 	state.sent = true
 	state.sentAt = now
-	call := keeper.ledger.Sent(key.service, key.owner, key.span, spans.End(now.Add(callTimeout), grant.Hold))
+	until := spans.End(now.Add(callTimeout), grant.Hold)
+	call := keeper.ledger.Sent(key.service, key.owner, key.span, until)
+	keeper.contact(key.owner).holds(until)
 	term := keeper.term
 	keeper.pool.Submit(func() {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		var err error
-		if keeper.clock.Now().Sub(now) > evidenceAge/2 {
+		waited := keeper.clock.Now().Sub(now)
+		if waited > evidenceAge/2 {
 			// The process stood still since the evidence was looked at.
 			err = errors.Wrap(cherrykeel.ErrNotSent, "the evidence has aged")
 		} else {
 			err = keeper.granter.Grant(ctx, state.upstream, grant)
 		}
+		keeper.meter.ordered(orderGrant, err, waited)
 		keeper.results <- func(now cherrykeel.Instant) {
 			state.pending = false
 			if keeper.term != term {
@@ -217,12 +242,12 @@
 			if concluded(err) {
 				keeper.ledger.Answered(call)
 			}
-			keeper.granted(key, state, grant, err, now)
+			keeper.granted(key, state, grant, err, now, waited)
 		}
 	})
 }
 
-func (keeper *Keeper) granted(key grantKey, state *grantState, grant cherrykeel.SpanGrant, err error, now cherrykeel.Instant) {
+func (keeper *Keeper) granted(key grantKey, state *grantState, grant cherrykeel.SpanGrant, err error, now cherrykeel.Instant, waited time.Duration) {
 	fields := []zap.Field{
 		zap.String("Service", key.service), zap.String("Upstream", key.owner),
 		zap.Int("First", key.span.First), zap.Int("Last", key.span.Last), zap.Int64("Fence", key.fence),
@@ -230,7 +255,9 @@
 	contact := keeper.contact(key.owner)
 	switch {
 	case err == nil:
-		keeper.ledger.May(key.service, key.owner, key.span, spans.End(now, grant.Hold))
+		until := spans.End(now, grant.Hold)
+		keeper.ledger.May(key.service, key.owner, key.span, until)
+		contact.holds(until)
 		contact.answered()
 		if !state.taken {
 			keeper.noteTaken(state, now)
@@ -243,12 +270,12 @@
 		events.Log(keeper.logger, events.GrantRefused, fields...)
 	case errors.Is(err, cherrykeel.ErrEnded):
 		keeper.urgent = true
-		keeper.noteEnded(state.upstream)
+		keeper.noteEnded(state.upstream, now)
 	default:
 		contact.missed(now)
 		contact.depart(now)
 		if contact.misses <= lostAfter || contact.lostUntil == now.Add(lostFor) {
-			events.Log(keeper.logger, events.GrantOpen, append(fields, zap.Int("Misses", contact.misses), zap.Bool("Lost", contact.silent(now)), zap.Error(err))...)
+			events.Log(keeper.logger, events.GrantOpen, append(fields, zap.Int("Misses", contact.misses), zap.Bool("Lost", contact.silent(now)), zap.Duration("Waited", waited), zap.Error(err))...)
 		}
 	}
 }
--- a/spans/ledger.go
+++ b/spans/ledger.go
@@ -100,13 +100,16 @@
 	ledger.holds = kept
 }
 
-// Bound gives an end to the holds that had none, which a keeper before may have granted.
-func (ledger *Ledger) Bound(until cherrykeel.Instant) {
+// Bound gives an end to the holds that had none, which a keeper before may have granted, and returns their owners.
+func (ledger *Ledger) Bound(until cherrykeel.Instant) []string {
+	var owners []string
 	for i := range ledger.holds {
 		if ledger.holds[i].until == Never {
 			ledger.holds[i].until = until
+			owners = append(owners, ledger.holds[i].owner)
 		}
 	}
+	return owners
 }
 
 // FreeAt returns when no upstream but the given one can hold any key of the span.
