--- a/cmd/cherrykeel/entry.go
+++ b/cmd/cherrykeel/entry.go
@@ -52,10 +52,11 @@
 	logger := events.NewLogger(sink, zapcore.InfoLevel)
 	scope, handler, closer := newMetrics()
 	defer closer.Close()
+	clock := cherrykeel.SuspendClock()
 	store := adapter.NewStore(settings.StoreURL, transport(storeIdle))
 	host := entry.New(settings, entry.Platform{
 		Dialect:        adapter.Dialect(),
-		Granter:        adapter.NewGranter(transport(orderIdle)),
+		Granter:        adapter.NewGranter(transport(orderIdle), clock),
 		Operator:       store.Topic(adapter.OperatorTopic),
 		Upstreams:      store.Topic(adapter.ServersTopic),
 		Hosts:          store.Topic(adapter.HostsTopic),
@@ -63,7 +64,7 @@
 		RoutesKey:      adapter.RoutesKey,
 		DecodeRoutes:   adapter.DecodeRoutes,
 		DecodeUpstream: adapter.DecodeUpstream,
-	}, entry.WithLogger(logger), entry.WithMetrics(scope, handler))
+	}, entry.WithLogger(logger), entry.WithMetrics(scope, handler), entry.WithClock(clock))
 	err = host.Listen()
 	if err != nil {
 		return &opctl.ExitError{Code: opctl.ExitInvalid, Err: err}
@@ -105,7 +106,7 @@
 
 func transport(idle time.Duration) *http.Transport {
 	return &http.Transport{
-		DialContext:         conns.NewDialer(storeDial, storeSilence).DialContext,
+		DialContext:         conns.ResetOnClose(conns.NewDialer(storeDial, storeSilence)),
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 8,
 		IdleConnTimeout:     idle,
--- a/events/events.go
+++ b/events/events.go
@@ -111,6 +111,7 @@
 	OwnerLeaves    = define(709, zap.InfoLevel, "owner was asked whether it leaves")
 	HoldsChanged   = define(710, zap.InfoLevel, "holds are long, or usual again")
 	SpanGivenOn    = define(711, zap.InfoLevel, "free span is given on")
+	GrantOverdue   = define(712, zap.WarnLevel, "grant waited too long for a worker and was not sent")
 )
 
 // Log writes one line for the event.
--- a/grants/change.go
+++ b/grants/change.go
@@ -205,7 +205,7 @@
 		zap.String("Service", key.service), zap.String("Upstream", key.owner), zap.Int("First", owned.First), zap.Int("Last", owned.Last),
 		zap.Int64("Fence", key.fence), zap.Float64("Load", keeper.demandOf(key.service).Load(owned.Span())), zap.Duration("Hold", hold))
 	term := keeper.term
-	keeper.pool.Submit(func() {
+	keeper.workers.releases.Submit(func() {
 		ctx, cancel := context.WithTimeout(ctx, hold+releaseMargin)
 		defer cancel()
 		waited := keeper.clock.Now().Sub(now)
--- a/grants/claim.go
+++ b/grants/claim.go
@@ -16,8 +16,6 @@
 	// evidenceAge is how old a host's word may be to count. A keeper that is cut off, or slept, stops
 	// granting this long after more than half of the hosts have learned of another term.
 	evidenceAge = time.Second
-	// callTimeout bounds one grant; it is also how long after sending a grant may arrive.
-	callTimeout = 600 * time.Millisecond
 	// writeTimeout bounds one write of the table.
 	writeTimeout = time.Second
 	// firstClaim is how long a host waits after its start to hear from the others.
@@ -135,7 +133,7 @@
 		return
 	}
 	keeper.writing = true
-	keeper.pool.Submit(func() {
+	keeper.workers.writes.Submit(func() {
 		ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 		defer cancel()
 		err := keeper.log.PutAt(ctx, keeper.key, value, at)
@@ -215,7 +213,7 @@
 	if !keeper.known {
 		return
 	}
-	lastArrival := keeper.knownAt.Add(evidenceAge + callTimeout)
+	lastArrival := keeper.knownAt.Add(evidenceAge + arriveWithin)
 	until := spans.End(lastArrival, keeper.bounds().MaxHold)
 	for _, owner := range keeper.ledger.Bound(until) {
 		keeper.contact(owner).holds(until)
--- a/grants/keeper.go
+++ b/grants/keeper.go
@@ -5,7 +5,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/alitto/pond/v2"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
@@ -29,8 +28,6 @@
 	upstreamsPerMove = 16
 	// wordAge is how long a host's word on an upstream's speed counts.
 	wordAge = 3 * time.Second
-	// callsAtOnce bounds the orders under way to upstreams.
-	callsAtOnce = 64
 	// silentKeeper is when another host claims: reports come each 200 ms at the least.
 	silentKeeper = 900 * time.Millisecond
 	// claimStep spreads the claims of several hosts, so that mostly one is made.
@@ -89,7 +86,7 @@
 	mesh    Mesh
 	granter cherrykeel.SpanGranter
 	bounds  func() cherrykeel.Bounds
-	pool    pond.Pool
+	workers workers
 	meter   meter
 
 	results chan func(now cherrykeel.Instant)
@@ -156,7 +153,7 @@
 func New(self cherrykeel.Peer, clock cherrykeel.Clock, logger *zap.Logger, log cherrykeel.KeyedLog, key string, table Table, world World, mesh Mesh, granter cherrykeel.SpanGranter, bounds func() cherrykeel.Bounds, options ...Option) *Keeper {
 	keeper := &Keeper{
 		self: self, clock: clock, logger: logger, log: log, key: key, table: table, world: world, mesh: mesh,
-		granter: granter, bounds: bounds, pool: pond.NewPool(callsAtOnce), meter: meter{scope: tally.NoopScope},
+		granter: granter, bounds: bounds, workers: newWorkers(), meter: meter{scope: tally.NoopScope},
 		results: make(chan func(cherrykeel.Instant), 4*callsAtOnce), demands: make(chan share.Demand, callsAtOnce),
 		resign: make(chan chan struct{}, 1), finish: make(chan chan struct{}, 1),
 		term: -1, demand: map[string]*spans.Demand{}, work: map[string]map[string]workWord{}, meanWorks: map[string]meanWork{}, grants: map[grantKey]*grantState{},
--- a/grants/order_test.go
+++ b/grants/order_test.go
@@ -81,8 +81,8 @@
 	// early, the upstream goes on working on them beside the next owner.
 	It("are counted until the hold of the latest arrival has passed", func() {
 		busy := make(chan struct{})
-		keeper.pool = pond.NewPool(1)
-		keeper.pool.Submit(func() { <-busy })
+		keeper.workers.grants = pond.NewPool(1)
+		keeper.workers.grants.Submit(func() { <-busy })
 		keeper.send(context.Background(), key, &grantState{}, clock.Now())
 		clock.step(400 * time.Millisecond)
 		close(busy)
@@ -95,8 +95,8 @@
 	// lost after two such grants, it would be without its keys for 5 s.
 	It("say nothing about the upstream when they were not sent", func() {
 		busy := make(chan struct{})
-		keeper.pool = pond.NewPool(1)
-		keeper.pool.Submit(func() { <-busy })
+		keeper.workers.grants = pond.NewPool(1)
+		keeper.workers.grants.Submit(func() { <-busy })
 		keeper.send(context.Background(), key, &grantState{}, clock.Now())
 		clock.step(time.Second)
 		close(busy)
--- a/grants/probe.go
+++ b/grants/probe.go
@@ -44,7 +44,7 @@
 	contact.probedAt = now
 	born := contact.born
 	upstream := cherrykeel.Upstream{ID: owned.Owner, Address: owned.Address}
-	keeper.pool.Submit(func() {
+	keeper.workers.probes.Submit(func() {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		leaving, err := keeper.granter.Leaving(ctx, upstream, healthPath)
--- a/grants/renew.go
+++ b/grants/renew.go
@@ -47,6 +47,8 @@
 	cut     bool
 	pending bool
 	refused bool
+	// overdue says that the last one waited too long to be sent.
+	overdue bool
 }
 
 // contact is what is known of an upstream's answers to grants.
@@ -147,7 +149,7 @@
 		state = keeper.newGrant(key, owned)
 	}
 	pace := renewEvery
-	if state.sent && !state.taken || keeper.contact(key.owner).misses > 0 {
+	if state.sent && !state.taken || state.overdue || keeper.contact(key.owner).misses > 0 {
 		pace = retryGrant
 	}
 	if state.pending || state.refused || state.sent && now.Sub(state.sentAt) < pace || keeper.lost(key.owner, now) {
@@ -214,25 +216,21 @@
 }
 
 func (keeper *Keeper) send(ctx context.Context, key grantKey, state *grantState, now cherrykeel.Instant) {
-	grant := cherrykeel.SpanGrant{Span: key.span, Fence: key.fence, Hold: keeper.hold(key.service, key.owner, now), Handover: state.handover}
+	grant := cherrykeel.SpanGrant{
+		Span: key.span, Fence: key.fence, Hold: keeper.hold(key.service, key.owner, now), Handover: state.handover, SendBy: now.Add(callTimeout),
+	}
 	state.pending = true
 	state.sent = true
 	state.sentAt = now
-	until := spans.End(now.Add(callTimeout), grant.Hold)
+	// The grant's time counts from here, for the ledger and for the call: while the call had its whole time from when a
+	// worker took it, up to half a second later, an upstream could hold keys for that long after they were given on.
+	until := spans.End(now.Add(arriveWithin), grant.Hold)
 	call := keeper.ledger.Sent(key.service, key.owner, key.span, until)
 	keeper.contact(key.owner).holds(until)
 	term := keeper.term
-	keeper.pool.Submit(func() {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		var err error
+	keeper.workers.grants.Submit(func() {
 		waited := keeper.clock.Now().Sub(now)
-		if waited > evidenceAge/2 {
-			// The process stood still since the evidence was looked at.
-			err = errors.Wrap(cherrykeel.ErrNotSent, "the evidence has aged")
-		} else {
-			err = keeper.granter.Grant(ctx, state.upstream, grant)
-		}
+		err := keeper.grantIn(ctx, callTimeout-waited, state.upstream, grant)
 		keeper.meter.ordered(orderGrant, err, waited)
 		keeper.results <- func(now cherrykeel.Instant) {
 			state.pending = false
@@ -247,12 +245,23 @@
 	})
 }
 
+// grantIn sends a grant whose time ends after left.
+func (keeper *Keeper) grantIn(ctx context.Context, left time.Duration, upstream cherrykeel.Upstream, grant cherrykeel.SpanGrant) error {
+	if left < callTimeout-longestWait {
+		return errors.WithStack(errOverdue)
+	}
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	return keeper.granter.Grant(ctx, upstream, grant)
+}
+
 func (keeper *Keeper) granted(key grantKey, state *grantState, grant cherrykeel.SpanGrant, err error, now cherrykeel.Instant, waited time.Duration) {
 	fields := []zap.Field{
 		zap.String("Service", key.service), zap.String("Upstream", key.owner),
 		zap.Int("First", key.span.First), zap.Int("Last", key.span.Last), zap.Int64("Fence", key.fence),
 	}
 	contact := keeper.contact(key.owner)
+	state.overdue = errors.Is(err, errOverdue)
 	switch {
 	case err == nil:
 		until := spans.End(now, grant.Hold)
@@ -264,6 +273,8 @@
 			events.Log(keeper.logger, events.SpanGiven, append(fields, zap.Bool("Handover", grant.Handover != ""), zap.Duration("Hold", grant.Hold))...)
 		}
 		state.handover = ""
+	case state.overdue:
+		events.Log(keeper.logger, events.GrantOverdue, append(fields, zap.Duration("Waited", waited))...)
 	case errors.Is(err, cherrykeel.ErrFenced):
 		keeper.urgent = true
 		state.refused = true
--- a/keyspan.go
+++ b/keyspan.go
@@ -45,11 +45,13 @@
 	Hold time.Duration
 	// Handover is what the last owner's release returned, or empty.
 	Handover string
+	// SendBy is when the grant is too old to be sent, on the clock of the host that decided on it; 0 is never.
+	SendBy Instant
 }
 
 // SpanGranter gives spans to upstreams and takes them back.
 type SpanGranter interface {
-	// Grant returns nil when it was taken, ErrFenced when refused, ErrNotSent when no byte of it was sent, and
+	// Grant returns nil when it was taken, ErrFenced when refused, ErrNotSent when no byte of it was sent by its time, and
 	// ErrNoAnswer when it is unknown whether it was taken.
 	Grant(ctx context.Context, upstream Upstream, grant SpanGrant) error
 	// Release stops new work on the span, waits for running work, and returns the handover.
