Failing spec: the late answer of a release frees what its owner was granted after it

Cause: Ledger.Freed takes the span out of all holds of the owner, also those under a higher fence than the release's.

--- /dev/null
+++ b/grants/freed_test.go
@@ -0,0 +1,38 @@
+package grants
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"cherrykeel"
+	"cherrykeel/spans"
+)
+
+var _ = Describe("the answer of a release", func() {
+	// A release waits for running work, and its answer is late. Meanwhile the hold has passed, and the table gives the
+	// span to the same owner again, under a higher fence; that grant's answer is lost. The late answer speaks of the
+	// grants before it only. Taken for all, it frees keys that the owner holds, and if it leaves then they are given on.
+	It("does not free what the owner was granted after it", func() {
+		const service = "halls"
+		clock := &steppedClock{now: cherrykeel.Instant(time.Hour)}
+		granter := &lateGranter{clock: clock, arrivals: make(chan cherrykeel.Instant, 1), release: make(chan struct{})}
+		bounds := func() cherrykeel.Bounds { return cherrykeel.Bounds{MaxHold: 10 * time.Second} }
+		keeper := New(cherrykeel.Peer{Name: "host-1"}, clock, zap.NewNop(), nil, "table", nil, nil, nil, granter, bounds)
+		owned := spans.Owned{First: 0, Last: 99, Owner: "u1", Fence: 4}
+		keeper.releaseOne(context.Background(), grantKey{service: service, owner: "u1", span: owned.Span(), fence: 5}, owned, clock.Now())
+		keeper.send(context.Background(), grantKey{service: service, owner: "u1", span: owned.Span(), fence: 9}, &grantState{}, clock.Now())
+		var arrived cherrykeel.Instant
+		Eventually(granter.arrivals, "20s").Should(Receive(&arrived))
+		close(granter.release)
+		for range 2 {
+			var result func(cherrykeel.Instant)
+			Eventually(keeper.results, "20s").Should(Receive(&result))
+			result(clock.Now())
+		}
+		Expect(keeper.ledger.FreeAt(service, "", owned.Span())).To(BeNumerically(">=", spans.End(arrived, keeper.shortHold())))
+	})
+})
