--- a/events/events.go
+++ b/events/events.go
@@ -110,8 +110,8 @@
 	SpanGiven      = define(708, zap.InfoLevel, "span was given to an owner")
 	OwnerLeaves    = define(709, zap.InfoLevel, "owner was asked whether it leaves")
 	HoldsChanged   = define(710, zap.InfoLevel, "holds are long, or usual again")
-	SpanGivenOn    = define(711, zap.InfoLevel, "free span is given on")
-	GrantOverdue   = define(712, zap.WarnLevel, "grant waited too long for a worker and was not sent")
+	SpanGivenOn    = define(711, zap.InfoLevel, "free span is to be given on")
+	GrantOverdue   = define(712, zap.WarnLevel, "grant waited too long for a worker")
 )
 
 // Log writes one line for the event.
--- a/grants/change.go
+++ b/grants/change.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"cherrykeel"
@@ -58,6 +59,7 @@
 		return
 	}
 	events.Log(keeper.logger, events.KeeperChanged, zap.Int64("At", next), zap.Int64("Term", table.Term))
+	keeper.noteGifts(table, proposal, next)
 	keeper.logGiven(table, proposal, next, now)
 	keeper.write(ctx, proposal, next)
 }
@@ -199,6 +201,7 @@
 func (keeper *Keeper) releaseOne(ctx context.Context, key grantKey, owned spans.Owned, now cherrykeel.Instant) {
 	state := &releaseState{pending: true}
 	keeper.releases[key] = state
+	keeper.withdraw(key)
 	upstream := cherrykeel.Upstream{ID: owned.Owner, Address: owned.Address, Born: owned.Born}
 	hold := keeper.hold(key.service, key.owner, now)
 	events.Log(keeper.logger, events.SpanMoving,
@@ -209,7 +212,7 @@
 		ctx, cancel := context.WithTimeout(ctx, hold+releaseMargin)
 		defer cancel()
 		waited := keeper.clock.Now().Sub(now)
-		handover, err := keeper.granter.Release(ctx, upstream, key.span, key.fence)
+		handover, err := keeper.releaseIn(ctx, waited, upstream, key)
 		keeper.meter.ordered(orderRelease, err, waited)
 		keeper.results <- func(ended cherrykeel.Instant) {
 			state.pending = false
@@ -224,6 +227,25 @@
 	})
 }
 
+// releaseIn sends a release, unless it has waited for long: its owner may have been granted the span again since.
+func (keeper *Keeper) releaseIn(ctx context.Context, waited time.Duration, upstream cherrykeel.Upstream, key grantKey) (string, error) {
+	if waited > longestWait {
+		return "", errors.WithStack(errOverdue)
+	}
+	return keeper.granter.Release(ctx, upstream, key.span, key.fence)
+}
+
+// withdraw takes back the grants of a span that wait for a worker while the span is released. The release leaves at
+// once and raises the fence; a grant that left after it would be refused, as by another keeper's fence.
+func (keeper *Keeper) withdraw(release grantKey) {
+	for key, state := range keeper.grants {
+		same := key.service == release.service && key.owner == release.owner && key.fence < release.fence
+		if same && key.span.First <= release.span.Last && key.span.Last >= release.span.First {
+			state.withdrawn.Store(true)
+		}
+	}
+}
+
 func (keeper *Keeper) released(key grantKey, state *releaseState, handover string, err error, took, waited time.Duration) {
 	fields := []zap.Field{
 		zap.String("Service", key.service), zap.String("Upstream", key.owner), zap.Int("First", key.span.First),
@@ -235,7 +257,7 @@
 	}
 	state.done = true
 	state.handover = handover
-	keeper.ledger.Freed(key.service, key.owner, key.span)
+	keeper.ledger.Freed(key.held())
 	events.Log(keeper.logger, events.SpanFreed, fields...)
 }
 
--- a/grants/claim.go
+++ b/grants/claim.go
@@ -18,6 +18,9 @@
 	evidenceAge = time.Second
 	// writeTimeout bounds one write of the table.
 	writeTimeout = time.Second
+	// reportLate is how much later than it was sent a host may date another's report: it looks for a standstill of its
+	// own each 500 ms at the least.
+	reportLate = 500 * time.Millisecond
 	// firstClaim is how long a host waits after its start to hear from the others.
 	firstClaim = 400 * time.Millisecond
 	// storelessKeeper is how long a keeper may be without the store while others have it.
@@ -213,7 +216,7 @@
 	if !keeper.known {
 		return
 	}
-	lastArrival := keeper.knownAt.Add(evidenceAge + arriveWithin)
+	lastArrival := keeper.knownAt.Add(evidenceAge + reportLate + arriveWithin)
 	until := spans.End(lastArrival, keeper.bounds().MaxHold)
 	for _, owner := range keeper.ledger.Bound(until) {
 		keeper.contact(owner).holds(until)
--- a/grants/departed.go
+++ b/grants/departed.go
@@ -144,7 +144,7 @@
 			if !known {
 				until = spans.Never
 			}
-			keeper.ledger.May(service, owned.Owner, owned.Span(), until)
+			keeper.ledger.May(spans.Held{Service: service, Owner: owned.Owner, Span: owned.Span(), Fence: owned.Fence}, until)
 			contact := keeper.contact(owned.Owner)
 			if known {
 				contact.holds(until)
--- a/grants/doc.go
+++ b/grants/doc.go
@@ -4,5 +4,5 @@
 //
 // All that it does follows from the table that the store holds; a write whose
 // outcome is open is settled by reading on. One goroutine owns the state; calls
-// to upstreams run in a pool and hand their results back to it.
+// to upstreams run in pools and hand their results back to it.
 package grants
--- a/grants/evidence.go
+++ b/grants/evidence.go
@@ -22,8 +22,8 @@
 	passedHold evidence = "hold passed"
 )
 
-// logGiven tells of each span that a table gives on who had it, and by what evidence it was free for how long. Two
-// owners of one key are traced from here: the evidence that was wrong is named.
+// logGiven tells of each span that a proposed table gives on who had it, the first of the upstreams that get it, and by
+// what evidence it has been free for how long. Two owners of one key are traced from here: the evidence is named.
 func (keeper *Keeper) logGiven(table, proposal spans.Table, at int64, now cherrykeel.Instant) {
 	for service, list := range table.Services {
 		for _, before := range list {
@@ -44,7 +44,7 @@
 // freedBy returns the evidence by which a span is free, and for how long it has been.
 func (keeper *Keeper) freedBy(service string, before spans.Owned, now cherrykeel.Instant) (evidence, time.Duration) {
 	for key, state := range keeper.releases {
-		covers := key.service == service && key.owner == before.Owner && key.span.First <= before.First && key.span.Last >= before.Last
+		covers := key.service == service && key.owner == before.Owner && key.fence > before.Fence && key.span.First <= before.First && key.span.Last >= before.Last
 		if covers && state.done {
 			return answeredRelease, now.Sub(state.answeredAt)
 		}
--- a/grants/keeper.go
+++ b/grants/keeper.go
@@ -109,8 +109,10 @@
 	knownAt cherrykeel.Instant
 	known   bool
 	// finals are those of the present term while another host keeps, claimed is the last claim of this host.
-	finals    *finals
-	claimed   claimOf
+	finals  *finals
+	claimed claimOf
+	// gifts are what open writes give on.
+	gifts     []openGift
 	plannedAt cherrykeel.Instant
 	writing   bool
 	started   cherrykeel.Instant
@@ -240,6 +242,7 @@
 		return
 	}
 	keeper.enter(table, now)
+	keeper.settleGifts(next)
 	if !keeper.sure(table.Term, now) {
 		return
 	}
--- a/grants/renew.go
+++ b/grants/renew.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,6 +37,11 @@
 	fence   int64
 }
 
+// held is the span as the ledger knows it.
+func (key grantKey) held() spans.Held {
+	return spans.Held{Service: key.service, Owner: key.owner, Span: key.span, Fence: key.fence}
+}
+
 type grantState struct {
 	upstream cherrykeel.Upstream
 	handover string
@@ -49,6 +55,8 @@
 	refused bool
 	// overdue says that the last one waited too long to be sent.
 	overdue bool
+	// withdrawn grants are not to be sent any more; workers read it.
+	withdrawn atomic.Bool
 }
 
 // contact is what is known of an upstream's answers to grants.
@@ -56,6 +64,8 @@
 	// answers says that it has answered the last grant.
 	answers bool
 	misses  int
+	// underWay counts the grants that are under way.
+	underWay int
 	// missedAt is when the first of the misses in a row came.
 	missedAt  cherrykeel.Instant
 	lostUntil cherrykeel.Instant
@@ -137,7 +147,11 @@
 		}
 	}
 	for key, state := range keeper.grants {
-		if !wanted[key] && !state.pending {
+		if wanted[key] {
+			continue
+		}
+		state.withdrawn.Store(true)
+		if !state.pending {
 			delete(keeper.grants, key)
 		}
 	}
@@ -148,13 +162,21 @@
 	if !exists {
 		state = keeper.newGrant(key, owned)
 	}
+	if state.withdrawn.Load() && !state.pending {
+		state = keeper.newGrant(key, owned)
+	}
+	contact := keeper.contact(key.owner)
 	pace := renewEvery
-	if state.sent && !state.taken || state.overdue || keeper.contact(key.owner).misses > 0 {
+	if state.sent && !state.taken || state.overdue || contact.misses > 0 {
 		pace = retryGrant
 	}
 	if state.pending || state.refused || state.sent && now.Sub(state.sentAt) < pace || keeper.lost(key.owner, now) {
 		return
 	}
+	if contact.misses > 0 && contact.underWay > 0 || keeper.givenOn(key) {
+		// One grant at a time asks an owner that does not answer; more would keep workers from those that do.
+		return
+	}
 	if keeper.ledger.FreeAt(key.service, key.owner, key.span) > now || keeper.ended(key.owner, owned.Address, now) {
 		return
 	}
@@ -199,7 +221,7 @@
 			continue
 		}
 		if known.born > 0 {
-			*known = contact{departed: known.departed, departedAt: known.departedAt, reborn: true}
+			*known = contact{departed: known.departed, departedAt: known.departedAt, reborn: true, underWay: known.underWay}
 		}
 		known.born = upstream.Born
 	}
@@ -225,15 +247,18 @@
 	// The grant's time counts from here, for the ledger and for the call: while the call had its whole time from when a
 	// worker took it, up to half a second later, an upstream could hold keys for that long after they were given on.
 	until := spans.End(now.Add(arriveWithin), grant.Hold)
-	call := keeper.ledger.Sent(key.service, key.owner, key.span, until)
-	keeper.contact(key.owner).holds(until)
+	call := keeper.ledger.Sent(key.held(), until)
+	contact := keeper.contact(key.owner)
+	contact.holds(until)
+	contact.underWay++
 	term := keeper.term
 	keeper.workers.grants.Submit(func() {
 		waited := keeper.clock.Now().Sub(now)
-		err := keeper.grantIn(ctx, callTimeout-waited, state.upstream, grant)
+		err := keeper.grantIn(ctx, callTimeout-waited, state, grant)
 		keeper.meter.ordered(orderGrant, err, waited)
 		keeper.results <- func(now cherrykeel.Instant) {
 			state.pending = false
+			contact.underWay--
 			if keeper.term != term {
 				return
 			}
@@ -246,13 +271,13 @@
 }
 
 // grantIn sends a grant whose time ends after left.
-func (keeper *Keeper) grantIn(ctx context.Context, left time.Duration, upstream cherrykeel.Upstream, grant cherrykeel.SpanGrant) error {
-	if left < callTimeout-longestWait {
+func (keeper *Keeper) grantIn(ctx context.Context, left time.Duration, state *grantState, grant cherrykeel.SpanGrant) error {
+	if left < callTimeout-longestWait || state.withdrawn.Load() {
 		return errors.WithStack(errOverdue)
 	}
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
-	return keeper.granter.Grant(ctx, upstream, grant)
+	return keeper.granter.Grant(ctx, state.upstream, grant)
 }
 
 func (keeper *Keeper) granted(key grantKey, state *grantState, grant cherrykeel.SpanGrant, err error, now cherrykeel.Instant, waited time.Duration) {
@@ -261,11 +286,11 @@
 		zap.Int("First", key.span.First), zap.Int("Last", key.span.Last), zap.Int64("Fence", key.fence),
 	}
 	contact := keeper.contact(key.owner)
-	state.overdue = errors.Is(err, errOverdue)
+	state.overdue = overdue(err, waited, now.Sub(state.sentAt))
 	switch {
 	case err == nil:
 		until := spans.End(now, grant.Hold)
-		keeper.ledger.May(key.service, key.owner, key.span, until)
+		keeper.ledger.May(key.held(), until)
 		contact.holds(until)
 		contact.answered()
 		if !state.taken {
@@ -275,6 +300,8 @@
 		state.handover = ""
 	case state.overdue:
 		events.Log(keeper.logger, events.GrantOverdue, append(fields, zap.Duration("Waited", waited))...)
+	case errors.Is(err, cherrykeel.ErrFenced) && state.withdrawn.Load():
+		// The fence is that of this keeper's own release, or of a grant that joins the span with others.
 	case errors.Is(err, cherrykeel.ErrFenced):
 		keeper.urgent = true
 		state.refused = true
@@ -291,6 +318,16 @@
 	}
 }
 
+// overdue reports whether a grant went unanswered for want of time on this host: it was not sent, or what was left of
+// its time was short. That says nothing of the upstream.
+func overdue(err error, waited, took time.Duration) bool {
+	if err == nil || errors.Is(err, cherrykeel.ErrFenced) || errors.Is(err, cherrykeel.ErrEnded) {
+		return false
+	}
+	late := errors.Is(err, cherrykeel.ErrNotSent) && took > arriveWithin
+	return errors.Is(err, errOverdue) || waited > fairWait || late
+}
+
 // concluded reports whether a grant has been carried out or never will be.
 func concluded(err error) bool {
 	return err == nil || errors.Is(err, cherrykeel.ErrFenced) || errors.Is(err, cherrykeel.ErrNotSent)
--- a/grants/workers.go
+++ b/grants/workers.go
@@ -23,6 +23,8 @@
 	arriveWithin = callTimeout + cancelLate
 	// longestWait is how long a grant may wait for a worker; the evidence that it rests on is too old then.
 	longestWait = evidenceAge / 2
+	// fairWait leaves a grant enough of its time that an upstream which lives answers.
+	fairWait = 200 * time.Millisecond
 )
 
 // errOverdue means that a grant waited too long for a worker and was not sent: it says nothing of the upstream.
--- a/spans/ledger.go
+++ b/spans/ledger.go
@@ -1,6 +1,7 @@
 package spans
 
 import (
+	"math"
 	"time"
 
 	"cherrykeel"
@@ -12,12 +13,18 @@
 // Never is an end that has not been bounded yet.
 const Never = cherrykeel.Instant(1 << 62)
 
+// Held is a span that an upstream was granted under a fence.
+type Held struct {
+	Service string
+	Owner   string
+	Span    cherrykeel.KeySpan
+	Fence   int64
+}
+
 // hold is a span that an upstream may hold until a time.
 type hold struct {
-	service string
-	owner   string
-	span    cherrykeel.KeySpan
-	until   cherrykeel.Instant
+	Held
+	until cherrykeel.Instant
 	// call is the grant that was sent and not answered, or 0. It may be carried out after later ones.
 	call int64
 }
@@ -29,9 +36,10 @@
 	calls int64
 }
 
-// End returns when a hold that arrives by the given time has surely ended.
+// End returns when a hold that arrives by the given time has surely ended: an upstream's clock that runs slow shows
+// its length that much later.
 func End(arrived cherrykeel.Instant, length time.Duration) cherrykeel.Instant {
-	return arrived.Add(length + time.Duration(driftShare*float64(length)))
+	return arrived.Add(time.Duration(math.Ceil(float64(length) / (1 - driftShare))))
 }
 
 // May notes that an upstream may hold a span until a time, besides what it may hold already.
@@ -40,23 +48,27 @@
 // nothing says that it can shorten it. Upstreams that had been granted 10 s while the store was away went by that
 // after a grant of 2.5 s, and their keys had been given on: two upstreams worked on one key for up to 7 s. Only a
 // release, the end of the process, or the end of the longest hold frees keys.
-func (ledger *Ledger) May(service, owner string, span cherrykeel.KeySpan, until cherrykeel.Instant) {
+func (ledger *Ledger) May(held Held, until cherrykeel.Instant) {
 	kept := ledger.holds[:0]
 	for _, old := range ledger.holds {
-		covered := old.call == 0 && old.service == service && old.owner == owner && old.until <= until &&
-			old.span.First >= span.First && old.span.Last <= span.Last
-		if !covered {
+		if old.call != 0 || old.until > until || !held.covers(old.Held) {
 			kept = append(kept, old)
 		}
 	}
-	ledger.holds = append(kept, hold{service: service, owner: owner, span: span, until: until})
+	ledger.holds = append(kept, hold{Held: held, until: until})
+}
+
+// covers reports whether whoever holds this holds the other too, and no release frees this one alone.
+func (held Held) covers(other Held) bool {
+	same := held.Service == other.Service && held.Owner == other.Owner
+	return same && other.Fence <= held.Fence && other.Span.First >= held.Span.First && other.Span.Last <= held.Span.Last
 }
 
 // Sent notes a grant that is under way, and returns its number. Until it is answered it may be carried out at
 // any time up to until, also after a later one of the same fence that was answered.
-func (ledger *Ledger) Sent(service, owner string, span cherrykeel.KeySpan, until cherrykeel.Instant) int64 {
+func (ledger *Ledger) Sent(held Held, until cherrykeel.Instant) int64 {
 	ledger.calls++
-	ledger.holds = append(ledger.holds, hold{service: service, owner: owner, span: span, until: until, call: ledger.calls})
+	ledger.holds = append(ledger.holds, hold{Held: held, until: until, call: ledger.calls})
 	return ledger.calls
 }
 
@@ -71,9 +83,12 @@
 	ledger.holds = kept
 }
 
-// Freed notes that an upstream holds a span no longer, and takes no grant that was sent before.
-func (ledger *Ledger) Freed(service, owner string, span cherrykeel.KeySpan) {
-	ledger.cut(span, func(old hold) bool { return old.service == service && old.owner == owner })
+// Freed notes that a release was answered: by no grant of a lower fence does the upstream hold the span, nor take it.
+// Of a grant under a higher fence, which came after the release was sent, its answer says nothing.
+func (ledger *Ledger) Freed(release Held) {
+	ledger.cut(release.Span, func(old hold) bool {
+		return old.Service == release.Service && old.Owner == release.Owner && old.Fence < release.Fence
+	})
 }
 
 // cut takes a span out of the holds that are chosen.
@@ -93,7 +108,7 @@
 func (ledger *Ledger) Ended(owner string) {
 	kept := ledger.holds[:0]
 	for _, old := range ledger.holds {
-		if old.owner != owner {
+		if old.Owner != owner {
 			kept = append(kept, old)
 		}
 	}
@@ -106,7 +121,7 @@
 	for i := range ledger.holds {
 		if ledger.holds[i].until == Never {
 			ledger.holds[i].until = until
-			owners = append(owners, ledger.holds[i].owner)
+			owners = append(owners, ledger.holds[i].Owner)
 		}
 	}
 	return owners
@@ -116,8 +131,8 @@
 func (ledger *Ledger) FreeAt(service, owner string, span cherrykeel.KeySpan) cherrykeel.Instant {
 	var free cherrykeel.Instant
 	for _, old := range ledger.holds {
-		other := old.service == service && old.owner != owner
-		if other && old.span.First <= span.Last && old.span.Last >= span.First {
+		other := old.Service == service && old.Owner != owner
+		if other && old.Span.First <= span.Last && old.Span.Last >= span.First {
 			free = max(free, old.until)
 		}
 	}
@@ -128,7 +143,7 @@
 func (ledger *Ledger) Held(owner string) cherrykeel.Instant {
 	var until cherrykeel.Instant
 	for _, old := range ledger.holds {
-		if old.owner == owner {
+		if old.Owner == owner {
 			until = max(until, old.until)
 		}
 	}
@@ -147,18 +162,18 @@
 }
 
 func (old hold) without(span cherrykeel.KeySpan) []hold {
-	if span.Last < old.span.First || span.First > old.span.Last {
+	if span.Last < old.Span.First || span.First > old.Span.Last {
 		return []hold{old}
 	}
 	var parts []hold
-	if span.First > old.span.First {
+	if span.First > old.Span.First {
 		left := old
-		left.span.Last = span.First - 1
+		left.Span.Last = span.First - 1
 		parts = append(parts, left)
 	}
-	if span.Last < old.span.Last {
+	if span.Last < old.Span.Last {
 		right := old
-		right.span.First = span.Last + 1
+		right.Span.First = span.Last + 1
 		parts = append(parts, right)
 	}
 	return parts
--- a/watch/upstreams.go
+++ b/watch/upstreams.go
@@ -201,9 +201,18 @@
 		return true
 	}
 	for other, entry := range upstreams.entries {
-		if known && other != id && entry.upstream.Address == address && entry.since > this.since {
+		if known && other != id && entry.upstream.Address == address && entry.follows(this) {
 			return true
 		}
 	}
 	return false
 }
+
+// follows reports whether this entry's upstream came after the other's. A host that has started knows only the newest
+// record of each, and an upstream's last one may be carried out after the first one of the next at its address.
+func (entry *entry) follows(other *entry) bool {
+	if entry.upstream.Born > 0 && other.upstream.Born > 0 {
+		return entry.upstream.Born > other.upstream.Born
+	}
+	return entry.since > other.since
+}
