--- a/grants/change.go
+++ b/grants/change.go
@@ -59,7 +59,7 @@
 		return
 	}
 	events.Log(keeper.logger, events.KeeperChanged, zap.Int64("At", next), zap.Int64("Term", table.Term))
-	keeper.noteGifts(table, proposal, next)
+	keeper.noteTransfers(table, proposal, next)
 	keeper.logGiven(table, proposal, next, now)
 	keeper.write(ctx, proposal, next)
 }
--- a/grants/keeper.go
+++ b/grants/keeper.go
@@ -111,8 +111,8 @@
 	// finals are those of the present term while another host keeps, claimed is the last claim of this host.
 	finals  *finals
 	claimed claimOf
-	// gifts are what open writes give on.
-	gifts     []openGift
+	// transfers are what open writes give on.
+	transfers []openTransfer
 	plannedAt cherrykeel.Instant
 	writing   bool
 	started   cherrykeel.Instant
@@ -242,7 +242,7 @@
 		return
 	}
 	keeper.enter(table, now)
-	keeper.settleGifts(next)
+	keeper.settleTransfers(next)
 	if !keeper.sure(table.Term, now) {
 		return
 	}
--- a/grants/renew.go
+++ b/grants/renew.go
@@ -173,7 +173,7 @@
 	if state.pending || state.refused || state.sent && now.Sub(state.sentAt) < pace || keeper.lost(key.owner, now) {
 		return
 	}
-	if contact.misses > 0 && contact.underWay > 0 || keeper.givenOn(key) {
+	if contact.misses > 0 && contact.underWay > 0 || keeper.transferred(key) {
 		// One grant at a time asks an owner that does not answer; more would keep workers from those that do.
 		return
 	}
--- /dev/null
+++ b/grants/transfer.go
@@ -0,0 +1,53 @@
+package grants
+
+import (
+	"cherrykeel"
+	"cherrykeel/spans"
+)
+
+// A table that was written and whose outcome is not known may be carried out seconds later. What it gives on is then
+// granted to the next owner by whoever reads it, at once: the table names no owner that came before. So an owner that
+// is to lose a span is granted it no more, though the table that is known still names it. An owner that had been lost
+// and answered again was granted its span beside such a write, and the keeper's successor granted it to another.
+
+// openTransfer is a span that an open write gives on.
+type openTransfer struct {
+	service string
+	owner   string
+	span    cherrykeel.KeySpan
+	// at is the offset for which the table was written.
+	at int64
+}
+
+// noteTransfers notes what a proposed table gives on.
+func (keeper *Keeper) noteTransfers(table, proposal spans.Table, at int64) {
+	for service, list := range table.Services {
+		for _, before := range list {
+			if before.Owner != "" && !proposal.Keeps(service, before) {
+				keeper.transfers = append(keeper.transfers, openTransfer{service: service, owner: before.Owner, span: before.Span(), at: at})
+			}
+		}
+	}
+}
+
+// settleTransfers forgets the writes whose offset is taken: their outcome is in the table that is known.
+func (keeper *Keeper) settleTransfers(next int64) {
+	kept := keeper.transfers[:0]
+	for _, transfer := range keeper.transfers {
+		if transfer.at >= next {
+			kept = append(kept, transfer)
+		}
+	}
+	keeper.transfers = kept
+}
+
+// transferred reports whether an open write gives a key of the span from its owner to another.
+func (keeper *Keeper) transferred(key grantKey) bool {
+	for _, transfer := range keeper.transfers {
+		same := transfer.service == key.service && transfer.owner == key.owner
+		if same && transfer.span.First <= key.span.Last && transfer.span.Last >= key.span.First {
+			return true
+		}
+	}
+	return false
+}
