--- a/grants/change.go
+++ b/grants/change.go
@@ -102,7 +102,7 @@
 // settled reports whether a span has been with its owner for long enough to be moved. A part of it that has
 // just been cut off has been there for as long as the whole.
 func (keeper *Keeper) settled(service string, owned spans.Owned, now cherrykeel.Instant) bool {
-	key := grantKey{service: service, owner: owned.Owner, span: owned.Span(), fence: owned.Fence}
+	key := spans.Held{Service: service, Owner: owned.Owner, Span: owned.Span(), Fence: owned.Fence}
 	state, known := keeper.grants[key]
 	if !known {
 		state, known = keeper.covering(key)
@@ -111,10 +111,10 @@
 }
 
 // covering returns the grant of a larger span from which the given one was cut.
-func (keeper *Keeper) covering(key grantKey) (*grantState, bool) {
+func (keeper *Keeper) covering(key spans.Held) (*grantState, bool) {
 	for other, state := range keeper.grants {
-		inside := other.service == key.service && other.owner == key.owner && other.fence == key.fence &&
-			other.span != key.span && other.span.First <= key.span.First && other.span.Last >= key.span.Last
+		inside := other.Service == key.Service && other.Owner == key.Owner && other.Fence == key.Fence &&
+			other.Span != key.Span && other.Span.First <= key.Span.First && other.Span.Last >= key.Span.Last
 		if inside && state.taken {
 			return state, true
 		}
@@ -161,7 +161,7 @@
 
 // release asks owners to give back the spans that the table says are moving.
 func (keeper *Keeper) release(ctx context.Context, table spans.Table, now cherrykeel.Instant) {
-	wanted := map[grantKey]bool{}
+	wanted := map[spans.Held]bool{}
 	for service, list := range table.Services {
 		for _, owned := range list {
 			if !owned.Moving {
@@ -169,7 +169,7 @@
 			}
 			// Every grant of the span bears a fence at or below its own; the release is above them,
 			// so that none of them is taken after it.
-			key := grantKey{service: service, owner: owned.Owner, span: owned.Span(), fence: owned.Fence + 1}
+			key := spans.Held{Service: service, Owner: owned.Owner, Span: owned.Span(), Fence: owned.Fence + 1}
 			wanted[key] = true
 			state, under := keeper.releases[key]
 			if !under || state.again(now) {
@@ -185,12 +185,12 @@
 }
 
 // awaited reports whether a handover has still to be passed on with a grant.
-func (keeper *Keeper) awaited(table spans.Table, key grantKey) bool {
-	for _, owned := range table.Services[key.service] {
-		if owned.First > key.span.Last || owned.Last < key.span.First {
+func (keeper *Keeper) awaited(table spans.Table, key spans.Held) bool {
+	for _, owned := range table.Services[key.Service] {
+		if owned.First > key.Span.Last || owned.Last < key.Span.First {
 			continue
 		}
-		state, known := keeper.grants[grantKey{service: key.service, owner: owned.Owner, span: owned.Span(), fence: owned.Fence}]
+		state, known := keeper.grants[spans.Held{Service: key.Service, Owner: owned.Owner, Span: owned.Span(), Fence: owned.Fence}]
 		if !known || !state.taken {
 			return true
 		}
@@ -198,15 +198,15 @@
 	return false
 }
 
-func (keeper *Keeper) releaseOne(ctx context.Context, key grantKey, owned spans.Owned, now cherrykeel.Instant) {
+func (keeper *Keeper) releaseOne(ctx context.Context, key spans.Held, owned spans.Owned, now cherrykeel.Instant) {
 	state := &releaseState{pending: true}
 	keeper.releases[key] = state
 	keeper.withdraw(key)
 	upstream := cherrykeel.Upstream{ID: owned.Owner, Address: owned.Address, Born: owned.Born}
-	hold := keeper.hold(key.service, key.owner, now)
+	hold := keeper.hold(key.Service, key.Owner, now)
 	events.Log(keeper.logger, events.SpanMoving,
-		zap.String("Service", key.service), zap.String("Upstream", key.owner), zap.Int("First", owned.First), zap.Int("Last", owned.Last),
-		zap.Int64("Fence", key.fence), zap.Float64("Load", keeper.demandOf(key.service).Load(owned.Span())), zap.Duration("Hold", hold))
+		zap.String("Service", key.Service), zap.String("Upstream", key.Owner), zap.Int("First", owned.First), zap.Int("Last", owned.Last),
+		zap.Int64("Fence", key.Fence), zap.Float64("Load", keeper.demandOf(key.Service).Load(owned.Span())), zap.Duration("Hold", hold))
 	term := keeper.term
 	keeper.workers.releases.Submit(func() {
 		ctx, cancel := context.WithTimeout(ctx, hold+releaseMargin)
@@ -228,28 +228,28 @@
 }
 
 // releaseIn sends a release, unless it has waited for long: its owner may have been granted the span again since.
-func (keeper *Keeper) releaseIn(ctx context.Context, waited time.Duration, upstream cherrykeel.Upstream, key grantKey) (string, error) {
+func (keeper *Keeper) releaseIn(ctx context.Context, waited time.Duration, upstream cherrykeel.Upstream, key spans.Held) (string, error) {
 	if waited > longestWait {
 		return "", errors.WithStack(errOverdue)
 	}
-	return keeper.granter.Release(ctx, upstream, key.span, key.fence)
+	return keeper.granter.Release(ctx, upstream, key.Span, key.Fence)
 }
 
 // withdraw takes back the grants of a span that wait for a worker while the span is released. The release leaves at
 // once and raises the fence; a grant that left after it would be refused, as by another keeper's fence.
-func (keeper *Keeper) withdraw(release grantKey) {
+func (keeper *Keeper) withdraw(release spans.Held) {
 	for key, state := range keeper.grants {
-		same := key.service == release.service && key.owner == release.owner && key.fence < release.fence
-		if same && key.span.First <= release.span.Last && key.span.Last >= release.span.First {
+		same := key.Service == release.Service && key.Owner == release.Owner && key.Fence < release.Fence
+		if same && key.Span.First <= release.Span.Last && key.Span.Last >= release.Span.First {
 			state.withdrawn.Store(true)
 		}
 	}
 }
 
-func (keeper *Keeper) released(key grantKey, state *releaseState, handover string, err error, took, waited time.Duration) {
+func (keeper *Keeper) released(key spans.Held, state *releaseState, handover string, err error, took, waited time.Duration) {
 	fields := []zap.Field{
-		zap.String("Service", key.service), zap.String("Upstream", key.owner), zap.Int("First", key.span.First),
-		zap.Int("Last", key.span.Last), zap.Duration("Took", took), zap.Duration("Waited", waited),
+		zap.String("Service", key.Service), zap.String("Upstream", key.Owner), zap.Int("First", key.Span.First),
+		zap.Int("Last", key.Span.Last), zap.Duration("Took", took), zap.Duration("Waited", waited),
 	}
 	if err != nil {
 		events.Log(keeper.logger, events.GrantOpen, append(fields, zap.Error(err))...)
@@ -257,15 +257,15 @@
 	}
 	state.done = true
 	state.handover = handover
-	keeper.ledger.Freed(key.held())
+	keeper.ledger.Freed(key)
 	events.Log(keeper.logger, events.SpanFreed, fields...)
 }
 
 // handover returns what the last owner gave for keys that another owner gets now.
-func (keeper *Keeper) handover(key grantKey) string {
+func (keeper *Keeper) handover(key spans.Held) string {
 	for released, state := range keeper.releases {
-		covers := released.service == key.service && released.span.First <= key.span.First && released.span.Last >= key.span.Last
-		if covers && state.done && released.fence <= key.fence {
+		covers := released.Service == key.Service && released.Span.First <= key.Span.First && released.Span.Last >= key.Span.Last
+		if covers && state.done && released.Fence <= key.Fence {
 			return state.handover
 		}
 	}
--- a/grants/evidence.go
+++ b/grants/evidence.go
@@ -44,7 +44,7 @@
 // freedBy returns the evidence by which a span is free, and for how long it has been.
 func (keeper *Keeper) freedBy(service string, before spans.Owned, now cherrykeel.Instant) (evidence, time.Duration) {
 	for key, state := range keeper.releases {
-		covers := key.service == service && key.owner == before.Owner && key.fence > before.Fence && key.span.First <= before.First && key.span.Last >= before.Last
+		covers := key.Service == service && key.Owner == before.Owner && key.Fence > before.Fence && key.Span.First <= before.First && key.Span.Last >= before.Last
 		if covers && state.done {
 			return answeredRelease, now.Sub(state.answeredAt)
 		}
--- a/grants/meter.go
+++ b/grants/meter.go
@@ -42,6 +42,8 @@
 		return "fenced"
 	case errors.Is(err, cherrykeel.ErrEnded):
 		return "ended"
+	case errors.Is(err, errWithdrawn):
+		return "withdrawn"
 	case errors.Is(err, errOverdue):
 		return "overdue"
 	case errors.Is(err, cherrykeel.ErrNotSent):
--- a/grants/renew.go
+++ b/grants/renew.go
@@ -5,11 +5,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-	"go.uber.org/zap"
-
 	"cherrykeel"
-	"cherrykeel/events"
 	"cherrykeel/spans"
 )
 
@@ -30,18 +26,6 @@
 	lostFor = 5 * time.Second
 )
 
-type grantKey struct {
-	service string
-	owner   string
-	span    cherrykeel.KeySpan
-	fence   int64
-}
-
-// held is the span as the ledger knows it.
-func (key grantKey) held() spans.Held {
-	return spans.Held{Service: key.service, Owner: key.owner, Span: key.span, Fence: key.fence}
-}
-
 type grantState struct {
 	upstream cherrykeel.Upstream
 	handover string
@@ -53,7 +37,7 @@
 	cut     bool
 	pending bool
 	refused bool
-	// overdue says that the last one waited too long to be sent.
+	// overdue says that the last one went unanswered for want of time on this host.
 	overdue bool
 	// withdrawn grants are not to be sent any more; workers read it.
 	withdrawn atomic.Bool
@@ -64,8 +48,6 @@
 	// answers says that it has answered the last grant.
 	answers bool
 	misses  int
-	// underWay counts the grants that are under way.
-	underWay int
 	// missedAt is when the first of the misses in a row came.
 	missedAt  cherrykeel.Instant
 	lostUntil cherrykeel.Instant
@@ -135,13 +117,13 @@
 
 // renew grants each span of the table to its owner, again before its hold ends.
 func (keeper *Keeper) renew(ctx context.Context, table spans.Table, now cherrykeel.Instant) {
-	wanted := map[grantKey]bool{}
+	wanted := map[spans.Held]bool{}
 	for service, list := range table.Services {
 		for _, owned := range list {
 			if owned.Owner == "" || owned.Moving {
 				continue
 			}
-			key := grantKey{service: service, owner: owned.Owner, span: owned.Span(), fence: owned.Fence}
+			key := spans.Held{Service: service, Owner: owned.Owner, Span: owned.Span(), Fence: owned.Fence}
 			wanted[key] = true
 			keeper.renewOne(ctx, key, owned, now)
 		}
@@ -157,7 +139,7 @@
 	}
 }
 
-func (keeper *Keeper) renewOne(ctx context.Context, key grantKey, owned spans.Owned, now cherrykeel.Instant) {
+func (keeper *Keeper) renewOne(ctx context.Context, key spans.Held, owned spans.Owned, now cherrykeel.Instant) {
 	state, exists := keeper.grants[key]
 	if !exists {
 		state = keeper.newGrant(key, owned)
@@ -165,26 +147,22 @@
 	if state.withdrawn.Load() && !state.pending {
 		state = keeper.newGrant(key, owned)
 	}
-	contact := keeper.contact(key.owner)
+	contact := keeper.contact(key.Owner)
 	pace := renewEvery
 	if state.sent && !state.taken || state.overdue || contact.misses > 0 {
 		pace = retryGrant
 	}
-	if state.pending || state.refused || state.sent && now.Sub(state.sentAt) < pace || keeper.lost(key.owner, now) {
-		return
-	}
-	if contact.misses > 0 && contact.underWay > 0 || keeper.transferred(key) {
-		// One grant at a time asks an owner that does not answer; more would keep workers from those that do.
+	if state.pending || state.refused || state.sent && now.Sub(state.sentAt) < pace || keeper.lost(key.Owner, now) {
 		return
 	}
-	if keeper.ledger.FreeAt(key.service, key.owner, key.span) > now || keeper.ended(key.owner, owned.Address, now) {
+	if keeper.transferred(key) || keeper.ledger.FreeAt(key.Service, key.Owner, key.Span) > now || keeper.ended(key.Owner, owned.Address, now) {
 		return
 	}
 	keeper.send(ctx, key, state, now)
 }
 
 // newGrant notes a grant that is to be sent.
-func (keeper *Keeper) newGrant(key grantKey, owned spans.Owned) *grantState {
+func (keeper *Keeper) newGrant(key spans.Held, owned spans.Owned) *grantState {
 	state := &grantState{upstream: cherrykeel.Upstream{ID: owned.Owner, Address: owned.Address, Born: owned.Born}, handover: keeper.handover(key)}
 	whole, cut := keeper.covering(key)
 	if cut {
@@ -221,7 +199,7 @@
 			continue
 		}
 		if known.born > 0 {
-			*known = contact{departed: known.departed, departedAt: known.departedAt, reborn: true, underWay: known.underWay}
+			*known = contact{departed: known.departed, departedAt: known.departedAt, reborn: true}
 		}
 		known.born = upstream.Born
 	}
@@ -236,99 +214,3 @@
 	keeper.contact(id).end(now)
 	return true
 }
-
-func (keeper *Keeper) send(ctx context.Context, key grantKey, state *grantState, now cherrykeel.Instant) {
-	grant := cherrykeel.SpanGrant{
-		Span: key.span, Fence: key.fence, Hold: keeper.hold(key.service, key.owner, now), Handover: state.handover, SendBy: now.Add(callTimeout),
-	}
-	state.pending = true
-	state.sent = true
-	state.sentAt = now
-	// The grant's time counts from here, for the ledger and for the call: while the call had its whole time from when a
-	// worker took it, up to half a second later, an upstream could hold keys for that long after they were given on.
-	until := spans.End(now.Add(arriveWithin), grant.Hold)
-	call := keeper.ledger.Sent(key.held(), until)
-	contact := keeper.contact(key.owner)
-	contact.holds(until)
-	contact.underWay++
-	term := keeper.term
-	keeper.workers.grants.Submit(func() {
-		waited := keeper.clock.Now().Sub(now)
-		err := keeper.grantIn(ctx, callTimeout-waited, state, grant)
-		keeper.meter.ordered(orderGrant, err, waited)
-		keeper.results <- func(now cherrykeel.Instant) {
-			state.pending = false
-			contact.underWay--
-			if keeper.term != term {
-				return
-			}
-			if concluded(err) {
-				keeper.ledger.Answered(call)
-			}
-			keeper.granted(key, state, grant, err, now, waited)
-		}
-	})
-}
-
-// grantIn sends a grant whose time ends after left.
-func (keeper *Keeper) grantIn(ctx context.Context, left time.Duration, state *grantState, grant cherrykeel.SpanGrant) error {
-	if left < callTimeout-longestWait || state.withdrawn.Load() {
-		return errors.WithStack(errOverdue)
-	}
-	ctx, cancel := context.WithTimeout(ctx, left)
-	defer cancel()
-	return keeper.granter.Grant(ctx, state.upstream, grant)
-}
-
-func (keeper *Keeper) granted(key grantKey, state *grantState, grant cherrykeel.SpanGrant, err error, now cherrykeel.Instant, waited time.Duration) {
-	fields := []zap.Field{
-		zap.String("Service", key.service), zap.String("Upstream", key.owner),
-		zap.Int("First", key.span.First), zap.Int("Last", key.span.Last), zap.Int64("Fence", key.fence),
-	}
-	contact := keeper.contact(key.owner)
-	state.overdue = overdue(err, waited, now.Sub(state.sentAt))
-	switch {
-	case err == nil:
-		until := spans.End(now, grant.Hold)
-		keeper.ledger.May(key.held(), until)
-		contact.holds(until)
-		contact.answered()
-		if !state.taken {
-			keeper.noteTaken(state, now)
-			events.Log(keeper.logger, events.SpanGiven, append(fields, zap.Bool("Handover", grant.Handover != ""), zap.Duration("Hold", grant.Hold))...)
-		}
-		state.handover = ""
-	case state.overdue:
-		events.Log(keeper.logger, events.GrantOverdue, append(fields, zap.Duration("Waited", waited))...)
-	case errors.Is(err, cherrykeel.ErrFenced) && state.withdrawn.Load():
-		// The fence is that of this keeper's own release, or of a grant that joins the span with others.
-	case errors.Is(err, cherrykeel.ErrFenced):
-		keeper.urgent = true
-		state.refused = true
-		events.Log(keeper.logger, events.GrantRefused, fields...)
-	case errors.Is(err, cherrykeel.ErrEnded):
-		keeper.urgent = true
-		keeper.noteEnded(state.upstream, now)
-	default:
-		contact.missed(now)
-		contact.depart(now)
-		if contact.misses <= lostAfter || contact.lostUntil == now.Add(lostFor) {
-			events.Log(keeper.logger, events.GrantOpen, append(fields, zap.Int("Misses", contact.misses), zap.Bool("Lost", contact.silent(now)), zap.Duration("Waited", waited), zap.Error(err))...)
-		}
-	}
-}
-
-// overdue reports whether a grant went unanswered for want of time on this host: it was not sent, or what was left of
-// its time was short. That says nothing of the upstream.
-func overdue(err error, waited, took time.Duration) bool {
-	if err == nil || errors.Is(err, cherrykeel.ErrFenced) || errors.Is(err, cherrykeel.ErrEnded) {
-		return false
-	}
-	late := errors.Is(err, cherrykeel.ErrNotSent) && took > arriveWithin
-	return errors.Is(err, errOverdue) || waited > fairWait || late
-}
-
-// concluded reports whether a grant has been carried out or never will be.
-func concluded(err error) bool {
-	return err == nil || errors.Is(err, cherrykeel.ErrFenced) || errors.Is(err, cherrykeel.ErrNotSent)
-}
--- a/grants/transfer.go
+++ b/grants/transfer.go
@@ -1,6 +1,8 @@
 package grants
 
 import (
+	"slices"
+
 	"cherrykeel"
 	"cherrykeel/spans"
 )
@@ -23,15 +25,20 @@
 func (keeper *Keeper) noteTransfers(table, proposal spans.Table, at int64) {
 	for service, list := range table.Services {
 		for _, before := range list {
-			if before.Owner != "" && !proposal.Keeps(service, before) {
-				keeper.transfers = append(keeper.transfers, openTransfer{service: service, owner: before.Owner, span: before.Span(), at: at})
+			transfer := openTransfer{service: service, owner: before.Owner, span: before.Span(), at: at}
+			if before.Owner != "" && !proposal.SameOwner(service, before) && !slices.Contains(keeper.transfers, transfer) {
+				keeper.transfers = append(keeper.transfers, transfer)
 			}
 		}
 	}
 }
 
-// settleTransfers forgets the writes whose offset is taken: their outcome is in the table that is known.
+// settleTransfers forgets the writes whose offset is taken: their outcome is in the table that is known, unless another
+// writer's record stands in its place.
 func (keeper *Keeper) settleTransfers(next int64) {
+	if keeper.table.Garbled() {
+		return
+	}
 	kept := keeper.transfers[:0]
 	for _, transfer := range keeper.transfers {
 		if transfer.at >= next {
@@ -42,10 +49,10 @@
 }
 
 // transferred reports whether an open write gives a key of the span from its owner to another.
-func (keeper *Keeper) transferred(key grantKey) bool {
+func (keeper *Keeper) transferred(key spans.Held) bool {
 	for _, transfer := range keeper.transfers {
-		same := transfer.service == key.service && transfer.owner == key.owner
-		if same && transfer.span.First <= key.span.Last && transfer.span.Last >= key.span.First {
+		same := transfer.service == key.Service && transfer.owner == key.Owner
+		if same && transfer.span.First <= key.Span.Last && transfer.span.Last >= key.Span.First {
 			return true
 		}
 	}
--- a/grants/workers.go
+++ b/grants/workers.go
@@ -25,11 +25,16 @@
 	longestWait = evidenceAge / 2
 	// fairWait leaves a grant enough of its time that an upstream which lives answers.
 	fairWait = 200 * time.Millisecond
+	// longestTake is more than a grant takes on a busy host; the machine was suspended meanwhile.
+	longestTake = 2 * callTimeout
 )
 
 // errOverdue means that a grant waited too long for a worker and was not sent: it says nothing of the upstream.
 var errOverdue = errors.WithMessage(cherrykeel.ErrNotSent, "it waited too long for a worker")
 
+// errWithdrawn means that a grant was not sent, since its span is released or granted otherwise.
+var errWithdrawn = errors.WithMessage(cherrykeel.ErrNotSent, "its span is granted otherwise")
+
 // workers carry out what waits for others. Each kind has its own, so that none waits for one that takes longer:
 // with one pool for all, 64 releases that waited for running work held back all grants, whose holds ran out, and
 // the writes of the table.
--- a/spans/table.go
+++ b/spans/table.go
@@ -82,8 +82,8 @@
 	return list[i], true
 }
 
-// Keeps reports whether all of a span that another table names has the same owner in this one.
-func (table Table) Keeps(service string, before Owned) bool {
+// SameOwner reports whether all of a span that another table names has the same owner in this one.
+func (table Table) SameOwner(service string, before Owned) bool {
 	for _, owned := range table.Services[service] {
 		overlaps := owned.First <= before.Last && owned.Last >= before.First
 		if overlaps && owned.Owner != before.Owner {
--- a/watch/entries.go
+++ b/watch/entries.go
@@ -7,7 +7,8 @@
 	"cherrykeel/events"
 )
 
-func (upstreams *Upstreams) put(record cherrykeel.KeyedRecord) bool {
+// put takes a record; latest says that it was found among the newest records of all keys.
+func (upstreams *Upstreams) put(record cherrykeel.KeyedRecord, latest bool) bool {
 	old, known := upstreams.entries[record.Key]
 	if known && record.Offset <= old.offset {
 		return false
@@ -26,11 +27,11 @@
 		case upstream.Born == old.upstream.Born && old.ended:
 			return false
 		case upstream.Born == old.upstream.Born:
-			since = old.since
+			since, latest = old.since, old.latest
 		}
 	}
 	upstreams.listed = false
-	upstreams.entries[record.Key] = &entry{upstream: upstream, offset: record.Offset, since: since}
+	upstreams.entries[record.Key] = &entry{upstream: upstream, offset: record.Offset, since: since, latest: latest}
 	if known && !old.gone && old.upstream.Leaving == upstream.Leaving && old.upstream.Address == upstream.Address && old.upstream.Born == upstream.Born {
 		return false
 	}
--- a/watch/upstreams.go
+++ b/watch/upstreams.go
@@ -48,6 +48,9 @@
 	// has registered.
 	offset int64
 	since  int64
+	// latest says that since is the newest record of this life and its first one may lie before it: it was found among
+	// the newest records of all keys.
+	latest bool
 	// missing says that the entry is gone from the store while that may be the store's own trouble.
 	missing bool
 	gone    bool
@@ -88,7 +91,7 @@
 			changed = upstreams.drop(record.Key, record.Offset) || changed
 			continue
 		}
-		changed = upstreams.put(record) || changed
+		changed = upstreams.put(record, update.Whole) || changed
 	}
 	if update.Whole {
 		changed = upstreams.dropUnlisted(listed) || changed
@@ -208,11 +211,13 @@
 	return false
 }
 
-// follows reports whether this entry's upstream came after the other's. A host that has started knows only the newest
-// record of each, and an upstream's last one may be carried out after the first one of the next at its address.
+// follows reports whether this entry's upstream surely came after the other's at their address. A host that reads the
+// newest records of all keys does not know where this one's first stands, and the last heartbeat of an upstream may be
+// carried out after the next one has registered; births have to agree then. They do not decide alone, since clocks differ.
 func (entry *entry) follows(other *entry) bool {
-	if entry.upstream.Born > 0 && other.upstream.Born > 0 {
-		return entry.upstream.Born > other.upstream.Born
+	if entry.since <= other.since {
+		return false
 	}
-	return entry.since > other.since
+	told := entry.upstream.Born > 0 && other.upstream.Born > 0
+	return !entry.latest || !told || entry.upstream.Born > other.upstream.Born
 }
