Hosts and upstreams count their work by key, so that a key is not passed on under it

Cause: work was counted by partition. A key that became hot, or cooled, changed hands while its partition stayed, so the last owner's answer named nothing that it had lost, and the ledger took the key for free while a request ran. Change: views and the stand-in count requests by partition and key, and list the keys of lost work in HotKeys, which the ledger keeps from others already. The ledger is unchanged.

--- a/edge/admission.go
+++ b/edge/admission.go
@@ -91,11 +91,10 @@
 	if pool.service.ChecksFences {
 		return pool.upstreams[pool.fleet.owners.Owner(pool.service.Path, exchange.Partition, exchange.Key)]
 	}
-	name, allowed := pool.view.Enter(exchange.Partition, exchange.Key, now)
+	name, allowed := pool.view.Owner(exchange.Partition, exchange.Key, now)
 	if !allowed {
 		return nil
 	}
-	pool.view.Leave(name, exchange.Partition)
 	return pool.upstreams[name]
 }
 
@@ -104,7 +103,7 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	now := forward.clock.Now()
-	place := &place{pool: pool, queue: queue, clock: forward.clock, begun: now, viewed: -1}
+	place := &place{pool: pool, queue: queue, clock: forward.clock, begun: now}
 	if exchange.Service.Keyed {
 		place.upstream = pool.owner(exchange, now)
 	} else {
@@ -117,7 +116,7 @@
 	}
 	if exchange.Service.Keyed && !pool.service.ChecksFences {
 		_, _ = pool.view.Enter(exchange.Partition, exchange.Key, now)
-		place.viewed = exchange.Partition
+		place.viewed = exchange
 	}
 	place.upstream.inFlight++
 	place.upstream.health.Chosen()
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -129,8 +129,8 @@
 	upstream *upstream
 	clock    cherrykeel.Clock
 	begun    cherrykeel.Instant
-	// viewed is the partition that the host's view counts, or -1.
-	viewed int
+	// viewed is the request that the host's view counts, or nil.
+	viewed *cherrykeel.Exchange
 }
 
 func (place *place) leave(finished finished) {
@@ -143,8 +143,8 @@
 		return
 	}
 	place.upstream.inFlight--
-	if place.viewed >= 0 {
-		pool.view.Leave(place.upstream.server.Name, place.viewed)
+	if place.viewed != nil {
+		pool.view.Leave(place.upstream.server.Name, place.viewed.Partition, place.viewed.Key)
 	}
 	pool.note(place.upstream, finished, now)
 }
--- a/fakes/owned.go
+++ b/fakes/owned.go
@@ -16,8 +16,14 @@
 	partitions map[int]bool
 	hotKeys    map[string]bool
 	exceptKeys map[string]bool
-	// inFlight counts requests by partition, so that a taken partition is given up only when they have ended.
-	inFlight map[int]int
+	// inFlight counts requests, so that what is taken away is given up only when they have ended.
+	inFlight map[Work]int
+}
+
+// Work is what a request that an upstream has begun is for.
+type Work struct {
+	Partition int
+	Key       string
 }
 
 // NewOwnership returns an ownership of nothing; boot names the upstream's process.
@@ -28,19 +34,34 @@
 		partitions: map[int]bool{},
 		hotKeys:    map[string]bool{},
 		exceptKeys: map[string]bool{},
-		inFlight:   map[int]int{},
+		inFlight:   map[Work]int{},
 	}
 }
 
 // Owns reports whether the upstream may act for a key at its own time now.
 func (ownership *Ownership) Owns(now time.Duration, partition int, key string) bool {
-	if now >= ownership.until {
-		return false
-	}
-	if ownership.hotKeys[key] {
+	return now < ownership.until && ownership.granted(Work{Partition: partition, Key: key})
+}
+
+// granted reports whether the last grant names the key, alone or with its partition.
+func (ownership *Ownership) granted(work Work) bool {
+	if ownership.hotKeys[work.Key] {
 		return true
 	}
-	return ownership.partitions[partition] && !ownership.exceptKeys[key]
+	return ownership.partitions[work.Partition] && !ownership.exceptKeys[work.Key]
+}
+
+// Begin counts a request until End.
+func (ownership *Ownership) Begin(work Work) {
+	ownership.inFlight[work]++
+}
+
+// End ends a request that Begin has counted.
+func (ownership *Ownership) End(work Work) {
+	ownership.inFlight[work]--
+	if ownership.inFlight[work] == 0 {
+		delete(ownership.inFlight, work)
+	}
 }
 
 // Lapsed reports whether the lease has ended at the upstream's own time now.
@@ -106,14 +127,19 @@
 	for partition := range ownership.partitions {
 		holding.Partitions = append(holding.Partitions, partition)
 	}
-	for partition, count := range ownership.inFlight {
-		if count > 0 && !ownership.partitions[partition] {
-			holding.Partitions = append(holding.Partitions, partition)
-		}
-	}
 	for key := range ownership.hotKeys {
 		holding.HotKeys = append(holding.HotKeys, key)
 	}
+	for work := range ownership.inFlight {
+		if ownership.granted(work) {
+			continue
+		}
+		if !ownership.partitions[work.Partition] {
+			holding.Partitions = append(holding.Partitions, work.Partition)
+		}
+		// The key may go to the owner of its partition, which need not change for that.
+		holding.HotKeys = append(holding.HotKeys, work.Key)
+	}
 	for key := range ownership.exceptKeys {
 		holding.ExceptKeys = append(holding.ExceptKeys, key)
 	}
--- a/fakes/upstream.go
+++ b/fakes/upstream.go
@@ -256,6 +256,10 @@
 	}
 }
 
+func (call call) work() Work {
+	return Work{Partition: call.partition, Key: call.key}
+}
+
 func (upstream *Upstream) begin(call call) string {
 	upstream.mutex.Lock()
 	defer upstream.mutex.Unlock()
@@ -272,7 +276,7 @@
 	upstream.waiting++
 	upstream.most = max(upstream.most, upstream.waiting)
 	if call.partition >= 0 {
-		upstream.owned(call.service).inFlight[call.partition]++
+		upstream.owned(call.service).Begin(call.work())
 	}
 	return ""
 }
@@ -282,7 +286,7 @@
 	defer upstream.mutex.Unlock()
 	upstream.waiting--
 	if call.partition >= 0 {
-		upstream.owned(call.service).inFlight[call.partition]--
+		upstream.owned(call.service).End(call.work())
 	}
 }
 
--- a/trial/world.go
+++ b/trial/world.go
@@ -279,11 +279,7 @@
 
 // Sends returns the upstream that a host may send a key's requests to, where upstreams check no fences.
 func (world *World) Sends(host *Host, partition int, key string) string {
-	name, allowed := host.View.Enter(partition, key, world.local(&host.Process))
-	if !allowed {
-		return ""
-	}
-	host.View.Leave(name, partition)
+	name, _ := host.View.Owner(partition, key, world.local(&host.Process))
 	return name
 }
 
--- a/views/view.go
+++ b/views/view.go
@@ -15,8 +15,16 @@
 	owners  []string
 	hotKeys map[string]string
 	except  map[string]bool
-	// inFlight counts requests by upstream and partition, so that a partition counts as held until they have ended.
-	inFlight map[string]map[int]int
+	// inFlight counts requests, so that what they are for counts as held until they have ended.
+	inFlight map[flight]int
+}
+
+// flight is what a request that waits for its answer is for. The key is counted besides its partition: a
+// key that becomes hot, or cools, changes hands while its partition stays, and would else have two upstreams.
+type flight struct {
+	upstream  string
+	partition int
+	key       string
 }
 
 // New returns a view that allows nothing; boot names the host's process.
@@ -27,7 +35,7 @@
 		owners:   make([]string, partitions),
 		hotKeys:  map[string]string{},
 		except:   map[string]bool{},
-		inFlight: map[string]map[int]int{},
+		inFlight: map[flight]int{},
 	}
 }
 
@@ -90,45 +98,56 @@
 			holding.Owners[owner] = append(holding.Owners[owner], partition)
 		}
 	}
-	for upstream, counts := range view.inFlight {
-		for partition, count := range counts {
-			if count > 0 && view.owners[partition] != upstream {
-				holding.Owners[upstream] = append(holding.Owners[upstream], partition)
-			}
-		}
-	}
 	for key, owner := range view.hotKeys {
 		holding.HotKeys = append(holding.HotKeys, owner+" "+key)
 	}
+	for flight := range view.inFlight {
+		if view.owner(flight.partition, flight.key) == flight.upstream {
+			continue
+		}
+		if view.owners[flight.partition] != flight.upstream {
+			holding.Owners[flight.upstream] = append(holding.Owners[flight.upstream], flight.partition)
+		}
+		holding.HotKeys = append(holding.HotKeys, flight.upstream+" "+flight.key)
+	}
 	for key := range view.except {
 		holding.ExceptKeys = append(holding.ExceptKeys, key)
 	}
 	return holding
 }
 
-// Enter returns the upstream that a request may be sent to now and counts it, or reports false.
-func (view *View) Enter(partition int, key string, now cherrykeel.Instant) (string, bool) {
-	if now >= view.until || partition < 0 || partition >= len(view.owners) {
-		return "", false
-	}
-	upstream := view.hotKeys[key]
-	if upstream == "" && !view.except[key] {
-		upstream = view.owners[partition]
+// owner returns the upstream that the last grant names for a key, or an empty string.
+func (view *View) owner(partition int, key string) string {
+	owner := view.hotKeys[key]
+	if owner == "" && !view.except[key] {
+		owner = view.owners[partition]
 	}
-	if upstream == "" {
+	return owner
+}
+
+// Owner returns the upstream that a request may be sent to now, or reports false.
+func (view *View) Owner(partition int, key string, now cherrykeel.Instant) (string, bool) {
+	if now >= view.until || partition < 0 || partition >= len(view.owners) {
 		return "", false
 	}
-	if view.inFlight[upstream] == nil {
-		view.inFlight[upstream] = map[int]int{}
+	owner := view.owner(partition, key)
+	return owner, owner != ""
+}
+
+// Enter is Owner for a request that is sent at once; it is counted until Leave.
+func (view *View) Enter(partition int, key string, now cherrykeel.Instant) (string, bool) {
+	owner, allowed := view.Owner(partition, key, now)
+	if allowed {
+		view.inFlight[flight{upstream: owner, partition: partition, key: key}]++
 	}
-	view.inFlight[upstream][partition]++
-	return upstream, true
+	return owner, allowed
 }
 
 // Leave ends a request that Enter has counted.
-func (view *View) Leave(upstream string, partition int) {
-	view.inFlight[upstream][partition]--
-	if view.inFlight[upstream][partition] == 0 {
-		delete(view.inFlight[upstream], partition)
+func (view *View) Leave(upstream string, partition int, key string) {
+	ended := flight{upstream: upstream, partition: partition, key: key}
+	view.inFlight[ended]--
+	if view.inFlight[ended] <= 0 {
+		delete(view.inFlight, ended)
 	}
 }
