An answer proves only what it says, and an ended lease's work stays refused

Cause: the ledger took any acceptance for one of the grant under way, whatever fence and service it named, and any other boot for a restart, also one that had been replaced; a proxy that brings the answer to another call would free what the lessee holds. The stand-in looked only at the lease of the moment when work took effect, not at the one under which it began. Change: an acceptance counts with the grant's own fence; answers for another service and of replaced processes are passed over; work that outlasted its lease is refused though another lease runs.

--- a/fakes/owned.go
+++ b/fakes/owned.go
@@ -18,6 +18,8 @@
 	exceptKeys map[string]bool
 	// inFlight counts requests, so that what is taken away is given up only when they have ended.
 	inFlight map[Work]int
+	// lapses counts the leases that have ended and were followed by another.
+	lapses int
 }
 
 // Work is what a request that an upstream has begun is for.
@@ -64,9 +66,15 @@
 	}
 }
 
-// Lapsed reports whether the lease has ended at the upstream's own time now.
-func (ownership *Ownership) Lapsed(now time.Duration) bool {
-	return now >= ownership.until
+// Lapses names the lease that runs, for Lapsed.
+func (ownership *Ownership) Lapses() int {
+	return ownership.lapses
+}
+
+// Lapsed reports whether a lease has ended at the upstream's own time now. One that has ended stays so when
+// another begins: its keys may have had another owner in between, whose work the old work would undo.
+func (ownership *Ownership) Lapsed(lapses int, now time.Duration) bool {
+	return lapses != ownership.lapses || now >= ownership.until
 }
 
 // Term returns the term of the newest grant.
@@ -98,6 +106,9 @@
 	if grant.Partial && !lapsed {
 		return
 	}
+	if lapsed {
+		ownership.lapses++
+	}
 	// A lapsed lease has nothing left to extend: others may own its keys by now.
 	ownership.partitions = map[int]bool{}
 	for _, partition := range grant.Partitions {
--- a/fakes/upstream.go
+++ b/fakes/upstream.go
@@ -188,7 +188,7 @@
 	writer.Header().Set(cherrykeel.HeaderRequest, request.Header.Get(cherrykeel.HeaderRequest))
 	writer.Header().Set(cherrykeel.HeaderLoad, strconv.FormatFloat(upstream.load(), 'f', 3, 64))
 	call := newCall(request, body)
-	if reason := upstream.begin(call); reason != "" {
+	if reason := upstream.begin(&call); reason != "" {
 		upstream.refuse(writer, reason)
 		return
 	}
@@ -237,6 +237,8 @@
 	method    string
 	path      string
 	body      []byte
+	// lapses names the lease under which the call began.
+	lapses int
 }
 
 func newCall(request *http.Request, body []byte) call {
@@ -260,13 +262,13 @@
 	return Work{Partition: call.partition, Key: call.key}
 }
 
-func (upstream *Upstream) begin(call call) string {
+func (upstream *Upstream) begin(call *call) string {
 	upstream.mutex.Lock()
 	defer upstream.mutex.Unlock()
 	switch {
 	case upstream.faults.Draining:
 		return "draining"
-	case !upstream.mayAct(call):
+	case !upstream.mayAct(*call):
 		return "owner"
 	case upstream.waiting >= upstream.options.QueueLength+cap(upstream.slots):
 		return "shed"
@@ -276,7 +278,9 @@
 	upstream.waiting++
 	upstream.most = max(upstream.most, upstream.waiting)
 	if call.partition >= 0 {
-		upstream.owned(call.service).Begin(call.work())
+		held := upstream.owned(call.service)
+		held.Begin(call.work())
+		call.lapses = held.Lapses()
 	}
 	return ""
 }
@@ -330,7 +334,7 @@
 	upstream.mutex.Lock()
 	defer upstream.mutex.Unlock()
 	held := upstream.owned(call.service)
-	lapsed := held.Lapsed(upstream.now())
+	lapsed := held.Lapsed(call.lapses, upstream.now())
 	if call.partition >= 0 && upstream.options.EnforceFences && !upstream.faults.IgnoreFences && lapsed {
 		return nil, "owner"
 	}
--- a/lease/answers.go
+++ b/lease/answers.go
@@ -1,6 +1,8 @@
 package lease
 
 import (
+	"maps"
+
 	"cherrykeel"
 )
 
@@ -11,6 +13,11 @@
 		return
 	}
 	lessee.outstanding = 0
+	if holding.Service != ledger.service || lessee.replaced[holding.Boot] {
+		// A connection can bring the answer to another call: one for another service, or one that the lessee's
+		// last process gave. Taken for this one, it would make the ledger forget what the lessee holds.
+		return
+	}
 	if holding.Fence.Term > ledger.term {
 		ledger.deposed = true
 		return
@@ -23,7 +30,9 @@
 		lessee.readAt = received
 		lessee.known = true
 	}
-	if !order.Ask && holding.Accepted {
+	// A lessee that accepts a grant has that grant's fence; with another one, it accepted another grant, and
+	// may take this one later.
+	if !order.Ask && holding.Accepted && holding.Fence == order.Grant.Fence {
 		lessee.accept(order, tenureOfHolding(order.Lessee, holding))
 	}
 }
@@ -37,13 +46,21 @@
 		ghost.removed = true
 		ledger.lessees["ghost "+lessee.boot] = &ghost
 	}
-	lessee.boot = boot
+	lessee.replace(boot)
 	lessee.clock = 0
 	lessee.known = false
 	lessee.fenced = false
 	lessee.possible = nil
 }
 
+// replace notes that another process has taken the place of the one known so far.
+func (lessee *lessee) replace(boot string) {
+	replaced := map[string]bool{lessee.boot: true}
+	maps.Copy(replaced, lessee.replaced)
+	lessee.replaced = replaced
+	lessee.boot = boot
+}
+
 // accept drops the possessions that the accepted grant has replaced.
 func (lessee *lessee) accept(order Order, said Tenure) {
 	kept := []possession{{sequence: order.Grant.Fence.Sequence, tenure: said}}
--- a/lease/ledger.go
+++ b/lease/ledger.go
@@ -32,6 +32,8 @@
 // lessee is an upstream, or an entry host, that holds a lease.
 type lessee struct {
 	boot string
+	// replaced are the processes that were at the address before, whose answers count no more.
+	replaced map[string]bool
 	// clock is the lessee's own time in its last answer, which arrived at readAt.
 	clock  time.Duration
 	readAt cherrykeel.Instant
