A host counts a request as at work until its upstream ended it, through changes of settings

Cause: for upstreams that check no fences, a partition is free when no host has a request there. A host forgot requests whose callers went away, whose deadline passed or whose answer was another's, though the upstream may not hear of that for a while; and all of them when the service left the settings and came back, or its partitions changed. Change: such a request counts until the deadline that the upstream was told, by a slow clock, and a time on the way. One that the upstream ended itself, or that was never sent, is over at once, so that the keys of a lost upstream move as soon as before. Pools of removed services are kept. Price: a partition that moves while an abandoned request may run on it is unserved until that request's deadline. Not measured.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -138,6 +138,11 @@
 	return count, err
 }
 
+// Whole reports whether the body has been read to its end.
+func (answer *Answer) Whole() bool {
+	return answer.whole
+}
+
 // Spoil keeps the connection from being used again, also after a whole answer.
 func (answer *Answer) Spoil() {
 	answer.whole = false
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -98,8 +98,10 @@
 	var result result
 	if err != nil {
 		result = broken(progress, err)
+		// An upstream that ended the connection itself works on nothing; one that this host left may.
+		result.finished.abandoned = progress == conns.AnswerBegun || progress != conns.NotSent && ctx.Err() != nil
 	} else {
-		result = forward.read(exchange, answer, attemptID)
+		result = forward.read(ctx, exchange, answer, attemptID)
 	}
 	result.finished.took = forward.clock.Now().Sub(begun)
 	result.finished.cancelled = exchange.Request.Context().Err() != nil
@@ -117,7 +119,7 @@
 }
 
 // read judges the head of an answer and reads its body, unless that is too large to hold.
-func (forward *forward) read(exchange *cherrykeel.Exchange, answer *conns.Answer, attemptID string) result {
+func (forward *forward) read(ctx context.Context, exchange *cherrykeel.Exchange, answer *conns.Answer, attemptID string) result {
 	result := result{status: answer.Status, header: answer.Header}
 	result.finished = finished{reached: true, reported: reported(answer.Header)}
 	echoed := answer.Header.Get(cherrykeel.HeaderRequest)
@@ -127,12 +129,13 @@
 		answer.Close()
 		forward.foreign(exchange, echoed)
 		result.ending = retry.Ending{Evidence: retry.Uncertain, Detail: "the upstream's answer was not to this request"}
+		result.finished.abandoned = true
 		return result
 	}
 	if refusal := answer.Header.Get(cherrykeel.HeaderRefused); refusal != "" && echoed == attemptID {
 		return refused(result, answer, refusal)
 	}
-	return readBody(result, answer)
+	return readBody(ctx, result, answer)
 }
 
 func refused(result result, answer *conns.Answer, refusal string) result {
@@ -144,7 +147,7 @@
 	return result
 }
 
-func readBody(result result, answer *conns.Answer) result {
+func readBody(ctx context.Context, result result, answer *conns.Answer) result {
 	limit := int64(wholeBytes)
 	if answer.Length > limit {
 		result.answer = answer
@@ -155,6 +158,7 @@
 		answer.Close()
 		result.ending = retry.Ending{Evidence: retry.Uncertain, Detail: "the upstream's answer broke off"}
 		result.finished.reached = false
+		result.finished.abandoned = ctx.Err() != nil
 		return result
 	}
 	result.body = body
@@ -173,3 +177,33 @@
 	}
 	return load
 }
+
+// finished is what an attempt showed of its upstream.
+type finished struct {
+	took     time.Duration
+	reached  bool
+	draining bool
+	shed     bool
+	reported float64
+	// cancelled says that the caller went away, which shows nothing of the upstream.
+	cancelled bool
+	// abandoned says that the upstream may still work on the request.
+	abandoned bool
+}
+
+func (pool *pool) note(upstream *upstream, finished finished, now cherrykeel.Instant) {
+	if finished.reported >= 0 {
+		upstream.reported = finished.reported
+	}
+	switch {
+	case finished.cancelled:
+	case finished.draining:
+		upstream.health.Drained(now)
+	case finished.shed:
+		upstream.health.Shed()
+	case finished.reached:
+		upstream.health.Succeeded(now)
+	default:
+		upstream.health.Failed(now)
+	}
+}
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -4,7 +4,6 @@
 	"math"
 	"math/rand/v2"
 	"sync"
-	"time"
 
 	"cherrykeel"
 	"cherrykeel/admit"
@@ -31,6 +30,9 @@
 	owners Owners
 	mutex  sync.RWMutex
 	pools  map[string]*pool
+	// parked are the pools of services that were removed. One that is added again goes on with its view: a new
+	// one would say that the host has sent nothing, while upstreams work on what it sent before.
+	parked map[string]*pool
 	limit  func(address string, connections int)
 	hurry  chan struct{}
 }
@@ -72,6 +74,7 @@
 		picker: picker,
 		owners: owners,
 		pools:  map[string]*pool{},
+		parked: map[string]*pool{},
 		limit:  limit,
 		hurry:  make(chan struct{}, 1),
 	}
@@ -86,21 +89,32 @@
 func (fleet *Fleet) Update(services map[string]*cherrykeel.Service, hosts int) {
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
-	for path := range fleet.pools {
+	for path, pool := range fleet.pools {
 		if services[path] == nil {
+			fleet.parked[path] = pool
 			delete(fleet.pools, path)
 		}
 	}
 	for path, service := range services {
 		known, exists := fleet.pools[path]
 		if !exists {
-			known = newPool(fleet, service)
+			known = fleet.unpark(service)
 			fleet.pools[path] = known
 		}
 		known.update(service, hosts, !exists)
 	}
 }
 
+// unpark returns the pool that the service had before it was removed, or a new one.
+func (fleet *Fleet) unpark(service *cherrykeel.Service) *pool {
+	known, exists := fleet.parked[service.Path]
+	if !exists {
+		return newPool(fleet, service)
+	}
+	delete(fleet.parked, service.Path)
+	return known
+}
+
 func newPool(fleet *Fleet, service *cherrykeel.Service) *pool {
 	return &pool{
 		fleet:     fleet,
@@ -120,7 +134,7 @@
 	now := pool.fleet.clock.Now()
 	if service.Partitions != pool.service.Partitions {
 		pool.counter = demand.NewCounter(service.Partitions)
-		pool.view = views.New(pool.fleet.boot, service.Path, service.Partitions)
+		pool.view.Clear(service.Partitions)
 	}
 	pool.service = service
 	pool.hosts = hosts
@@ -254,31 +268,3 @@
 	}
 	return choices
 }
-
-// finished is what an attempt showed of its upstream.
-type finished struct {
-	took     time.Duration
-	reached  bool
-	draining bool
-	shed     bool
-	reported float64
-	// cancelled says that the caller went away, which shows nothing of the upstream.
-	cancelled bool
-}
-
-func (pool *pool) note(upstream *upstream, finished finished, now cherrykeel.Instant) {
-	if finished.reported >= 0 {
-		upstream.reported = finished.reported
-	}
-	switch {
-	case finished.cancelled:
-	case finished.draining:
-		upstream.health.Drained(now)
-	case finished.shed:
-		upstream.health.Shed()
-	case finished.reached:
-		upstream.health.Succeeded(now)
-	default:
-		upstream.health.Failed(now)
-	}
-}
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -11,6 +11,7 @@
 	"cherrykeel"
 	"cherrykeel/admit"
 	"cherrykeel/events"
+	"cherrykeel/lease"
 	"cherrykeel/retry"
 )
 
@@ -118,7 +119,10 @@
 		return result, nil
 	}
 	// A large answer keeps its place until it has been passed on; pass closes it.
-	result.answer.OnClose(func() { place.leave(result.finished) })
+	result.answer.OnClose(func() {
+		result.finished.abandoned = !result.answer.Whole()
+		place.leave(result.finished)
+	})
 	return result, nil
 }
 
@@ -143,12 +147,25 @@
 		return
 	}
 	place.upstream.inFlight--
-	if place.viewed != nil {
-		pool.view.Leave(place.upstream.server.Name, place.viewed.Partition, place.viewed.Key)
-	}
+	place.unview(finished.abandoned)
 	pool.note(place.upstream, finished, now)
 }
 
+// unview ends the count of the host's view, where the upstream checks no fences. An upstream that may not have
+// heard that nobody waits any more, as in a cut of the network, works on until the deadline that it was told.
+func (place *place) unview(abandoned bool) {
+	if place.viewed == nil {
+		return
+	}
+	view, upstream := place.pool.view, place.upstream.server.Name
+	if !abandoned {
+		view.Leave(upstream, place.viewed.Partition, place.viewed.Key)
+		return
+	}
+	told := place.viewed.Deadline.Sub(place.begun)
+	view.Abandon(upstream, place.viewed.Partition, place.viewed.Key, place.begun.Add(lease.Linger(told)))
+}
+
 // pass writes the answer to the caller.
 func (forward *forward) pass(exchange *cherrykeel.Exchange, result result) *cherrykeel.Failure {
 	header := exchange.Writer.Header()
--- a/lease/ledger.go
+++ b/lease/ledger.go
@@ -69,6 +69,15 @@
 	deposed bool
 }
 
+// transitTime is how long a request may be on its way; its upstream counts the time for it from its arrival.
+const transitTime = 250 * time.Millisecond
+
+// Linger bounds how long after a request was sent an upstream may work on it, by the sender's clock; timeout is
+// what the request told the upstream, whose own clock may be slow.
+func Linger(timeout time.Duration) time.Duration {
+	return transitTime + time.Duration(float64(timeout)*(1+DefaultDrift))
+}
+
 // Option changes a Ledger under construction.
 type Option func(*Ledger)
 
--- a/views/view.go
+++ b/views/view.go
@@ -17,6 +17,8 @@
 	except  map[string]bool
 	// inFlight counts requests, so that what they are for counts as held until they have ended.
 	inFlight map[flight]int
+	// abandoned says until when upstreams may work on requests whose answers nobody waits for any more.
+	abandoned map[flight]cherrykeel.Instant
 }
 
 // flight is what a request that waits for its answer is for. The key is counted besides its partition: a
@@ -30,12 +32,13 @@
 // New returns a view that allows nothing; boot names the host's process.
 func New(boot, service string, partitions int) *View {
 	return &View{
-		boot:     boot,
-		service:  service,
-		owners:   make([]string, partitions),
-		hotKeys:  map[string]string{},
-		except:   map[string]bool{},
-		inFlight: map[flight]int{},
+		boot:      boot,
+		service:   service,
+		owners:    make([]string, partitions),
+		hotKeys:   map[string]string{},
+		except:    map[string]bool{},
+		inFlight:  map[flight]int{},
+		abandoned: map[flight]cherrykeel.Instant{},
 	}
 }
 
@@ -102,13 +105,14 @@
 		holding.HotKeys = append(holding.HotKeys, owner+" "+key)
 	}
 	for flight := range view.inFlight {
-		if view.owner(flight.partition, flight.key) == flight.upstream {
+		view.list(flight, &holding)
+	}
+	for flight, until := range view.abandoned {
+		if now >= until {
+			delete(view.abandoned, flight)
 			continue
 		}
-		if view.owners[flight.partition] != flight.upstream {
-			holding.Owners[flight.upstream] = append(holding.Owners[flight.upstream], flight.partition)
-		}
-		holding.HotKeys = append(holding.HotKeys, flight.upstream+" "+flight.key)
+		view.list(flight, &holding)
 	}
 	for key := range view.except {
 		holding.ExceptKeys = append(holding.ExceptKeys, key)
@@ -116,10 +120,22 @@
 	return holding
 }
 
+// list adds to a holding what a request is for, unless the host may still send it there.
+func (view *View) list(flight flight, holding *cherrykeel.Holding) {
+	if view.owner(flight.partition, flight.key) == flight.upstream {
+		return
+	}
+	partition := flight.partition
+	if partition >= len(view.owners) || view.owners[partition] != flight.upstream {
+		holding.Owners[flight.upstream] = append(holding.Owners[flight.upstream], partition)
+	}
+	holding.HotKeys = append(holding.HotKeys, flight.upstream+" "+flight.key)
+}
+
 // owner returns the upstream that the last grant names for a key, or an empty string.
 func (view *View) owner(partition int, key string) string {
 	owner := view.hotKeys[key]
-	if owner == "" && !view.except[key] {
+	if owner == "" && !view.except[key] && partition < len(view.owners) {
 		owner = view.owners[partition]
 	}
 	return owner
@@ -143,6 +159,23 @@
 	return owner, allowed
 }
 
+// Abandon ends a request that Enter has counted and whose upstream may work on it until an instant, since
+// it was not the upstream that ended it: the key must not have another owner before.
+func (view *View) Abandon(upstream string, partition int, key string, until cherrykeel.Instant) {
+	view.Leave(upstream, partition, key)
+	ended := flight{upstream: upstream, partition: partition, key: key}
+	view.abandoned[ended] = max(view.abandoned[ended], until)
+}
+
+// Clear takes back what the host may send, for another number of partitions; the fence and the requests
+// that are at work stay, so that the host does not pass for one that has just started.
+func (view *View) Clear(partitions int) {
+	view.until = 0
+	view.owners = make([]string, partitions)
+	view.hotKeys = map[string]string{}
+	view.except = map[string]bool{}
+}
+
 // Leave ends a request that Enter has counted.
 func (view *View) Leave(upstream string, partition int, key string) {
 	ended := flight{upstream: upstream, partition: partition, key: key}
