Trial: requests run in the adversary's worlds; specs on work that outlasts its lease

Hosts send requests, whose messages are late or lost, whose callers go away and which outlast leases; where upstreams check no fences, operators change the time that a request may take. An upstream that works on a key, and may still bring that to effect, counts as its owner.

--- a/lease/proof_test.go
+++ b/lease/proof_test.go
@@ -23,7 +23,9 @@
 func (world world) withoutA(ledger *lease.Ledger, at time.Duration) time.Duration {
 	for range 4 {
 		at += time.Millisecond
-		world.orderTo(ledger, at)
+		if order := world.orderTo(ledger, at); order != nil {
+			ledger.Failed(*order)
+		}
 	}
 	return at
 }
@@ -102,3 +104,46 @@
 		Expect(world["b"].Owns(at, 0, "")).To(BeFalse())
 	})
 })
+
+var _ = Describe("what an upstream works on", func() {
+	// The caller's key is written at two upstreams. a was cut off with a request at work; its lease ended and its
+	// keys went to b. a is back and lists them, since the request still runs. If that passed for holding
+	// them, a would get them again as soon as the plan says so, while b, which hears nothing just now, has them.
+	DescribeTable("is not its own again before the next owner has let go", func(cold, hot cherrykeel.Placement, partition int, key string) {
+		world := newWorld()
+		ledger := newLedger(1, "a", "a", "b", "b")
+		ledger.Free(0)
+		ledger.Want(hot)
+		at := world.settle(ledger, time.Second)
+		Expect(world["a"].Owns(at, partition, key)).To(BeTrue())
+
+		ledger.Want(cold)
+		at += 2 * length
+		at = world.withoutA(ledger, at)
+		Expect(world["b"].Owns(at, partition, key)).To(BeTrue())
+
+		ledger.Want(hot)
+		for range 6 {
+			at += time.Millisecond
+			for _, order := range ledger.Orders(cherrykeel.Instant(at), cherrykeel.Instant(at)) {
+				if order.Lessee == "b" {
+					ledger.Failed(order)
+					continue
+				}
+				holding := world.deliver(order, at)
+				holding.Partitions = append(holding.Partitions, partition)
+				holding.HotKeys = append(holding.HotKeys, key)
+				ledger.Answered(order, holding, cherrykeel.Instant(at))
+			}
+		}
+		Expect(world["b"].Owns(at, partition, key)).To(BeTrue())
+		Expect(world["a"].Owns(at, partition, key)).To(BeFalse())
+	},
+		Entry("as a partition",
+			cherrykeel.Placement{Owners: []string{"b", "a", "b", "b"}},
+			cherrykeel.Placement{Owners: []string{"a", "a", "b", "b"}}, 0, ""),
+		Entry("as a hot key",
+			cherrykeel.Placement{Owners: []string{"a", "a", "b", "b"}},
+			cherrykeel.Placement{Owners: []string{"a", "a", "b", "b"}, HotKeys: map[string]string{"key": "a"}}, 3, "key"),
+	)
+})
--- a/trial/adversary.go
+++ b/trial/adversary.go
@@ -5,6 +5,11 @@
 	"time"
 )
 
+const (
+	minTimeout = 300 * time.Millisecond
+	maxTimeout = 4 * time.Second
+)
+
 // Adversary makes things go wrong in a world, from the world's own randomness.
 type Adversary struct {
 	world   *World
@@ -59,6 +64,25 @@
 	adversary.faults = []func(){adversary.strand}
 }
 
+// Busy makes hosts send requests, over a network that loses some of their messages besides, and where upstreams
+// check no fences, operators change the time that a request may take.
+func (adversary *Adversary) Busy(partitionOf func(key string) int) {
+	blocked := func(from, to string) bool { return adversary.world.Now() < adversary.blocked[[2]string{from, to}] }
+	traffic := NewTraffic(adversary.world, partitionOf, blocked)
+	traffic.Start()
+	if adversary.world.Options.NoFences {
+		adversary.changeTimeouts(traffic)
+	}
+}
+
+func (adversary *Adversary) changeTimeouts(traffic *Traffic) {
+	adversary.world.At(adversary.world.Now()+traffic.within(2*adversary.MaxFault), func() {
+		timeout := minTimeout + traffic.within(maxTimeout-minTimeout)
+		adversary.world.SetTimeout(timeout, func(*Host) time.Duration { return traffic.within(time.Second) })
+		adversary.changeTimeouts(traffic)
+	})
+}
+
 // Start begins to cause faults after a calm time.
 func (adversary *Adversary) Start(calm time.Duration) {
 	adversary.world.At(calm, adversary.strike)
--- a/trial/host.go
+++ b/trial/host.go
@@ -93,11 +93,39 @@
 	}
 }
 
+// settings returns the service's settings as a host has read them.
+func (world *World) settings(host *Host) *cherrykeel.Service {
+	if host.timeout == world.Settings.Timeout {
+		return world.Settings
+	}
+	read := *world.Settings
+	read.Timeout = host.timeout
+	return &read
+}
+
+// SetTimeout changes the setting; each host reads that within a time, later if it is cut from the log.
+func (world *World) SetTimeout(timeout time.Duration, within func(host *Host) time.Duration) {
+	world.Settings.Timeout = timeout
+	for _, host := range world.Hosts {
+		world.readTimeout(host, timeout, within(host))
+	}
+}
+
+func (world *World) readTimeout(host *Host, timeout, after time.Duration) {
+	world.at(&host.Process, after, func() {
+		if host.CutFromLog || world.LogOut {
+			world.readTimeout(host, timeout, listLag)
+			return
+		}
+		host.timeout = timeout
+	})
+}
+
 func (world *World) input(host *Host) keeper.Input {
 	input := keeper.Input{
 		Now:      world.local(&host.Process),
 		Block:    host.State.Blocks[Service],
-		Service:  world.Settings,
+		Service:  world.settings(host),
 		Gone:     map[string]bool{},
 		Leaving:  host.Leaving,
 		Draining: map[string]bool{},
--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strconv"
 	"testing"
 	"time"
 
@@ -33,16 +32,16 @@
 func watch(world *trial.World) *string {
 	found := ""
 	keys := map[string]int{}
-	for key := range 4 {
-		name := "key-" + strconv.Itoa(key)
-		keys[name] = route.Partition(name, partitions)
+	for key := range trial.KeyCount {
+		name := trial.KeyName(key)
+		keys[name] = partitionOf(name)
 	}
 	world.Check = func(world *trial.World) {
 		if found != "" {
 			return
 		}
 		for partition := range partitions {
-			if owners := world.Owners(partition, "other"); len(owners) > 1 {
+			if owners := world.Owners(partition, trial.OtherKey); len(owners) > 1 {
 				found = fmt.Sprintf("at %v partition %d has owners %s and %s", world.Now(), partition, owners[0].Name, owners[1].Name)
 			}
 		}
@@ -67,11 +66,23 @@
 	chosen.NoFences = true
 	world := trial.New(chosen)
 	violation := watch(world)
-	trial.NewAdversary(world).Start(time.Second)
+	adversary := trial.NewAdversary(world)
+	adversary.Start(time.Second)
+	adversary.Busy(partitionOf)
+	world.Run(length)
+	return world.Steps, *violation
+}
+
+// busy is an adversarial world in which requests run.
+func busy(seed int64, length time.Duration) (steps int, found string) {
+	world, adversary, violation := begin(seed, trial.BreakNothing)
+	adversary.Busy(partitionOf)
 	world.Run(length)
 	return world.Steps, *violation
 }
 
+func partitionOf(key string) int { return route.Partition(key, partitions) }
+
 func begin(seed int64, broken trial.Break) (*trial.World, *trial.Adversary, *string) {
 	chosen := options(seed)
 	chosen.Break = broken
@@ -101,7 +112,7 @@
 		steps := 0
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			seed := rapid.Int64Range(1, 1<<40).Draw(t, "seed")
-			count, found := adversarial(seed, trial.BreakNothing, 40*time.Second)
+			count, found := busy(seed, 40*time.Second)
 			steps += count
 			if found != "" {
 				t.Fatalf("seed %d: %s", seed, found)
@@ -124,7 +135,11 @@
 	// The keeper of a new term extended the lease of an upstream that the old keeper took
 	// for lost, because the answers to the old one's renewals were lost; the old keeper,
 	// not yet aware of the new term, then gave the upstream's keys to another one.
+	// In the second, an upstream came back while it worked on what it had begun under a lease that had ended, and
+	// said so; that passed for holding the key, which another upstream had been given meanwhile.
 	It("holds in runs that once broke it", func() {
+		_, found := busy(512, 40*time.Second)
+		Expect(found).To(BeEmpty())
 		for _, seed := range []int64{22304} {
 			_, found := adversarial(seed, trial.BreakNothing, 40*time.Second)
 			Expect(found).To(BeEmpty())
@@ -139,7 +154,7 @@
 			world.Run(60 * time.Second)
 			Expect(*violation).To(BeEmpty())
 			for partition := range partitions {
-				Expect(world.Owners(partition, "other")).To(HaveLen(1), "seed %d partition %d", seed, partition)
+				Expect(world.Owners(partition, trial.OtherKey)).To(HaveLen(1), "seed %d partition %d", seed, partition)
 			}
 		}
 	})
@@ -161,6 +176,57 @@
 	)
 })
 
+// What could go wrong: the caller's write and the next one run at two upstreams at once. A host dies while its
+// request runs at an upstream that checks no fences, and nobody tells that; the keeper counts on the time that
+// a request may take by the settings, which are others than those under which the request was sent.
+var _ = Describe("a request that outlasts its host's lease", func() {
+	const (
+		before = time.Second
+		after  = 8 * time.Second
+		read   = 3 * time.Second
+		sent   = 2 * read
+		// enough is the time after which the partition must have its next owner.
+		enough = 30 * time.Second
+	)
+	DescribeTable("keeps its key from the next owner", func(first, second, longest time.Duration, keeperDies bool) {
+		chosen := options(1)
+		chosen.NoFences = true
+		world := trial.New(chosen)
+		violation := watch(world)
+		traffic := trial.NewTraffic(world, partitionOf, func(string, string) bool { return false })
+		traffic.Lost = 0
+		world.SetTimeout(first, func(*trial.Host) time.Duration { return 0 })
+		world.Run(read)
+		keeper := world.KeeperHost()
+		sender := world.Hosts[0]
+		if sender == keeper {
+			sender = world.Hosts[1]
+		}
+		strike := func() {
+			upstream := traffic.Send(sender, 0, trial.OtherKey, longest, longest)
+			Expect(upstream).NotTo(BeNil())
+			world.At(world.Now()+trial.MaxTransit, func() {
+				world.Kill(&sender.Process)
+				upstream.Draining = true
+				if keeperDies {
+					world.SetTimeout(second, func(*trial.Host) time.Duration { return 0 })
+					world.Kill(&keeper.Process)
+				}
+			})
+		}
+		if !keeperDies {
+			world.SetTimeout(second, func(*trial.Host) time.Duration { return 0 })
+		}
+		world.At(sent, strike)
+		world.Run(sent + enough)
+		Expect(*violation).To(BeEmpty())
+		Expect(world.Owners(0, trial.OtherKey)).To(HaveLen(1))
+	},
+		Entry("when the time has been raised", before, after, after, false),
+		Entry("when the time is lowered and another keeper takes over", after, before, after, true),
+	)
+})
+
 var _ = Describe("a calm world", func() {
 	It("gives every partition one owner", func() {
 		world := trial.New(options(1))
--- a/trial/world.go
+++ b/trial/world.go
@@ -77,6 +77,7 @@
 	now     time.Duration
 	events  events
 	serial  int
+	work    []*work
 }
 
 // Process is what hosts and upstreams have in common.
@@ -100,10 +101,12 @@
 	Witness    *lease.Witness
 	State      *fold.State
 	// View is the host's lease on sending, for upstreams that do not check fences.
-	View   *views.View
-	claims map[string]bool
-	diedAt time.Duration
-	leftAt time.Duration
+	View *views.View
+	// timeout is the longest that a request may take, by the settings that the host has read.
+	timeout time.Duration
+	claims  map[string]bool
+	diedAt  time.Duration
+	leftAt  time.Duration
 }
 
 // Upstream is a server that holds keys.
@@ -190,6 +193,7 @@
 	host.Witness = lease.NewWitness(world.local(&host.Process))
 	host.Keeper = keeper.New(name, Service, host.Witness, world.Placer)
 	host.View = views.New(name+" "+strconv.Itoa(world.Steps), Service, world.Options.Partitions)
+	host.timeout = world.Settings.Timeout
 	world.Hosts = append(world.Hosts, host)
 	world.tick(host)
 	world.readLog(host)
@@ -254,11 +258,11 @@
 }
 
 // Owners returns the upstreams that may act for a partition's keys now, by the clocks that decide:
-// their own, or those of the hosts that send to them.
+// their own, or those of the hosts that send to them; and those that work on what they began before.
 func (world *World) Owners(partition int, key string) []*Upstream {
 	var owners []*Upstream
 	for _, upstream := range world.Upstreams {
-		if !upstream.Dead && world.mayAct(upstream, partition, key) {
+		if !upstream.Dead && (world.mayAct(upstream, partition, key) || world.atWork(upstream, partition, key)) {
 			owners = append(owners, upstream)
 		}
 	}
