What an upstream only works on is not its own, and work that outlasted its lease is not listed

Cause: an upstream lists what it has lost and still works on beside what it holds, and the ledger let a lessee keep what it listed, whoever else was known to hold it. An upstream that came back with a request from before its lease's end got the key again while the next owner had it.

--- a/fakes/owned.go
+++ b/fakes/owned.go
@@ -22,10 +22,12 @@
 	lapses int
 }
 
-// Work is what a request that an upstream has begun is for.
+// Work is a request that an upstream has begun.
 type Work struct {
-	Partition int
-	Key       string
+	partition int
+	key       string
+	// lapses names the lease under which it began.
+	lapses int
 }
 
 // NewOwnership returns an ownership of nothing; boot names the upstream's process.
@@ -42,20 +44,22 @@
 
 // Owns reports whether the upstream may act for a key at its own time now.
 func (ownership *Ownership) Owns(now time.Duration, partition int, key string) bool {
-	return now < ownership.until && ownership.granted(Work{Partition: partition, Key: key})
+	return now < ownership.until && ownership.granted(partition, key)
 }
 
 // granted reports whether the last grant names the key, alone or with its partition.
-func (ownership *Ownership) granted(work Work) bool {
-	if ownership.hotKeys[work.Key] {
+func (ownership *Ownership) granted(partition int, key string) bool {
+	if ownership.hotKeys[key] {
 		return true
 	}
-	return ownership.partitions[work.Partition] && !ownership.exceptKeys[work.Key]
+	return ownership.partitions[partition] && !ownership.exceptKeys[key]
 }
 
 // Begin counts a request until End.
-func (ownership *Ownership) Begin(work Work) {
+func (ownership *Ownership) Begin(partition int, key string) Work {
+	work := Work{partition: partition, key: key, lapses: ownership.lapses}
 	ownership.inFlight[work]++
+	return work
 }
 
 // End ends a request that Begin has counted.
@@ -66,15 +70,10 @@
 	}
 }
 
-// Lapses names the lease that runs, for Lapsed.
-func (ownership *Ownership) Lapses() int {
-	return ownership.lapses
-}
-
-// Lapsed reports whether a lease has ended at the upstream's own time now. One that has ended stays so when
-// another begins: its keys may have had another owner in between, whose work the old work would undo.
-func (ownership *Ownership) Lapsed(lapses int, now time.Duration) bool {
-	return lapses != ownership.lapses || now >= ownership.until
+// Lapsed reports whether the lease under which work began has ended at the upstream's own time now. It stays
+// so when another lease begins: the key may have had another owner in between, whose work this would undo.
+func (ownership *Ownership) Lapsed(work Work, now time.Duration) bool {
+	return work.lapses != ownership.lapses || now >= ownership.until
 }
 
 // Term returns the term of the newest grant.
@@ -142,14 +141,15 @@
 		holding.HotKeys = append(holding.HotKeys, key)
 	}
 	for work := range ownership.inFlight {
-		if ownership.granted(work) {
+		if ownership.Lapsed(work, now) || ownership.granted(work.partition, work.key) {
+			// What outlasted its lease takes no effect any more, and others may have the key.
 			continue
 		}
-		if !ownership.partitions[work.Partition] {
-			holding.Partitions = append(holding.Partitions, work.Partition)
+		if !ownership.partitions[work.partition] {
+			holding.Partitions = append(holding.Partitions, work.partition)
 		}
 		// The key may go to the owner of its partition, which need not change for that.
-		holding.HotKeys = append(holding.HotKeys, work.Key)
+		holding.HotKeys = append(holding.HotKeys, work.key)
 	}
 	for key := range ownership.exceptKeys {
 		holding.ExceptKeys = append(holding.ExceptKeys, key)
--- a/fakes/upstream.go
+++ b/fakes/upstream.go
@@ -237,8 +237,7 @@
 	method    string
 	path      string
 	body      []byte
-	// lapses names the lease under which the call began.
-	lapses int
+	work      Work
 }
 
 func newCall(request *http.Request, body []byte) call {
@@ -258,10 +257,6 @@
 	}
 }
 
-func (call call) work() Work {
-	return Work{Partition: call.partition, Key: call.key}
-}
-
 func (upstream *Upstream) begin(call *call) string {
 	upstream.mutex.Lock()
 	defer upstream.mutex.Unlock()
@@ -278,9 +273,7 @@
 	upstream.waiting++
 	upstream.most = max(upstream.most, upstream.waiting)
 	if call.partition >= 0 {
-		held := upstream.owned(call.service)
-		held.Begin(call.work())
-		call.lapses = held.Lapses()
+		call.work = upstream.owned(call.service).Begin(call.partition, call.key)
 	}
 	return ""
 }
@@ -290,7 +283,7 @@
 	defer upstream.mutex.Unlock()
 	upstream.waiting--
 	if call.partition >= 0 {
-		upstream.owned(call.service).End(call.work())
+		upstream.owned(call.service).End(call.work)
 	}
 }
 
@@ -334,7 +327,7 @@
 	upstream.mutex.Lock()
 	defer upstream.mutex.Unlock()
 	held := upstream.owned(call.service)
-	lapsed := held.Lapsed(call.lapses, upstream.now())
+	lapsed := held.Lapsed(call.work, upstream.now())
 	if call.partition >= 0 && upstream.options.EnforceFences && !upstream.faults.IgnoreFences && lapsed {
 		return nil, "owner"
 	}
--- a/lease/allowed.go
+++ b/lease/allowed.go
@@ -16,19 +16,20 @@
 func (ledger *Ledger) allowed(name string, lessee *lessee) Tenure {
 	target := ledger.target(name)
 	held := lessee.held()
+	unknown := ledger.anybodyUnknown()
 	next := NewTenure()
 	for upstream, wanted := range target.Partitions {
-		blocked := ledger.blocked(upstream)
-		if ledger.anybodyUnknown() {
-			blocked = wanted
+		// What a lessee says it holds may be what it only works on, since before its lease ended. So that
+		// word lets it keep what somebody unknown may hold, but not what another is known to hold.
+		free := wanted.Difference(ledger.blocked(upstream))
+		if unknown {
+			free = free.Intersection(held.partitions(upstream))
 		}
-		if own, holds := held.Partitions[upstream]; holds {
-			blocked = blocked.Difference(own)
-		}
-		next.Partitions[upstream] = wanted.Difference(blocked)
+		next.Partitions[upstream] = free
 	}
 	for key, owner := range target.HotKeys {
-		if held.HotKeys[key] == owner || !ledger.keyHeldElsewhere(owner, key) {
+		kept := !unknown || held.HotKeys[key] == owner
+		if kept && !ledger.keyHeldElsewhere(owner, key) {
 			next.HotKeys[key] = owner
 		}
 	}
@@ -36,7 +37,7 @@
 		next.ExceptKeys[key] = true
 	}
 	ledger.exceptCoolingKeys(next)
-	if ledger.anybodyUnknown() {
+	if unknown {
 		// A key that was held alone may still be, by a lessee that has not said what it holds.
 		for key := range held.ExceptKeys {
 			next.ExceptKeys[key] = true
@@ -75,7 +76,7 @@
 	partition := ledger.partitionOf(key)
 	for _, lessee := range ledger.lessees {
 		for _, possession := range lessee.possible {
-			if possession.anything || possession.tenure.keyElsewhere(owner, key, partition) {
+			if possession.tenure.keyElsewhere(owner, key, partition) {
 				return true
 			}
 		}
--- a/lease/tenure.go
+++ b/lease/tenure.go
@@ -68,6 +68,14 @@
 	set.Set(uint(partition))
 }
 
+func (tenure Tenure) partitions(upstream string) *bitset.BitSet {
+	set, exists := tenure.Partitions[upstream]
+	if !exists {
+		return &bitset.BitSet{}
+	}
+	return set
+}
+
 func (tenure Tenure) has(upstream string, partition int) bool {
 	set, exists := tenure.Partitions[upstream]
 	return exists && set.Test(uint(partition))
--- a/trial/work.go
+++ b/trial/work.go
@@ -37,7 +37,7 @@
 type work struct {
 	upstream  *Upstream
 	ownership *fakes.Ownership
-	lapses    int
+	begun     fakes.Work
 	partition int
 	key       string
 	ended     bool
@@ -167,8 +167,7 @@
 	if !world.Options.NoFences && !work.ownership.Owns(world.LocalTime(work.upstream), work.partition, work.key) {
 		return
 	}
-	work.ownership.Begin(work.counted())
-	work.lapses = work.ownership.Lapses()
+	work.begun = work.ownership.Begin(work.partition, work.key)
 	world.forgetWork()
 	world.work = append(world.work, work)
 	// The upstream ends by its own clock what has not been done in the time that it was told.
@@ -176,10 +175,6 @@
 	world.at(&work.upstream.Process, min(told, request.takes), request.finish)
 }
 
-func (work *work) counted() fakes.Work {
-	return fakes.Work{Partition: work.partition, Key: work.key}
-}
-
 // finish ends the work and answers.
 func (request *request) finish() {
 	if request.work.ended {
@@ -191,7 +186,7 @@
 
 func (request *request) end() {
 	request.work.ended = true
-	request.work.ownership.End(request.work.counted())
+	request.work.ownership.End(request.work.begun)
 }
 
 func (request *request) answered() {
@@ -232,7 +227,7 @@
 	if work.ended || work.upstream.Dead || work.ownership != work.upstream.Ownership {
 		return false
 	}
-	return world.Options.NoFences || !work.ownership.Lapsed(work.lapses, world.LocalTime(work.upstream))
+	return world.Options.NoFences || !work.ownership.Lapsed(work.begun, world.LocalTime(work.upstream))
 }
 
 // forgetWork drops what has ended.
