The time that work may outlast a lease is the claim's, not that of the settings of the moment

Cause: where upstreams check no fences, the keeper waits after a lost host's lease for the requests that the host sent, by the Timeout of the settings when its term began, and for earlier terms by that of the moment. A host that had read a longer Timeout, or sent its request before it was lowered, was not waited for. Change: a claim names the bound, leases carry it, hosts tell upstreams no more than that, and a changed setting comes into force with a new claim. Clocks that run slow and the time on the way are added.

--- a/edge/abandon_test.go
+++ b/edge/abandon_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -26,7 +27,9 @@
 	// partitions is how many there are, and manyPartitions how many after a change.
 	partitions     = 4
 	manyPartitions = 2 * partitions
-	timeout        = 30 * time.Second
+	// allowed is less than the service's timeout.
+	allowed = 300 * time.Millisecond
+	timeout = 30 * time.Second
 )
 
 // hand is a clock that moves when it is told.
@@ -39,10 +42,10 @@
 func (*hand) Draining(*cherrykeel.Service, string) bool { return false }
 
 // sender hands each request to a function.
-type sender func(ctx context.Context) (conns.Progress, error)
+type sender func(ctx context.Context, request *http.Request) (conns.Progress, error)
 
-func (sender sender) Send(ctx context.Context, _ string, _ *http.Request) (*conns.Answer, conns.Progress, error) {
-	progress, err := sender(ctx)
+func (sender sender) Send(ctx context.Context, _ string, request *http.Request) (*conns.Answer, conns.Progress, error) {
+	progress, err := sender(ctx, request)
 	return nil, progress, err
 }
 
@@ -110,7 +113,7 @@
 	It("keeps its partition until its deadline if its caller went away", func() {
 		world := newWorld()
 		ctx, leave := context.WithCancel(context.Background())
-		world.send(ctx, func(ctx context.Context) (conns.Progress, error) {
+		world.send(ctx, func(ctx context.Context, _ *http.Request) (conns.Progress, error) {
 			leave()
 			<-ctx.Done()
 			return conns.Sent, errors.New("the host closed the connection")
@@ -126,16 +129,41 @@
 	// to wait for the deadline would leave the keys of a lost upstream unserved.
 	It("leaves its partition at once if the upstream ended it", func() {
 		world := newWorld()
-		world.send(context.Background(), func(context.Context) (conns.Progress, error) {
+		world.send(context.Background(), func(context.Context, *http.Request) (conns.Progress, error) {
 			return conns.Sent, errors.New("connection reset by peer")
 		})
 		Expect(world.grant(2)).To(BeEmpty())
 	})
 
+	// Operators raise the service's Timeout, and a host reads that before the keeper does. If the host told an
+	// upstream the new time and died, the keeper would pass the key on by the old one, while the request runs.
+	It("gets no more time than the lease under which it is sent allows", func() {
+		world := newWorld()
+		holding, _ := world.fleet.GrantView(false, cherrykeel.Grant{
+			Service: service,
+			Fence:   cherrykeel.Fence{Term: 1, Sequence: 2},
+			Boot:    boot,
+			Until:   world.clock.Now().Add(time.Hour).Sub(0),
+			Timeout: allowed,
+			Partial: true,
+		})
+		Expect(holding.Accepted).To(BeTrue())
+		world.send(context.Background(), func(ctx context.Context, request *http.Request) (conns.Progress, error) {
+			told, err := strconv.Atoi(request.Header.Get(cherrykeel.HeaderTimeout))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(time.Duration(told) * time.Millisecond).To(BeNumerically("<=", allowed))
+			<-ctx.Done()
+			return conns.Sent, ctx.Err()
+		})
+		Expect(world.grant(3)).To(ConsistOf(partition))
+		world.clock.advance(2 * allowed)
+		Expect(world.grant(4)).To(BeEmpty())
+	})
+
 	It("leaves its partition at once if it was never sent", func() {
 		world := newWorld()
 		ctx, leave := context.WithCancel(context.Background())
-		world.send(ctx, func(ctx context.Context) (conns.Progress, error) {
+		world.send(ctx, func(ctx context.Context, _ *http.Request) (conns.Progress, error) {
 			leave()
 			<-ctx.Done()
 			return conns.NotSent, errors.New("no connection")
@@ -148,7 +176,7 @@
 	// say that it has sent nothing, and take grants of keepers that were replaced long ago.
 	DescribeTable("keeps its partition through a change of settings", func(change func(world *world)) {
 		world := newWorld()
-		world.send(context.Background(), func(context.Context) (conns.Progress, error) {
+		world.send(context.Background(), func(context.Context, *http.Request) (conns.Progress, error) {
 			change(world)
 			Expect(world.grant(2)).To(ConsistOf(partition))
 			return conns.Sent, errors.New("connection reset by peer")
--- a/edge/admission.go
+++ b/edge/admission.go
@@ -103,7 +103,7 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	now := forward.clock.Now()
-	place := &place{pool: pool, queue: queue, clock: forward.clock, begun: now}
+	place := &place{pool: pool, queue: queue, clock: forward.clock, begun: now, deadline: exchange.Deadline}
 	if exchange.Service.Keyed {
 		place.upstream = pool.owner(exchange, now)
 	} else {
@@ -117,6 +117,7 @@
 	if exchange.Service.Keyed && !pool.service.ChecksFences {
 		_, _ = pool.view.Enter(exchange.Partition, exchange.Key, now)
 		place.viewed = exchange
+		place.deadline = pool.view.Limit(exchange.Deadline, now)
 	}
 	place.upstream.inFlight++
 	place.upstream.health.Chosen()
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -90,11 +90,11 @@
 }
 
 // attempt sends the request once and reads its answer.
-func (forward *forward) attempt(ctx context.Context, exchange *cherrykeel.Exchange, upstream cherrykeel.UpstreamServer, number int) result {
+func (forward *forward) attempt(ctx context.Context, exchange *cherrykeel.Exchange, place *place, number int) result {
 	begun := forward.clock.Now()
 	attemptID := exchange.ID + "." + strconv.Itoa(number)
-	request := outgoing(exchange, attemptID, exchange.Deadline.Sub(begun))
-	answer, progress, err := forward.sender.Send(ctx, upstream.Address, request)
+	request := outgoing(exchange, attemptID, place.deadline.Sub(begun))
+	answer, progress, err := forward.sender.Send(ctx, place.upstream.server.Address, request)
 	var result result
 	if err != nil {
 		result = broken(progress, err)
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -112,14 +112,17 @@
 		ending := retry.Ending{Evidence: retry.Refused, Refusal: retry.RefusedOwner, Detail: "no upstream can take the request now"}
 		return result{ending: ending}, nil
 	}
-	result := forward.attempt(ctx, exchange, place.upstream.server, number)
+	ctx, cancel := context.WithTimeout(ctx, place.deadline.Sub(place.begun))
+	result := forward.attempt(ctx, exchange, place, number)
 	result.tried = place.upstream.server.Name
 	if result.answer == nil {
+		cancel()
 		place.leave(result.finished)
 		return result, nil
 	}
 	// A large answer keeps its place until it has been passed on; pass closes it.
 	result.answer.OnClose(func() {
+		cancel()
 		result.finished.abandoned = !result.answer.Whole()
 		place.leave(result.finished)
 	})
@@ -133,6 +136,8 @@
 	upstream *upstream
 	clock    cherrykeel.Clock
 	begun    cherrykeel.Instant
+	// deadline is the exchange's, or an earlier one that the host's lease asks for.
+	deadline cherrykeel.Instant
 	// viewed is the request that the host's view counts, or nil.
 	viewed *cherrykeel.Exchange
 }
@@ -162,7 +167,7 @@
 		view.Leave(upstream, place.viewed.Partition, place.viewed.Key)
 		return
 	}
-	told := place.viewed.Deadline.Sub(place.begun)
+	told := place.deadline.Sub(place.begun)
 	view.Abandon(upstream, place.viewed.Partition, place.viewed.Key, place.begun.Add(lease.Linger(told)))
 }
 
--- a/fold/apply.go
+++ b/fold/apply.go
@@ -98,13 +98,14 @@
 		return
 	}
 	if block.Term != 0 {
-		replaced := EarlierTerm{Term: block.Term, LeaseLength: block.LeaseLength, Witnesses: block.Witnesses}
+		replaced := EarlierTerm{Term: block.Term, LeaseLength: block.LeaseLength, Timeout: block.Timeout, Witnesses: block.Witnesses}
 		block.Earlier = append(append([]EarlierTerm(nil), block.Earlier...), replaced)
 	}
 	block.Term = verdict.Version
 	block.Keeper = record.Author
 	block.ClaimID = record.ID
 	block.LeaseLength = claim.LeaseLength
+	block.Timeout = claim.Timeout
 	block.Witnesses = claim.Witnesses
 	state.Blocks[claim.Service] = block
 	verdict.Accepted = true
--- a/fold/record.go
+++ b/fold/record.go
@@ -45,6 +45,9 @@
 	Term int64
 	// LeaseLength bounds the leases that the keeper will give in its term.
 	LeaseLength time.Duration
+	// Timeout bounds the requests that hosts send under the term's leases, which may outlast these where
+	// upstreams check no fences; 0 where they do.
+	Timeout time.Duration `json:",omitempty"`
 	// Witnesses are the hosts that confirm the keeper's term when the log is out.
 	Witnesses []string
 }
--- a/fold/state.go
+++ b/fold/state.go
@@ -37,7 +37,9 @@
 	// ClaimID is the id of the keeper's claim, by which its process knows its own.
 	ClaimID     string
 	LeaseLength time.Duration
-	Witnesses   []string
+	// Timeout is the claim's.
+	Timeout   time.Duration `json:",omitempty"`
+	Witnesses []string
 	// Earlier lists the terms whose leases may still run; a keeper empties it when they have ended.
 	Earlier []EarlierTerm `json:",omitempty"`
 	// Sequence is the version of the last accepted assignment.
@@ -49,6 +51,7 @@
 type EarlierTerm struct {
 	Term        int64
 	LeaseLength time.Duration
+	Timeout     time.Duration `json:",omitempty"`
 	Witnesses   []string
 }
 
--- a/keeper/bid.go
+++ b/keeper/bid.go
@@ -61,6 +61,7 @@
 		Service:     bidder.service,
 		Term:        input.Block.Term,
 		LeaseLength: input.Service.LeaseLength,
+		Timeout:     timeoutOf(input.Service),
 		Witnesses:   Witnesses(bidder.service, bidder.self, input.Hosts),
 	}
 }
--- a/keeper/term.go
+++ b/keeper/term.go
@@ -63,7 +63,7 @@
 	service := input.Service
 	options := []lease.Option{}
 	if !service.ChecksFences {
-		options = append(options, lease.ToHosts(service.Timeout))
+		options = append(options, lease.ToHosts(boundOf(input.Block.Timeout, service)))
 	}
 	term := &term{
 		number:   input.Block.Term,
@@ -158,15 +158,32 @@
 		if learned == 0 {
 			return
 		}
-		longest := time.Duration(float64(earlier.LeaseLength) * (1 + lease.DefaultDrift))
-		if !input.Service.ChecksFences {
-			longest += input.Service.Timeout
+		longest := lease.Longest(earlier.LeaseLength)
+		if bound := boundOf(earlier.Timeout, input.Service); bound > 0 {
+			longest += lease.Longest(lease.Linger(bound))
 		}
 		freeAt = max(freeAt, learned.Add(longest))
 	}
 	term.ledger.Free(freeAt)
 }
 
+// boundOf returns the bound on the requests of a term: the claim's, not that of the settings, which may have
+// changed while requests run that were sent before. Claims of older programs name none.
+func boundOf(claimed time.Duration, service *cherrykeel.Service) time.Duration {
+	if claimed > 0 {
+		return claimed
+	}
+	return timeoutOf(service)
+}
+
+// timeoutOf returns the bound that a claim names by the settings in force.
+func timeoutOf(service *cherrykeel.Service) time.Duration {
+	if service.ChecksFences {
+		return 0
+	}
+	return service.Timeout
+}
+
 // learnedAt returns when a majority had learned, or 0.
 func (earlier *earlier) learnedAt() cherrykeel.Instant {
 	var at []cherrykeel.Instant
@@ -199,14 +216,15 @@
 	actions.Orders = term.ledger.Orders(input.Now, term.quorum.At())
 }
 
-// refreshWitnesses claims the term anew when witnesses have left: at leisure while most of them
-// are there, and at once when most are lost, since nothing can be renewed without them.
+// refreshWitnesses claims the term anew when witnesses have left, or requests may take another time than the
+// claim says: at leisure while most of them are there, and at once when most are lost, since nothing can be
+// renewed without them.
 func (term *term) refreshWitnesses(input Input, actions *Actions) {
 	missing := term.missingWitnesses(input)
 	better := Witnesses(term.service, term.self, input.Hosts)
 	grown := len(better) > len(input.Block.Witnesses)
 	stuck := 2*missing > len(input.Block.Witnesses)
-	wanted := missing > 0 || grown
+	wanted := missing > 0 || grown || timeoutOf(input.Service) != input.Block.Timeout
 	recent := term.reclaimAt != 0 && input.Now.Sub(term.reclaimAt) < listPatience
 	if !wanted || recent || input.Leaving || !stuck && !term.ledger.Settled(input.Now) {
 		return
@@ -216,6 +234,7 @@
 		Service:     term.service,
 		Term:        term.number,
 		LeaseLength: input.Service.LeaseLength,
+		Timeout:     timeoutOf(input.Service),
 		Witnesses:   better,
 	}
 }
--- a/lease/ledger.go
+++ b/lease/ledger.go
@@ -59,7 +59,9 @@
 	drift       float64
 	partitionOf func(string) int
 	toHosts     bool
-	// linger is how long a lessee may still work on what it began before its lease ended.
+	// timeout bounds the requests that hosts send under their leases.
+	timeout time.Duration
+	// linger is how long upstreams may work on what hosts sent before their leases ended.
 	linger time.Duration
 	serial int64
 	// freeAt is when every lease of earlier terms has ended; nobody gains anything before.
@@ -75,7 +77,12 @@
 // Linger bounds how long after a request was sent an upstream may work on it, by the sender's clock; timeout is
 // what the request told the upstream, whose own clock may be slow.
 func Linger(timeout time.Duration) time.Duration {
-	return transitTime + time.Duration(float64(timeout)*(1+DefaultDrift))
+	return transitTime + Longest(timeout)
+}
+
+// Longest bounds the time on any clock in which a duration passes on another one.
+func Longest(duration time.Duration) time.Duration {
+	return time.Duration(float64(duration) * (1 + DefaultDrift))
 }
 
 // Option changes a Ledger under construction.
@@ -88,12 +95,13 @@
 	}
 }
 
-// ToHosts makes entry hosts the lessees, for upstreams that do not check fences.
-// Such an upstream works on for up to linger after the host that sent the request has lost its lease.
-func ToHosts(linger time.Duration) Option {
+// ToHosts makes entry hosts the lessees, for upstreams that do not check fences. Such an upstream may work on
+// a request for up to timeout after it was sent, also when the host that sent it has lost its lease.
+func ToHosts(timeout time.Duration) Option {
 	return func(ledger *Ledger) {
 		ledger.toHosts = true
-		ledger.linger = linger
+		ledger.timeout = timeout
+		ledger.linger = Longest(Linger(timeout))
 	}
 }
 
--- a/lease/orders.go
+++ b/lease/orders.go
@@ -81,6 +81,7 @@
 		Fence:   cherrykeel.Fence{Term: ledger.term, Sequence: ledger.sequence},
 		Boot:    lessee.boot,
 		Until:   lessee.clock + left,
+		Timeout: ledger.timeout,
 	}
 	ledger.fill(name, lessee, now, &order)
 	lessee.bound = max(lessee.bound, end)
--- a/ownership.go
+++ b/ownership.go
@@ -37,6 +37,9 @@
 	// Owners maps upstreams to the partitions that an entry host may send them; it replaces
 	// Partitions towards hosts, which hold the leases of upstreams that do not check fences.
 	Owners map[string][]int `json:",omitempty"`
+	// Timeout bounds the requests that an entry host sends under the lease. The keeper waits that long after
+	// the lease's end; the settings, which hosts read at different times, may already allow more.
+	Timeout time.Duration `json:",omitempty"`
 	// Partial says that what is held stays as the last grant set it, if its lease has not lapsed.
 	Partial bool `json:",omitempty"`
 }
--- a/trial/work.go
+++ b/trial/work.go
@@ -33,11 +33,13 @@
 	lostShare = 0.1
 )
 
-// work is a request that an upstream has begun; where fences are checked it counts while its lease runs.
+// work is a request that an upstream has begun. Where fences are checked it counts while its lease runs, else
+// until the deadline that the upstream was told: one that was frozen drops it when it wakes.
 type work struct {
 	upstream  *Upstream
 	ownership *fakes.Ownership
 	begun     fakes.Work
+	deadline  time.Duration
 	partition int
 	key       string
 	ended     bool
@@ -103,7 +105,7 @@
 		traffic: traffic,
 		host:    host,
 		begun:   traffic.world.local(&host.Process),
-		timeout: host.timeout,
+		timeout: traffic.timeout(host),
 		takes:   takes,
 		work:    &work{partition: partition, key: key},
 	}
@@ -111,6 +113,15 @@
 	return request.work.upstream
 }
 
+// timeout is what a host may tell an upstream.
+func (traffic *Traffic) timeout(host *Host) time.Duration {
+	if !traffic.world.Options.NoFences {
+		return host.timeout
+	}
+	now := traffic.world.local(&host.Process)
+	return host.View.Limit(now.Add(host.timeout), now).Sub(now)
+}
+
 // request is one that a host passes on to an upstream.
 type request struct {
 	traffic *Traffic
@@ -172,6 +183,7 @@
 	world.work = append(world.work, work)
 	// The upstream ends by its own clock what has not been done in the time that it was told.
 	told := time.Duration(float64(request.timeout) / work.upstream.rate)
+	work.deadline = world.LocalTime(work.upstream) + request.timeout
 	world.at(&work.upstream.Process, min(told, request.takes), request.finish)
 }
 
@@ -227,7 +239,11 @@
 	if work.ended || work.upstream.Dead || work.ownership != work.upstream.Ownership {
 		return false
 	}
-	return world.Options.NoFences || !work.ownership.Lapsed(work.begun, world.LocalTime(work.upstream))
+	now := world.LocalTime(work.upstream)
+	if world.Options.NoFences {
+		return now < work.deadline
+	}
+	return !work.ownership.Lapsed(work.begun, now)
 }
 
 // forgetWork drops what has ended.
--- a/views/view.go
+++ b/views/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"cherrykeel"
 )
@@ -12,6 +13,7 @@
 	service string
 	fence   cherrykeel.Fence
 	until   cherrykeel.Instant
+	timeout time.Duration
 	owners  []string
 	hotKeys map[string]string
 	except  map[string]bool
@@ -63,6 +65,7 @@
 	lapsed := now >= view.until
 	view.fence = grant.Fence
 	view.until = cherrykeel.Instant(grant.Until)
+	view.timeout = grant.Timeout
 	if grant.Partial && !lapsed {
 		return
 	}
@@ -150,6 +153,14 @@
 	return owner, owner != ""
 }
 
+// Limit returns the deadline of a request that is sent now, which the keeper counts on if the host is lost.
+func (view *View) Limit(deadline, now cherrykeel.Instant) cherrykeel.Instant {
+	if view.timeout == 0 {
+		return deadline
+	}
+	return min(deadline, now.Add(view.timeout))
+}
+
 // Enter is Owner for a request that is sent at once; it is counted until Leave.
 func (view *View) Enter(partition int, key string, now cherrykeel.Instant) (string, bool) {
 	owner, allowed := view.Owner(partition, key, now)
