--- /dev/null
+++ b/host/duty_test.go
@@ -0,0 +1,46 @@
+package host
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cherrykeel"
+	"cherrykeel/config"
+	"cherrykeel/fold"
+	"cherrykeel/tree"
+)
+
+var _ = Describe("a host that decides on leases", func() {
+	// A caller's request goes to an upstream that has lost its key. The host's machine was suspended for
+	// longer than the host's lease on sending; keys moved; the machine wakes. A clock that stood still
+	// meanwhile says that the lease runs, and that the host's witness may still be relied on.
+	It("counts the time in which its machine was suspended", func() {
+		host := New(config.Config{Name: "host"})
+		Expect(host.clock.Now()).To(BeNumerically("~", cherrykeel.SuspendClock().Now(), time.Second))
+	})
+
+	// A caller's key gets two owners: a keeper that was replaced is still confirmed. Its witness was paused, so
+	// the new keeper counted it as gone. It wakes and reads the log to its end, but cannot use the settings there,
+	// which a newer program has written. If it passed over the claims then, it would confirm the old term.
+	It("learns of new terms in the log also when it cannot use the settings there", func() {
+		const service = "test/keys"
+		host := New(config.Config{Name: "host"})
+		state := fold.NewState()
+		state.Blocks[service] = fold.Block{Term: 7}
+		host.onState(state)
+		host.duty.caughtUp(host.clock.Now())
+		Expect(host.duty.confirmable(map[string]int64{service: 7}, host.clock.Now())).To(ConsistOf(service))
+
+		newer := state.Clone()
+		newer.Version = state.Version + 1
+		newer.Nodes["test"] = tree.Node{Path: "test", Version: newer.Version, Fields: map[string]any{"Timeout": "by a newer program"}}
+		newer.Nodes["test/keys"] = tree.Node{Path: "test/keys", Version: newer.Version, Fields: map[string]any{}}
+		newer.Blocks[service] = fold.Block{Term: 8}
+		host.onState(newer)
+		Expect(host.refused.Load()).NotTo(BeNil())
+		host.duty.caughtUp(host.clock.Now())
+		Expect(host.duty.confirmable(map[string]int64{service: 7}, host.clock.Now())).To(BeEmpty())
+	})
+})
