A host counts suspension, and learns of terms also beside settings that it cannot use

Cause: hosts read CLOCK_MONOTONIC, which stands still while the machine is suspended, so that a lease on sending and a witness's word went on after it. A state whose settings a host cannot use never reached its witness, which still counted as having read the log. The terms of such a state are learned.

--- a/fakes/upstream.go
+++ b/fakes/upstream.go
@@ -65,7 +65,7 @@
 type Upstream struct {
 	options  UpstreamOptions
 	boot     string
-	start    time.Time
+	clock    cherrykeel.Clock
 	slots    chan struct{}
 	mux      *http.ServeMux
 	mutex    sync.Mutex
@@ -90,7 +90,7 @@
 	upstream := &Upstream{
 		options:  options,
 		boot:     uuid.NewString(),
-		start:    time.Now(),
+		clock:    cherrykeel.SuspendClock(),
 		slots:    make(chan struct{}, options.Slots),
 		mux:      http.NewServeMux(),
 		services: map[string]*Ownership{},
@@ -112,7 +112,7 @@
 }
 
 func (upstream *Upstream) now() time.Duration {
-	return time.Since(upstream.start)
+	return time.Duration(upstream.clock.Now())
 }
 
 func (upstream *Upstream) order(writer http.ResponseWriter, request *http.Request) {
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -102,6 +102,7 @@
 	follower := &Follower{
 		log:      log,
 		clock:    clock,
+		answered: clock.Now(),
 		onState:  func(*fold.State) {},
 		onFresh:  func(cherrykeel.Instant) {},
 		chains:   map[int64]uint64{},
--- a/host/duty.go
+++ b/host/duty.go
@@ -72,6 +72,18 @@
 	duty.mutex.Lock()
 	defer duty.mutex.Unlock()
 	duty.state = state
+	duty.learnAll(state)
+}
+
+// learnTerms takes in the terms of a state whose settings cannot be used: the host still counts as one that has
+// read the log, so its witness must not confirm a keeper that the log has replaced.
+func (duty *duty) learnTerms(state *fold.State) {
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	duty.learnAll(state)
+}
+
+func (duty *duty) learnAll(state *fold.State) {
 	for service, block := range state.Blocks {
 		duty.witness.Learn(service, block.Term)
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -100,7 +100,7 @@
 	}
 }
 
-// WithClock replaces the system's clock.
+// WithClock replaces the clock, which counts suspension.
 func WithClock(clock cherrykeel.Clock) Option {
 	return func(host *Host) {
 		host.clock = clock
@@ -124,11 +124,12 @@
 // New returns a host that does nothing yet.
 func New(config config.Config, options ...Option) *Host {
 	host := &Host{
-		config:   config,
-		logger:   zap.NewNop(),
-		scope:    tally.NoopScope,
-		metrics:  http.NotFoundHandler(),
-		clock:    cherrykeel.SystemClock(),
+		config:  config,
+		logger:  zap.NewNop(),
+		scope:   tally.NoopScope,
+		metrics: http.NotFoundHandler(),
+		// Leases on sending, and a witness's word, must not outlive a suspension of the machine.
+		clock:    cherrykeel.SuspendClock(),
 		boot:     uuid.NewString(),
 		log:      remote.NewLog(config.Log, Stream),
 		intents:  remote.NewLog(config.Log, intent.Stream),
@@ -226,6 +227,7 @@
 		// says why and turns unready until a program that knows the settings replaces it.
 		text := err.Error()
 		host.refused.Store(&text)
+		host.duty.learnTerms(state)
 		events.Log(host.logger, events.SettingsRefused, zap.Error(err), zap.Int64("Version", state.Version))
 		return
 	}
