An upstream whose address changes keeps its lease at the old one until that ends

Cause: another boot in an answer passed for a restart, which proves the process before gone. After a change of the address, the process before still runs. Change: the keeper tells the ledger that an upstream has moved; what the old process may hold is counted under a name of its own until its lease has ended.

--- a/keeper/place.go
+++ b/keeper/place.go
@@ -103,6 +103,10 @@
 	}
 	for _, tenure := range term.ledger.Holders(input.Now) {
 		for upstream, set := range tenure.Partitions {
+			if _, listed := term.addresses[upstream]; !listed {
+				// A process that is no upstream any more loses what it holds when its lease ends.
+				continue
+			}
 			for partition := range set.EachSet() {
 				if int(partition) < len(found.Owners) {
 					found.Owners[partition] = upstream
--- a/keeper/term.go
+++ b/keeper/term.go
@@ -36,6 +36,7 @@
 	quorum    *lease.Quorum
 	earlier   []*earlier
 	failures  map[string]int
+	addresses map[string]string
 	lost      map[string]cherrykeel.Instant
 	losses    map[string]int
 	renewedAt cherrykeel.Instant
@@ -66,15 +67,16 @@
 		options = append(options, lease.ToHosts(boundOf(input.Block.Timeout, service)))
 	}
 	term := &term{
-		number:   input.Block.Term,
-		service:  keeper.service,
-		self:     keeper.self,
-		placer:   keeper.placer,
-		ledger:   lease.NewLedger(keeper.service, input.Block.Term, input.Block.LeaseLength, partitionOf(service.Partitions), options...),
-		quorum:   lease.NewQuorum(input.Block.Witnesses),
-		failures: map[string]int{},
-		lost:     map[string]cherrykeel.Instant{},
-		losses:   map[string]int{},
+		number:    input.Block.Term,
+		service:   keeper.service,
+		self:      keeper.self,
+		placer:    keeper.placer,
+		ledger:    lease.NewLedger(keeper.service, input.Block.Term, input.Block.LeaseLength, partitionOf(service.Partitions), options...),
+		quorum:    lease.NewQuorum(input.Block.Witnesses),
+		failures:  map[string]int{},
+		addresses: map[string]string{},
+		lost:      map[string]cherrykeel.Instant{},
+		losses:    map[string]int{},
 	}
 	for _, replaced := range input.Block.Earlier {
 		term.earlier = append(term.earlier, &earlier{EarlierTerm: replaced, taught: map[string]cherrykeel.Instant{}})
@@ -95,6 +97,7 @@
 func (term *term) tick(input Input, actions *Actions) {
 	term.teach(input, actions)
 	term.free(input)
+	term.watchAddresses(input)
 	term.ledger.Lessees(term.lessees(input))
 	term.watchUpstreams(input)
 	term.place(input, actions)
@@ -102,6 +105,17 @@
 	term.refreshWitnesses(input, actions)
 }
 
+// watchAddresses tells the ledger of upstreams that are other processes now.
+func (term *term) watchAddresses(input Input) {
+	for _, server := range input.Service.Upstreams {
+		address, known := term.addresses[server.Name]
+		if known && address != server.Address && input.Service.ChecksFences {
+			term.ledger.Moved(server.Name)
+		}
+		term.addresses[server.Name] = server.Address
+	}
+}
+
 func (term *term) lessees(input Input) []string {
 	var names []string
 	if !input.Service.ChecksFences {
--- a/lease/answers.go
+++ b/lease/answers.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"strconv"
 
 	"cherrykeel"
 )
@@ -41,10 +42,8 @@
 // What it sent to an upstream that does not check fences may still be worked on, so
 // its possessions stay under a name of their own until that has ended.
 func (ledger *Ledger) restarted(lessee *lessee, boot string) {
-	if ledger.linger > 0 && len(lessee.possible) > 0 {
-		ghost := *lessee
-		ghost.removed = true
-		ledger.lessees["ghost "+lessee.boot] = &ghost
+	if ledger.linger > 0 {
+		ledger.keep(*lessee)
 	}
 	lessee.replace(boot)
 	lessee.clock = 0
@@ -53,6 +52,39 @@
 	lessee.possible = nil
 }
 
+// Moved forgets a lessee that is at another address now, and so is another process. Unlike one that has
+// started anew, that proves nothing of the process before: what it may hold stays its own, under a name that
+// no upstream has, until its lease has ended.
+func (ledger *Ledger) Moved(name string) {
+	moved, exists := ledger.lessees[name]
+	if !exists {
+		return
+	}
+	delete(ledger.lessees, name)
+	left := *moved
+	left.possible = nil
+	for _, possession := range moved.possible {
+		possession.tenure = possession.tenure.renamed(name, ledger.ghostName())
+		left.possible = append(left.possible, possession)
+	}
+	ledger.keep(left)
+}
+
+// keep goes on counting what a process may hold that is no lessee any more, until its lease has ended.
+func (ledger *Ledger) keep(ghost lessee) {
+	if len(ghost.possible) == 0 {
+		return
+	}
+	ghost.removed = true
+	ledger.lessees[ledger.ghostName()] = &ghost
+	ledger.ghosts++
+}
+
+// ghostName is the name of the next process that is kept; names of upstreams and hosts have no spaces.
+func (ledger *Ledger) ghostName() string {
+	return "ghost " + strconv.Itoa(ledger.ghosts)
+}
+
 // replace notes that another process has taken the place of the one known so far.
 func (lessee *lessee) replace(boot string) {
 	replaced := map[string]bool{lessee.boot: true}
--- a/lease/ledger.go
+++ b/lease/ledger.go
@@ -68,6 +68,8 @@
 	freeAt  cherrykeel.Instant
 	wanted  Tenure
 	lessees map[string]*lessee
+	// ghosts counts the processes that were kept when they ceased to be lessees.
+	ghosts  int
 	deposed bool
 }
 
--- a/lease/tenure.go
+++ b/lease/tenure.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"maps"
 	"sort"
 
 	"github.com/bits-and-blooms/bitset"
@@ -59,6 +60,25 @@
 	return part
 }
 
+// renamed returns the tenure with another name in the place of an upstream's.
+func (tenure Tenure) renamed(upstream, name string) Tenure {
+	renamed := Tenure{
+		Partitions: maps.Clone(tenure.Partitions),
+		HotKeys:    maps.Clone(tenure.HotKeys),
+		ExceptKeys: tenure.ExceptKeys,
+	}
+	if set, exists := renamed.Partitions[upstream]; exists {
+		delete(renamed.Partitions, upstream)
+		renamed.Partitions[name] = set
+	}
+	for key, owner := range renamed.HotKeys {
+		if owner == upstream {
+			renamed.HotKeys[key] = name
+		}
+	}
+	return renamed
+}
+
 func (tenure Tenure) add(upstream string, partition int) {
 	set, exists := tenure.Partitions[upstream]
 	if !exists {
