--- a/edge/abandon_test.go
+++ b/edge/abandon_test.go
@@ -29,7 +29,9 @@
 	manyPartitions = 2 * partitions
 	// allowed is less than the service's timeout.
 	allowed = 300 * time.Millisecond
-	timeout = 30 * time.Second
+	// connecting is how long a slow connection takes to be made.
+	connecting = time.Second
+	timeout    = 30 * time.Second
 )
 
 // hand is a clock that moves when it is told.
@@ -77,6 +79,9 @@
 	world.fleet.Update(map[string]*cherrykeel.Service{}, 1)
 }
 
+// ready is asked by a sender that is about to write a request.
+func (world *world) ready(*http.Request) bool { return true }
+
 // grant replaces what the host may send, and returns what it says it still holds.
 func (world *world) grant(sequence int64, partitions ...int) []int {
 	holding, known := world.fleet.GrantView(false, cherrykeel.Grant{
@@ -160,6 +165,34 @@
 		Expect(world.grant(4)).To(BeEmpty())
 	})
 
+	// The keeper passes a key on when the request's deadline has passed; the upstream counts the time that it is
+	// told from the arrival. A connection that takes long to be made must not add to it.
+	It("is told what is left when the connection is there", func() {
+		world := newWorld()
+		world.send(context.Background(), func(_ context.Context, request *http.Request) (conns.Progress, error) {
+			world.clock.advance(connecting)
+			if !world.ready(request) {
+				return conns.NotSent, errors.New("not sent")
+			}
+			told, err := strconv.Atoi(request.Header.Get(cherrykeel.HeaderTimeout))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(time.Duration(told) * time.Millisecond).To(BeNumerically("<=", timeout-connecting))
+			return conns.Sent, errors.New("connection reset by peer")
+		})
+	})
+
+	// As above; the host was paused, and when it is back, its lease has ended and the key may have another owner.
+	It("is not sent if the lease has ended when the connection is there", func() {
+		world := newWorld()
+		sent := false
+		world.send(context.Background(), func(_ context.Context, request *http.Request) (conns.Progress, error) {
+			world.clock.advance(2 * time.Hour)
+			sent = world.ready(request)
+			return conns.NotSent, errors.New("not sent")
+		})
+		Expect(sent).To(BeFalse())
+	})
+
 	It("leaves its partition at once if it was never sent", func() {
 		world := newWorld()
 		ctx, leave := context.WithCancel(context.Background())
