A request is told what is left when it is written, and not written after the lease

Cause: a host worked out the time for a request, and looked at its lease, before it made a connection (up to a second) or was paused. An upstream that checks no fences then began late, and worked past the time that the keeper waits for. Change: both are looked at again when the connection is there, just before the first byte. A pause of the process between that and the write stays open.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -14,6 +14,8 @@
 var (
 	// ErrBroken means that the connection failed or the answer was not whole.
 	ErrBroken = errors.New("the connection to the upstream broke")
+	// ErrNotReady means that the request was not to be sent any more when the connection was there.
+	ErrNotReady = errors.New("the request was not to be sent any more")
 	// ErrUnframed means that the answer does not say where it ends, so it cannot be known to be whole.
 	ErrUnframed = errors.New("the answer does not say where it ends")
 )
@@ -54,6 +56,14 @@
 	// Watch is how long a new connection is watched before the first byte is sent, or 0. An upstream with too
 	// many connections accepts one more and resets it; what has been sent by then may have run.
 	Watch time.Duration
+	// Ready is asked when the connection is there, just before the first byte is sent; the request may be changed
+	// then, or with false not be sent. What was true before a slow connection, or a pause, may not be any more.
+	Ready func() bool
+}
+
+// SendWhen is Send for a request that depends on the moment; see Care.Ready.
+func (pool *Pool) SendWhen(ctx context.Context, address string, request *http.Request, ready func() bool) (*Answer, Progress, error) {
+	return pool.SendWith(ctx, address, request, Care{MaxIdle: pool.idleTimeout, Ready: ready})
 }
 
 // SendWith is Send over a connection that meets the care, or a new one.
@@ -62,6 +72,10 @@
 	if err != nil {
 		return nil, NotSent, err
 	}
+	if care.Ready != nil && !care.Ready() {
+		pool.giveBack(conn)
+		return nil, NotSent, errors.WithStack(ErrNotReady)
+	}
 	conn.written = 0
 	rested := conn.rested()
 	stop := context.AfterFunc(ctx, func() {
--- a/edge/abandon_test.go
+++ b/edge/abandon_test.go
@@ -46,7 +46,8 @@
 // sender hands each request to a function.
 type sender func(ctx context.Context, request *http.Request) (conns.Progress, error)
 
-func (sender sender) Send(ctx context.Context, _ string, request *http.Request) (*conns.Answer, conns.Progress, error) {
+func (sender sender) SendWhen(ctx context.Context, _ string, request *http.Request, ready func() bool) (*conns.Answer, conns.Progress, error) {
+	ctx = context.WithValue(ctx, readyKey{}, ready)
 	progress, err := sender(ctx, request)
 	return nil, progress, err
 }
@@ -79,8 +80,10 @@
 	world.fleet.Update(map[string]*cherrykeel.Service{}, 1)
 }
 
+type readyKey struct{}
+
 // ready is asked by a sender that is about to write a request.
-func (world *world) ready(*http.Request) bool { return true }
+func ready(ctx context.Context) bool { return ctx.Value(readyKey{}).(func() bool)() }
 
 // grant replaces what the host may send, and returns what it says it still holds.
 func (world *world) grant(sequence int64, partitions ...int) []int {
@@ -154,6 +157,7 @@
 		})
 		Expect(holding.Accepted).To(BeTrue())
 		world.send(context.Background(), func(ctx context.Context, request *http.Request) (conns.Progress, error) {
+			Expect(ready(ctx)).To(BeTrue())
 			told, err := strconv.Atoi(request.Header.Get(cherrykeel.HeaderTimeout))
 			Expect(err).NotTo(HaveOccurred())
 			Expect(time.Duration(told) * time.Millisecond).To(BeNumerically("<=", allowed))
@@ -169,9 +173,9 @@
 	// told from the arrival. A connection that takes long to be made must not add to it.
 	It("is told what is left when the connection is there", func() {
 		world := newWorld()
-		world.send(context.Background(), func(_ context.Context, request *http.Request) (conns.Progress, error) {
+		world.send(context.Background(), func(ctx context.Context, request *http.Request) (conns.Progress, error) {
 			world.clock.advance(connecting)
-			if !world.ready(request) {
+			if !ready(ctx) {
 				return conns.NotSent, errors.New("not sent")
 			}
 			told, err := strconv.Atoi(request.Header.Get(cherrykeel.HeaderTimeout))
@@ -185,9 +189,9 @@
 	It("is not sent if the lease has ended when the connection is there", func() {
 		world := newWorld()
 		sent := false
-		world.send(context.Background(), func(_ context.Context, request *http.Request) (conns.Progress, error) {
+		world.send(context.Background(), func(ctx context.Context, _ *http.Request) (conns.Progress, error) {
 			world.clock.advance(2 * time.Hour)
-			sent = world.ready(request)
+			sent = ready(ctx)
 			return conns.NotSent, errors.New("not sent")
 		})
 		Expect(sent).To(BeFalse())
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -19,8 +19,8 @@
 
 // Sender carries one attempt to an upstream; conns.Pool is the one in use.
 type Sender interface {
-	// Send writes a request and reads the head of its answer.
-	Send(ctx context.Context, address string, request *http.Request) (*conns.Answer, conns.Progress, error)
+	// SendWhen writes a request, if it is ready when there is a connection, and reads the head of its answer.
+	SendWhen(ctx context.Context, address string, request *http.Request, ready func() bool) (*conns.Answer, conns.Progress, error)
 }
 
 // wholeBytes is the largest answer that is read to its end before any of it is passed on,
@@ -57,8 +57,8 @@
 	}
 }
 
-// outgoing returns the request as the upstream gets it.
-func outgoing(exchange *cherrykeel.Exchange, attemptID string, left time.Duration) *http.Request {
+// outgoing returns the request as the upstream gets it, but for the time that is left.
+func outgoing(exchange *cherrykeel.Exchange, attemptID string) *http.Request {
 	incoming := exchange.Request
 	header := incoming.Header.Clone()
 	dropHopHeaders(header)
@@ -67,7 +67,6 @@
 	}
 	header.Set(cherrykeel.HeaderRequest, attemptID)
 	header.Set(cherrykeel.HeaderService, exchange.Service.Path)
-	header.Set(cherrykeel.HeaderTimeout, strconv.FormatInt(left.Milliseconds(), 10))
 	header.Del(cherrykeel.HeaderKey)
 	header.Del(cherrykeel.HeaderPartition)
 	if exchange.Key != "" {
@@ -93,8 +92,9 @@
 func (forward *forward) attempt(ctx context.Context, exchange *cherrykeel.Exchange, place *place, number int) result {
 	begun := forward.clock.Now()
 	attemptID := exchange.ID + "." + strconv.Itoa(number)
-	request := outgoing(exchange, attemptID, place.deadline.Sub(begun))
-	answer, progress, err := forward.sender.Send(ctx, place.upstream.server.Address, request)
+	request := outgoing(exchange, attemptID)
+	ready := func() bool { return place.ready(exchange, request) }
+	answer, progress, err := forward.sender.SendWhen(ctx, place.upstream.server.Address, request, ready)
 	var result result
 	if err != nil {
 		result = broken(progress, err)
@@ -113,8 +113,8 @@
 	if progress == conns.NotSent {
 		ending.Evidence = retry.NeverSent
 	}
-	// A host that has used up its own connections has learned nothing about the upstream.
-	own := errors.Is(err, conns.ErrLimit)
+	// A host that has used up its own connections, or its time, has learned nothing about the upstream.
+	own := errors.Is(err, conns.ErrLimit) || errors.Is(err, conns.ErrNotReady)
 	return result{ending: ending, finished: finished{reached: own, reported: -1}}
 }
 
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -142,6 +143,21 @@
 	viewed *cherrykeel.Exchange
 }
 
+// ready reports whether the request may be written now, and tells the upstream what time is left. Where it checks
+// no fences, a host that was paused since it chose the upstream must not write after its lease has ended.
+func (place *place) ready(exchange *cherrykeel.Exchange, request *http.Request) bool {
+	now := place.clock.Now()
+	left := place.deadline.Sub(now)
+	request.Header.Set(cherrykeel.HeaderTimeout, strconv.FormatInt(left.Milliseconds(), 10))
+	if place.viewed == nil {
+		return left > 0
+	}
+	place.pool.mutex.Lock()
+	defer place.pool.mutex.Unlock()
+	owner, allowed := place.pool.view.Owner(exchange.Partition, exchange.Key, now)
+	return left > 0 && allowed && owner == place.upstream.server.Name
+}
+
 func (place *place) leave(finished finished) {
 	pool := place.pool
 	pool.mutex.Lock()
