An upstream that checks no fences gets no other address under its name

Cause: leases on sending name an upstream, not a process; hosts that read a new address at different times would send one key to two processes. Change: plan and publish refuse it, as they refuse another number of partitions, and say to publish the new process under another name. Where fences are checked the keeper sees to it.

--- a/opctl/client.go
+++ b/opctl/client.go
@@ -114,12 +114,11 @@
 		before := state.Nodes[edit.Path].Fields
 		plan.Edits = append(plan.Edits, PlannedEdit{Edit: edit, Before: before})
 	}
-	return plan, checkPartitions(state.Nodes, wanted)
+	return plan, checkHeld(state.Nodes, wanted)
 }
 
-// checkPartitions refuses to change the number of partitions of a service that holds keys:
-// every key would have another partition, and so another owner, at one moment.
-func checkPartitions(inForce, wanted tree.Nodes) error {
+// checkHeld refuses changes that would give keys which a service holds a second owner.
+func checkHeld(inForce, wanted tree.Nodes) error {
 	for path := range wanted {
 		_, exists := inForce[path]
 		if tree.LevelOf(path) != tree.LevelService || !exists {
@@ -130,8 +129,43 @@
 			continue
 		}
 		after, err := tree.Resolve(wanted, path)
-		if err == nil && after.Keyed && before.Partitions != after.Partitions {
-			return exit(ExitInvalid, errors.Errorf("%s: Partitions is %d in force and cannot become %d; publish the service under another name and move callers", path, before.Partitions, after.Partitions))
+		if err != nil || !after.Keyed {
+			continue
+		}
+		err = checkPartitions(before, after)
+		if err == nil {
+			err = checkAddresses(before, after)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkPartitions refuses to change the number of partitions: every key would have another
+// partition, and so another owner, at one moment.
+func checkPartitions(before, after *cherrykeel.Service) error {
+	if before.Partitions == after.Partitions {
+		return nil
+	}
+	return exit(ExitInvalid, errors.Errorf("%s: Partitions is %d in force and cannot become %d; publish the service under another name and move callers", before.Path, before.Partitions, after.Partitions))
+}
+
+// checkAddresses refuses to move the name of an upstream that checks no fences: hosts read settings at
+// different times, and leases on sending would not tell the two processes apart.
+func checkAddresses(before, after *cherrykeel.Service) error {
+	if before.ChecksFences && after.ChecksFences {
+		return nil
+	}
+	addresses := map[string]string{}
+	for _, server := range before.Upstreams {
+		addresses[server.Name] = server.Address
+	}
+	for _, server := range after.Upstreams {
+		address, known := addresses[server.Name]
+		if known && address != server.Address {
+			return exit(ExitInvalid, errors.Errorf("%s: upstream %s checks no fences and cannot move from %s to %s; publish the new one under another name", before.Path, server.Name, address, server.Address))
 		}
 	}
 	return nil
--- a/opctl/plan_test.go
+++ b/opctl/plan_test.go
@@ -21,7 +21,7 @@
 		"":     {Fields: map[string]any{}},
 		"test": {Path: "test", Fields: map[string]any{"Domains": []any{"a.example"}}},
 		"test/keys": {Path: "test/keys", Fields: map[string]any{
-			"PathPrefix": "/keys", "Keyed": true, "KeyFrom": "header X-Key", "ChecksFences": checksFences, "Partitions": int64(16),
+			"PathPrefix": "/keys", "Keyed": true, "KeyFrom": "header:X-Key", "ChecksFences": checksFences, "Partitions": int64(16),
 			"Upstreams": []any{map[string]any{"Name": name, "Address": address, "Zone": "zone"}},
 		}},
 	}
