--- a/edge/forward.go
+++ b/edge/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,6 +12,7 @@
 	"cherrykeel"
 	"cherrykeel/admit"
 	"cherrykeel/events"
+	"cherrykeel/lease"
 	"cherrykeel/retry"
 )
 
@@ -111,14 +113,20 @@
 		ending := retry.Ending{Evidence: retry.Refused, Refusal: retry.RefusedOwner, Detail: "no upstream can take the request now"}
 		return result{ending: ending}, nil
 	}
-	result := forward.attempt(ctx, exchange, place.upstream.server, number)
+	ctx, cancel := context.WithTimeout(ctx, place.deadline.Sub(place.begun))
+	result := forward.attempt(ctx, exchange, place, number)
 	result.tried = place.upstream.server.Name
 	if result.answer == nil {
+		cancel()
 		place.leave(result.finished)
 		return result, nil
 	}
 	// A large answer keeps its place until it has been passed on; pass closes it.
-	result.answer.OnClose(func() { place.leave(result.finished) })
+	result.answer.OnClose(func() {
+		cancel()
+		result.finished.abandoned = !result.answer.Whole()
+		place.leave(result.finished)
+	})
 	return result, nil
 }
 
@@ -129,8 +137,25 @@
 	upstream *upstream
 	clock    cherrykeel.Clock
 	begun    cherrykeel.Instant
-	// viewed is the partition that the host's view counts, or -1.
-	viewed int
+	// deadline is the exchange's, or an earlier one that the host's lease asks for.
+	deadline cherrykeel.Instant
+	// viewed is the request that the host's view counts, or nil.
+	viewed *cherrykeel.Exchange
+}
+
+// ready reports whether the request may be written now, and tells the upstream what time is left. Where it checks
+// no fences, a host that was paused since it chose the upstream must not write after its lease has ended.
+func (place *place) ready(exchange *cherrykeel.Exchange, request *http.Request) bool {
+	now := place.clock.Now()
+	left := place.deadline.Sub(now)
+	request.Header.Set(cherrykeel.HeaderTimeout, strconv.FormatInt(left.Milliseconds(), 10))
+	if place.viewed == nil {
+		return left > 0
+	}
+	place.pool.mutex.Lock()
+	defer place.pool.mutex.Unlock()
+	owner, allowed := place.pool.view.Owner(exchange.Partition, exchange.Key, now)
+	return left > 0 && allowed && owner == place.upstream.server.Name
 }
 
 func (place *place) leave(finished finished) {
@@ -143,12 +168,25 @@
 		return
 	}
 	place.upstream.inFlight--
-	if place.viewed >= 0 {
-		pool.view.Leave(place.upstream.server.Name, place.viewed)
-	}
+	place.unview(finished.abandoned)
 	pool.note(place.upstream, finished, now)
 }
 
+// unview ends the count of the host's view, where the upstream checks no fences. An upstream that may not have
+// heard that nobody waits any more, as in a cut of the network, works on until the deadline that it was told.
+func (place *place) unview(abandoned bool) {
+	if place.viewed == nil {
+		return
+	}
+	view, upstream := place.pool.view, place.upstream.server.Name
+	if !abandoned {
+		view.Leave(upstream, place.viewed.Partition, place.viewed.Key)
+		return
+	}
+	told := place.deadline.Sub(place.begun)
+	view.Abandon(upstream, place.viewed.Partition, place.viewed.Key, place.begun.Add(lease.Linger(told)))
+}
+
 // pass writes the answer to the caller.
 func (forward *forward) pass(exchange *cherrykeel.Exchange, result result) *cherrykeel.Failure {
 	header := exchange.Writer.Header()
--- a/fakes/owned.go
+++ b/fakes/owned.go
@@ -16,8 +16,18 @@
 	partitions map[int]bool
 	hotKeys    map[string]bool
 	exceptKeys map[string]bool
-	// inFlight counts requests by partition, so that a taken partition is given up only when they have ended.
-	inFlight map[int]int
+	// inFlight counts requests, so that what is taken away is given up only when they have ended.
+	inFlight map[Work]int
+	// lapses counts the leases that have ended and were followed by another.
+	lapses int
+}
+
+// Work is a request that an upstream has begun.
+type Work struct {
+	partition int
+	key       string
+	// lapses names the lease under which it began.
+	lapses int
 }
 
 // NewOwnership returns an ownership of nothing; boot names the upstream's process.
@@ -28,24 +38,42 @@
 		partitions: map[int]bool{},
 		hotKeys:    map[string]bool{},
 		exceptKeys: map[string]bool{},
-		inFlight:   map[int]int{},
+		inFlight:   map[Work]int{},
 	}
 }
 
 // Owns reports whether the upstream may act for a key at its own time now.
 func (ownership *Ownership) Owns(now time.Duration, partition int, key string) bool {
-	if now >= ownership.until {
-		return false
-	}
+	return now < ownership.until && ownership.granted(partition, key)
+}
+
+// granted reports whether the last grant names the key, alone or with its partition.
+func (ownership *Ownership) granted(partition int, key string) bool {
 	if ownership.hotKeys[key] {
 		return true
 	}
 	return ownership.partitions[partition] && !ownership.exceptKeys[key]
 }
 
-// Lapsed reports whether the lease has ended at the upstream's own time now.
-func (ownership *Ownership) Lapsed(now time.Duration) bool {
-	return now >= ownership.until
+// Begin counts a request until End.
+func (ownership *Ownership) Begin(partition int, key string) Work {
+	work := Work{partition: partition, key: key, lapses: ownership.lapses}
+	ownership.inFlight[work]++
+	return work
+}
+
+// End ends a request that Begin has counted.
+func (ownership *Ownership) End(work Work) {
+	ownership.inFlight[work]--
+	if ownership.inFlight[work] == 0 {
+		delete(ownership.inFlight, work)
+	}
+}
+
+// Lapsed reports whether the lease under which work began has ended at the upstream's own time now. It stays
+// so when another lease begins: the key may have had another owner in between, whose work this would undo.
+func (ownership *Ownership) Lapsed(work Work, now time.Duration) bool {
+	return work.lapses != ownership.lapses || now >= ownership.until
 }
 
 // Term returns the term of the newest grant.
@@ -77,6 +105,9 @@
 	if grant.Partial && !lapsed {
 		return
 	}
+	if lapsed {
+		ownership.lapses++
+	}
 	// A lapsed lease has nothing left to extend: others may own its keys by now.
 	ownership.partitions = map[int]bool{}
 	for _, partition := range grant.Partitions {
@@ -106,14 +137,20 @@
 	for partition := range ownership.partitions {
 		holding.Partitions = append(holding.Partitions, partition)
 	}
-	for partition, count := range ownership.inFlight {
-		if count > 0 && !ownership.partitions[partition] {
-			holding.Partitions = append(holding.Partitions, partition)
-		}
-	}
 	for key := range ownership.hotKeys {
 		holding.HotKeys = append(holding.HotKeys, key)
 	}
+	for work := range ownership.inFlight {
+		if ownership.Lapsed(work, now) || ownership.granted(work.partition, work.key) {
+			// What outlasted its lease takes no effect any more, and others may have the key.
+			continue
+		}
+		if !ownership.partitions[work.partition] {
+			holding.Partitions = append(holding.Partitions, work.partition)
+		}
+		// The key may go to the owner of its partition, which need not change for that.
+		holding.HotKeys = append(holding.HotKeys, work.key)
+	}
 	for key := range ownership.exceptKeys {
 		holding.ExceptKeys = append(holding.ExceptKeys, key)
 	}
--- a/fakes/upstream.go
+++ b/fakes/upstream.go
@@ -65,7 +65,7 @@
 type Upstream struct {
 	options  UpstreamOptions
 	boot     string
-	start    time.Time
+	clock    cherrykeel.Clock
 	slots    chan struct{}
 	mux      *http.ServeMux
 	mutex    sync.Mutex
@@ -90,7 +90,7 @@
 	upstream := &Upstream{
 		options:  options,
 		boot:     uuid.NewString(),
-		start:    time.Now(),
+		clock:    cherrykeel.SuspendClock(),
 		slots:    make(chan struct{}, options.Slots),
 		mux:      http.NewServeMux(),
 		services: map[string]*Ownership{},
@@ -112,7 +112,7 @@
 }
 
 func (upstream *Upstream) now() time.Duration {
-	return time.Since(upstream.start)
+	return time.Duration(upstream.clock.Now())
 }
 
 func (upstream *Upstream) order(writer http.ResponseWriter, request *http.Request) {
@@ -188,7 +188,7 @@
 	writer.Header().Set(cherrykeel.HeaderRequest, request.Header.Get(cherrykeel.HeaderRequest))
 	writer.Header().Set(cherrykeel.HeaderLoad, strconv.FormatFloat(upstream.load(), 'f', 3, 64))
 	call := newCall(request, body)
-	if reason := upstream.begin(call); reason != "" {
+	if reason := upstream.begin(&call); reason != "" {
 		upstream.refuse(writer, reason)
 		return
 	}
@@ -237,6 +237,7 @@
 	method    string
 	path      string
 	body      []byte
+	work      Work
 }
 
 func newCall(request *http.Request, body []byte) call {
@@ -256,13 +257,13 @@
 	}
 }
 
-func (upstream *Upstream) begin(call call) string {
+func (upstream *Upstream) begin(call *call) string {
 	upstream.mutex.Lock()
 	defer upstream.mutex.Unlock()
 	switch {
 	case upstream.faults.Draining:
 		return "draining"
-	case !upstream.mayAct(call):
+	case !upstream.mayAct(*call):
 		return "owner"
 	case upstream.waiting >= upstream.options.QueueLength+cap(upstream.slots):
 		return "shed"
@@ -272,7 +273,7 @@
 	upstream.waiting++
 	upstream.most = max(upstream.most, upstream.waiting)
 	if call.partition >= 0 {
-		upstream.owned(call.service).inFlight[call.partition]++
+		call.work = upstream.owned(call.service).Begin(call.partition, call.key)
 	}
 	return ""
 }
@@ -282,7 +283,7 @@
 	defer upstream.mutex.Unlock()
 	upstream.waiting--
 	if call.partition >= 0 {
-		upstream.owned(call.service).inFlight[call.partition]--
+		upstream.owned(call.service).End(call.work)
 	}
 }
 
@@ -326,7 +327,7 @@
 	upstream.mutex.Lock()
 	defer upstream.mutex.Unlock()
 	held := upstream.owned(call.service)
-	lapsed := held.Lapsed(upstream.now())
+	lapsed := held.Lapsed(call.work, upstream.now())
 	if call.partition >= 0 && upstream.options.EnforceFences && !upstream.faults.IgnoreFences && lapsed {
 		return nil, "owner"
 	}
--- a/keeper/term.go
+++ b/keeper/term.go
@@ -36,6 +36,7 @@
 	quorum    *lease.Quorum
 	earlier   []*earlier
 	failures  map[string]int
+	addresses map[string]string
 	lost      map[string]cherrykeel.Instant
 	losses    map[string]int
 	renewedAt cherrykeel.Instant
@@ -63,18 +64,19 @@
 	service := input.Service
 	options := []lease.Option{}
 	if !service.ChecksFences {
-		options = append(options, lease.ToHosts(service.Timeout))
+		options = append(options, lease.ToHosts(boundOf(input.Block.Timeout, service)))
 	}
 	term := &term{
-		number:   input.Block.Term,
-		service:  keeper.service,
-		self:     keeper.self,
-		placer:   keeper.placer,
-		ledger:   lease.NewLedger(keeper.service, input.Block.Term, input.Block.LeaseLength, partitionOf(service.Partitions), options...),
-		quorum:   lease.NewQuorum(input.Block.Witnesses),
-		failures: map[string]int{},
-		lost:     map[string]cherrykeel.Instant{},
-		losses:   map[string]int{},
+		number:    input.Block.Term,
+		service:   keeper.service,
+		self:      keeper.self,
+		placer:    keeper.placer,
+		ledger:    lease.NewLedger(keeper.service, input.Block.Term, input.Block.LeaseLength, partitionOf(service.Partitions), options...),
+		quorum:    lease.NewQuorum(input.Block.Witnesses),
+		failures:  map[string]int{},
+		addresses: map[string]string{},
+		lost:      map[string]cherrykeel.Instant{},
+		losses:    map[string]int{},
 	}
 	for _, replaced := range input.Block.Earlier {
 		term.earlier = append(term.earlier, &earlier{EarlierTerm: replaced, taught: map[string]cherrykeel.Instant{}})
@@ -95,6 +97,7 @@
 func (term *term) tick(input Input, actions *Actions) {
 	term.teach(input, actions)
 	term.free(input)
+	term.watchAddresses(input)
 	term.ledger.Lessees(term.lessees(input))
 	term.watchUpstreams(input)
 	term.place(input, actions)
@@ -102,6 +105,17 @@
 	term.refreshWitnesses(input, actions)
 }
 
+// watchAddresses tells the ledger of upstreams that are other processes now.
+func (term *term) watchAddresses(input Input) {
+	for _, server := range input.Service.Upstreams {
+		address, known := term.addresses[server.Name]
+		if known && address != server.Address && input.Service.ChecksFences {
+			term.ledger.Moved(server.Name)
+		}
+		term.addresses[server.Name] = server.Address
+	}
+}
+
 func (term *term) lessees(input Input) []string {
 	var names []string
 	if !input.Service.ChecksFences {
@@ -158,15 +172,32 @@
 		if learned == 0 {
 			return
 		}
-		longest := time.Duration(float64(earlier.LeaseLength) * (1 + lease.DefaultDrift))
-		if !input.Service.ChecksFences {
-			longest += input.Service.Timeout
+		longest := lease.Longest(earlier.LeaseLength)
+		if bound := boundOf(earlier.Timeout, input.Service); bound > 0 {
+			longest += lease.Longest(lease.Linger(bound))
 		}
 		freeAt = max(freeAt, learned.Add(longest))
 	}
 	term.ledger.Free(freeAt)
 }
 
+// boundOf returns the bound on the requests of a term: the claim's, not that of the settings, which may have
+// changed while requests run that were sent before. Claims of older programs name none.
+func boundOf(claimed time.Duration, service *cherrykeel.Service) time.Duration {
+	if claimed > 0 {
+		return claimed
+	}
+	return timeoutOf(service)
+}
+
+// timeoutOf returns the bound that a claim names by the settings in force.
+func timeoutOf(service *cherrykeel.Service) time.Duration {
+	if service.ChecksFences {
+		return 0
+	}
+	return service.Timeout
+}
+
 // learnedAt returns when a majority had learned, or 0.
 func (earlier *earlier) learnedAt() cherrykeel.Instant {
 	var at []cherrykeel.Instant
@@ -199,14 +230,15 @@
 	actions.Orders = term.ledger.Orders(input.Now, term.quorum.At())
 }
 
-// refreshWitnesses claims the term anew when witnesses have left: at leisure while most of them
-// are there, and at once when most are lost, since nothing can be renewed without them.
+// refreshWitnesses claims the term anew when witnesses have left, or requests may take another time than the
+// claim says: at leisure while most of them are there, and at once when most are lost, since nothing can be
+// renewed without them.
 func (term *term) refreshWitnesses(input Input, actions *Actions) {
 	missing := term.missingWitnesses(input)
 	better := Witnesses(term.service, term.self, input.Hosts)
 	grown := len(better) > len(input.Block.Witnesses)
 	stuck := 2*missing > len(input.Block.Witnesses)
-	wanted := missing > 0 || grown
+	wanted := missing > 0 || grown || timeoutOf(input.Service) != input.Block.Timeout
 	recent := term.reclaimAt != 0 && input.Now.Sub(term.reclaimAt) < listPatience
 	if !wanted || recent || input.Leaving || !stuck && !term.ledger.Settled(input.Now) {
 		return
@@ -216,6 +248,7 @@
 		Service:     term.service,
 		Term:        term.number,
 		LeaseLength: input.Service.LeaseLength,
+		Timeout:     timeoutOf(input.Service),
 		Witnesses:   better,
 	}
 }
--- a/lease/answers.go
+++ b/lease/answers.go
@@ -1,6 +1,9 @@
 package lease
 
 import (
+	"maps"
+	"strconv"
+
 	"cherrykeel"
 )
 
@@ -11,6 +14,11 @@
 		return
 	}
 	lessee.outstanding = 0
+	if holding.Service != ledger.service || lessee.replaced[holding.Boot] {
+		// A connection can bring the answer to another call: one for another service, or one that the lessee's
+		// last process gave. Taken for this one, it would make the ledger forget what the lessee holds.
+		return
+	}
 	if holding.Fence.Term > ledger.term {
 		ledger.deposed = true
 		return
@@ -23,7 +31,9 @@
 		lessee.readAt = received
 		lessee.known = true
 	}
-	if !order.Ask && holding.Accepted {
+	// A lessee that accepts a grant has that grant's fence; with another one, it accepted another grant, and
+	// may take this one later.
+	if !order.Ask && holding.Accepted && holding.Fence == order.Grant.Fence {
 		lessee.accept(order, tenureOfHolding(order.Lessee, holding))
 	}
 }
@@ -32,18 +42,57 @@
 // What it sent to an upstream that does not check fences may still be worked on, so
 // its possessions stay under a name of their own until that has ended.
 func (ledger *Ledger) restarted(lessee *lessee, boot string) {
-	if ledger.linger > 0 && len(lessee.possible) > 0 {
-		ghost := *lessee
-		ghost.removed = true
-		ledger.lessees["ghost "+lessee.boot] = &ghost
+	if ledger.linger > 0 {
+		ledger.keep(*lessee)
 	}
-	lessee.boot = boot
+	lessee.replace(boot)
 	lessee.clock = 0
 	lessee.known = false
 	lessee.fenced = false
 	lessee.possible = nil
 }
 
+// Moved forgets a lessee that is at another address now, and so is another process. Unlike one that has
+// started anew, that proves nothing of the process before: what it may hold stays its own, under a name that
+// no upstream has, until its lease has ended.
+func (ledger *Ledger) Moved(name string) {
+	moved, exists := ledger.lessees[name]
+	if !exists {
+		return
+	}
+	delete(ledger.lessees, name)
+	left := *moved
+	left.possible = nil
+	for _, possession := range moved.possible {
+		possession.tenure = possession.tenure.renamed(name, ledger.ghostName())
+		left.possible = append(left.possible, possession)
+	}
+	ledger.keep(left)
+}
+
+// keep goes on counting what a process may hold that is no lessee any more, until its lease has ended.
+func (ledger *Ledger) keep(ghost lessee) {
+	if len(ghost.possible) == 0 {
+		return
+	}
+	ghost.removed = true
+	ledger.lessees[ledger.ghostName()] = &ghost
+	ledger.ghosts++
+}
+
+// ghostName is the name of the next process that is kept; names of upstreams and hosts have no spaces.
+func (ledger *Ledger) ghostName() string {
+	return "ghost " + strconv.Itoa(ledger.ghosts)
+}
+
+// replace notes that another process has taken the place of the one known so far.
+func (lessee *lessee) replace(boot string) {
+	replaced := map[string]bool{lessee.boot: true}
+	maps.Copy(replaced, lessee.replaced)
+	lessee.replaced = replaced
+	lessee.boot = boot
+}
+
 // accept drops the possessions that the accepted grant has replaced.
 func (lessee *lessee) accept(order Order, said Tenure) {
 	kept := []possession{{sequence: order.Grant.Fence.Sequence, tenure: said}}
--- a/lease/ledger.go
+++ b/lease/ledger.go
@@ -32,6 +32,8 @@
 // lessee is an upstream, or an entry host, that holds a lease.
 type lessee struct {
 	boot string
+	// replaced are the processes that were at the address before, whose answers count no more.
+	replaced map[string]bool
 	// clock is the lessee's own time in its last answer, which arrived at readAt.
 	clock  time.Duration
 	readAt cherrykeel.Instant
@@ -57,16 +59,34 @@
 	drift       float64
 	partitionOf func(string) int
 	toHosts     bool
-	// linger is how long a lessee may still work on what it began before its lease ended.
+	// timeout bounds the requests that hosts send under their leases.
+	timeout time.Duration
+	// linger is how long upstreams may work on what hosts sent before their leases ended.
 	linger time.Duration
 	serial int64
 	// freeAt is when every lease of earlier terms has ended; nobody gains anything before.
 	freeAt  cherrykeel.Instant
 	wanted  Tenure
 	lessees map[string]*lessee
+	// ghosts counts the processes that were kept when they ceased to be lessees.
+	ghosts  int
 	deposed bool
 }
 
+// transitTime is how long a request may be on its way; its upstream counts the time for it from its arrival.
+const transitTime = 250 * time.Millisecond
+
+// Linger bounds how long after a request was sent an upstream may work on it, by the sender's clock; timeout is
+// what the request told the upstream, whose own clock may be slow.
+func Linger(timeout time.Duration) time.Duration {
+	return transitTime + Longest(timeout)
+}
+
+// Longest bounds the time on any clock in which a duration passes on another one.
+func Longest(duration time.Duration) time.Duration {
+	return time.Duration(float64(duration) * (1 + DefaultDrift))
+}
+
 // Option changes a Ledger under construction.
 type Option func(*Ledger)
 
@@ -77,12 +97,13 @@
 	}
 }
 
-// ToHosts makes entry hosts the lessees, for upstreams that do not check fences.
-// Such an upstream works on for up to linger after the host that sent the request has lost its lease.
-func ToHosts(linger time.Duration) Option {
+// ToHosts makes entry hosts the lessees, for upstreams that do not check fences. Such an upstream may work on
+// a request for up to timeout after it was sent, also when the host that sent it has lost its lease.
+func ToHosts(timeout time.Duration) Option {
 	return func(ledger *Ledger) {
 		ledger.toHosts = true
-		ledger.linger = linger
+		ledger.timeout = timeout
+		ledger.linger = Longest(Linger(timeout))
 	}
 }
 
--- a/views/view.go
+++ b/views/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"cherrykeel"
 )
@@ -12,22 +13,34 @@
 	service string
 	fence   cherrykeel.Fence
 	until   cherrykeel.Instant
+	timeout time.Duration
 	owners  []string
 	hotKeys map[string]string
 	except  map[string]bool
-	// inFlight counts requests by upstream and partition, so that a partition counts as held until they have ended.
-	inFlight map[string]map[int]int
+	// inFlight counts requests, so that what they are for counts as held until they have ended.
+	inFlight map[flight]int
+	// abandoned says until when upstreams may work on requests whose answers nobody waits for any more.
+	abandoned map[flight]cherrykeel.Instant
+}
+
+// flight is what a request that waits for its answer is for. The key is counted besides its partition: a
+// key that becomes hot, or cools, changes hands while its partition stays, and would else have two upstreams.
+type flight struct {
+	upstream  string
+	partition int
+	key       string
 }
 
 // New returns a view that allows nothing; boot names the host's process.
 func New(boot, service string, partitions int) *View {
 	return &View{
-		boot:     boot,
-		service:  service,
-		owners:   make([]string, partitions),
-		hotKeys:  map[string]string{},
-		except:   map[string]bool{},
-		inFlight: map[string]map[int]int{},
+		boot:      boot,
+		service:   service,
+		owners:    make([]string, partitions),
+		hotKeys:   map[string]string{},
+		except:    map[string]bool{},
+		inFlight:  map[flight]int{},
+		abandoned: map[flight]cherrykeel.Instant{},
 	}
 }
 
@@ -52,6 +65,7 @@
 	lapsed := now >= view.until
 	view.fence = grant.Fence
 	view.until = cherrykeel.Instant(grant.Until)
+	view.timeout = grant.Timeout
 	if grant.Partial && !lapsed {
 		return
 	}
@@ -90,45 +104,94 @@
 			holding.Owners[owner] = append(holding.Owners[owner], partition)
 		}
 	}
-	for upstream, counts := range view.inFlight {
-		for partition, count := range counts {
-			if count > 0 && view.owners[partition] != upstream {
-				holding.Owners[upstream] = append(holding.Owners[upstream], partition)
-			}
-		}
-	}
 	for key, owner := range view.hotKeys {
 		holding.HotKeys = append(holding.HotKeys, owner+" "+key)
 	}
+	for flight := range view.inFlight {
+		view.list(flight, &holding)
+	}
+	for flight, until := range view.abandoned {
+		if now >= until {
+			delete(view.abandoned, flight)
+			continue
+		}
+		view.list(flight, &holding)
+	}
 	for key := range view.except {
 		holding.ExceptKeys = append(holding.ExceptKeys, key)
 	}
 	return holding
 }
 
-// Enter returns the upstream that a request may be sent to now and counts it, or reports false.
-func (view *View) Enter(partition int, key string, now cherrykeel.Instant) (string, bool) {
-	if now >= view.until || partition < 0 || partition >= len(view.owners) {
-		return "", false
+// list adds to a holding what a request is for, unless the host may still send it there.
+func (view *View) list(flight flight, holding *cherrykeel.Holding) {
+	if view.owner(flight.partition, flight.key) == flight.upstream {
+		return
 	}
-	upstream := view.hotKeys[key]
-	if upstream == "" && !view.except[key] {
-		upstream = view.owners[partition]
+	partition := flight.partition
+	if partition >= len(view.owners) || view.owners[partition] != flight.upstream {
+		holding.Owners[flight.upstream] = append(holding.Owners[flight.upstream], partition)
+	}
+	holding.HotKeys = append(holding.HotKeys, flight.upstream+" "+flight.key)
+}
+
+// owner returns the upstream that the last grant names for a key, or an empty string.
+func (view *View) owner(partition int, key string) string {
+	owner := view.hotKeys[key]
+	if owner == "" && !view.except[key] && partition < len(view.owners) {
+		owner = view.owners[partition]
 	}
-	if upstream == "" {
+	return owner
+}
+
+// Owner returns the upstream that a request may be sent to now, or reports false.
+func (view *View) Owner(partition int, key string, now cherrykeel.Instant) (string, bool) {
+	if now >= view.until || partition < 0 || partition >= len(view.owners) {
 		return "", false
 	}
-	if view.inFlight[upstream] == nil {
-		view.inFlight[upstream] = map[int]int{}
+	owner := view.owner(partition, key)
+	return owner, owner != ""
+}
+
+// Limit returns the deadline of a request that is sent now, which the keeper counts on if the host is lost.
+func (view *View) Limit(deadline, now cherrykeel.Instant) cherrykeel.Instant {
+	if view.timeout == 0 {
+		return deadline
 	}
-	view.inFlight[upstream][partition]++
-	return upstream, true
+	return min(deadline, now.Add(view.timeout))
+}
+
+// Enter is Owner for a request that is sent at once; it is counted until Leave.
+func (view *View) Enter(partition int, key string, now cherrykeel.Instant) (string, bool) {
+	owner, allowed := view.Owner(partition, key, now)
+	if allowed {
+		view.inFlight[flight{upstream: owner, partition: partition, key: key}]++
+	}
+	return owner, allowed
+}
+
+// Abandon ends a request that Enter has counted and whose upstream may work on it until an instant, since
+// it was not the upstream that ended it: the key must not have another owner before.
+func (view *View) Abandon(upstream string, partition int, key string, until cherrykeel.Instant) {
+	view.Leave(upstream, partition, key)
+	ended := flight{upstream: upstream, partition: partition, key: key}
+	view.abandoned[ended] = max(view.abandoned[ended], until)
+}
+
+// Clear takes back what the host may send, for another number of partitions; the fence and the requests
+// that are at work stay, so that the host does not pass for one that has just started.
+func (view *View) Clear(partitions int) {
+	view.until = 0
+	view.owners = make([]string, partitions)
+	view.hotKeys = map[string]string{}
+	view.except = map[string]bool{}
 }
 
 // Leave ends a request that Enter has counted.
-func (view *View) Leave(upstream string, partition int) {
-	view.inFlight[upstream][partition]--
-	if view.inFlight[upstream][partition] == 0 {
-		delete(view.inFlight[upstream], partition)
+func (view *View) Leave(upstream string, partition int, key string) {
+	ended := flight{upstream: upstream, partition: partition, key: key}
+	view.inFlight[ended]--
+	if view.inFlight[ended] <= 0 {
+		delete(view.inFlight, ended)
 	}
 }
