--- a/grants/renew.go
+++ b/grants/renew.go
@@ -141,10 +141,7 @@
 
 func (keeper *Keeper) renewOne(ctx context.Context, key spans.Held, owned spans.Owned, now cherrykeel.Instant) {
 	state, exists := keeper.grants[key]
-	if !exists {
-		state = keeper.newGrant(key, owned)
-	}
-	if state.withdrawn.Load() && !state.pending {
+	if !exists || state.withdrawn.Load() && !state.pending {
 		state = keeper.newGrant(key, owned)
 	}
 	contact := keeper.contact(key.Owner)
