--- a/grants/transfer.go
+++ b/grants/transfer.go
@@ -9,8 +9,8 @@
 
 // A table that was written and whose outcome is not known may be carried out seconds later. What it gives on is then
 // granted to the next owner by whoever reads it, at once: the table names no owner that came before. So an owner that
-// is to lose a span is granted it no more, though the table that is known still names it. An owner that had been lost
-// and answered again was granted its span beside such a write, and the keeper's successor granted it to another.
+// is to lose a span is granted it no more, though the table that is known still names it: one that was lost and answers
+// again would hold its span beside the owner that a successor grants it.
 
 // openTransfer is a span that an open write gives on.
 type openTransfer struct {
--- a/grants/workers.go
+++ b/grants/workers.go
@@ -19,7 +19,8 @@
 	// cancelLate is how much later a grant may still leave whose time has passed: a host that has used up its part
 	// of the processor does nothing for up to a tenth of a second, and then ends the call.
 	cancelLate = 100 * time.Millisecond
-	// arriveWithin is how long after its decision a grant may arrive.
+	// arriveWithin is how long after its decision a grant is taken to arrive at the latest; its way, some milliseconds,
+	// is within cancelLate. One that a full link holds up for longer is not counted.
 	arriveWithin = callTimeout + cancelLate
 	// longestWait is how long a grant may wait for a worker; the evidence that it rests on is too old then.
 	longestWait = evidenceAge / 2
@@ -35,9 +36,8 @@
 // errWithdrawn means that a grant was not sent, since its span is released or granted otherwise.
 var errWithdrawn = errors.WithMessage(cherrykeel.ErrNotSent, "its span is granted otherwise")
 
-// workers carry out what waits for others. Each kind has its own, so that none waits for one that takes longer:
-// with one pool for all, 64 releases that waited for running work held back all grants, whose holds ran out, and
-// the writes of the table.
+// workers carry out what waits for others. Each kind has its own, so that none waits for one that takes longer: with
+// one pool for all, 64 releases that wait for running work would hold back all grants, and the writes of the table.
 type workers struct {
 	grants   pond.Pool
 	releases pond.Pool
