Spans say whether they overlap or cover each other; what a table gives on is found once, for the note and the log

Cause: the reading of the whole change. The comparison of two spans stood eight times, what a proposed table gives on was worked out twice and not alike (the log left out a span whose first piece stayed with its owner), and a release's end stood in two fields. Change: KeySpan.Overlaps and Covers; noteTransfers finds each transfer and logs it once for each offset; one field. No decision and no assertion changes. go test ./grants ./spans . ./entry: ok.

--- a/grants/change.go
+++ b/grants/change.go
@@ -22,18 +22,17 @@
 )
 
 type releaseState struct {
-	pending  bool
-	done     bool
-	failedAt cherrykeel.Instant
-	// answeredAt is when the upstream said that its work on the keys had ended.
-	answeredAt cherrykeel.Instant
-	handover   string
+	pending bool
+	done    bool
+	// endedAt is when the last try was answered or given up.
+	endedAt  cherrykeel.Instant
+	handover string
 }
 
 // again reports whether a release that went unanswered is to be sent once more. A release is never refused and
 // may be repeated; without it a lost answer would leave the keys without an owner until the hold has passed.
 func (state *releaseState) again(now cherrykeel.Instant) bool {
-	return !state.pending && !state.done && now.Sub(state.failedAt) >= retryGrant
+	return !state.pending && !state.done && now.Sub(state.endedAt) >= retryGrant
 }
 
 // change writes the next table if upstreams joined, left or were lost, or load has shifted.
@@ -59,8 +58,7 @@
 		return
 	}
 	events.Log(keeper.logger, events.KeeperChanged, zap.Int64("At", next), zap.Int64("Term", table.Term))
-	keeper.noteTransfers(table, proposal, next)
-	keeper.logGiven(table, proposal, next, now)
+	keeper.noteTransfers(table, proposal, next, now)
 	keeper.write(ctx, proposal, next)
 }
 
@@ -114,7 +112,7 @@
 func (keeper *Keeper) covering(key spans.Held) (*grantState, bool) {
 	for other, state := range keeper.grants {
 		inside := other.Service == key.Service && other.Owner == key.Owner && other.Fence == key.Fence &&
-			other.Span != key.Span && other.Span.First <= key.Span.First && other.Span.Last >= key.Span.Last
+			other.Span != key.Span && other.Span.Covers(key.Span)
 		if inside && state.taken {
 			return state, true
 		}
@@ -220,8 +218,7 @@
 			if keeper.term != term {
 				return
 			}
-			state.failedAt = ended
-			state.answeredAt = ended
+			state.endedAt = ended
 			keeper.released(key, state, handover, err, ended.Sub(now), waited)
 		}
 	})
@@ -240,7 +237,7 @@
 func (keeper *Keeper) withdraw(release spans.Held) {
 	for key, state := range keeper.grants {
 		same := key.Service == release.Service && key.Owner == release.Owner && key.Fence < release.Fence
-		if same && key.Span.First <= release.Span.Last && key.Span.Last >= release.Span.First {
+		if same && key.Span.Overlaps(release.Span) {
 			state.withdrawn.Store(true)
 		}
 	}
@@ -264,7 +261,7 @@
 // handover returns what the last owner gave for keys that another owner gets now.
 func (keeper *Keeper) handover(key spans.Held) string {
 	for released, state := range keeper.releases {
-		covers := released.Service == key.Service && released.Span.First <= key.Span.First && released.Span.Last >= key.Span.Last
+		covers := released.Service == key.Service && released.Span.Covers(key.Span)
 		if covers && state.done && released.Fence <= key.Fence {
 			return state.handover
 		}
--- a/grants/evidence.go
+++ b/grants/evidence.go
@@ -22,31 +22,24 @@
 	passedHold evidence = "hold passed"
 )
 
-// logGiven tells of each span that a proposed table gives on who had it, the first of the upstreams that get it, and by
-// what evidence it has been free for how long. Two owners of one key are traced from here: the evidence is named.
-func (keeper *Keeper) logGiven(table, proposal spans.Table, at int64, now cherrykeel.Instant) {
-	for service, list := range table.Services {
-		for _, before := range list {
-			after, found := proposal.Find(service, before.First)
-			if !found || after.Owner == before.Owner {
-				continue
-			}
-			by, since := keeper.freedBy(service, before, now)
-			keeper.meter.gave(by)
-			events.Log(keeper.logger, events.SpanGivenOn,
-				zap.String("Service", service), zap.Int("First", before.First), zap.Int("Last", before.Last),
-				zap.String("From", before.Owner), zap.String("To", after.Owner), zap.Int64("At", at), zap.Int64("Fence", before.Fence),
-				zap.String("FreeBy", string(by)), zap.Duration("FreeFor", since))
-		}
-	}
+// logTransfer tells who had a span that a proposed table gives on, the first of the upstreams that get it, and by what
+// evidence it has been free for how long. Two owners of one key are traced from here: the evidence is named.
+func (keeper *Keeper) logTransfer(service string, before spans.Owned, proposal spans.Table, at int64, now cherrykeel.Instant) {
+	by, since := keeper.freedBy(service, before, now)
+	after, _ := proposal.Find(service, before.First)
+	keeper.meter.gave(by)
+	events.Log(keeper.logger, events.SpanGivenOn,
+		zap.String("Service", service), zap.Int("First", before.First), zap.Int("Last", before.Last),
+		zap.String("From", before.Owner), zap.String("To", after.Owner), zap.Int64("At", at), zap.Int64("Fence", before.Fence),
+		zap.String("FreeBy", string(by)), zap.Duration("FreeFor", since))
 }
 
 // freedBy returns the evidence by which a span is free, and for how long it has been.
 func (keeper *Keeper) freedBy(service string, before spans.Owned, now cherrykeel.Instant) (evidence, time.Duration) {
 	for key, state := range keeper.releases {
-		covers := key.Service == service && key.Owner == before.Owner && key.Fence > before.Fence && key.Span.First <= before.First && key.Span.Last >= before.Last
+		covers := key.Service == service && key.Owner == before.Owner && key.Fence > before.Fence && key.Span.Covers(before.Span())
 		if covers && state.done {
-			return answeredRelease, now.Sub(state.answeredAt)
+			return answeredRelease, now.Sub(state.endedAt)
 		}
 	}
 	contact := keeper.contact(before.Owner)
--- a/grants/transfer.go
+++ b/grants/transfer.go
@@ -21,14 +21,16 @@
 	at int64
 }
 
-// noteTransfers notes what a proposed table gives on.
-func (keeper *Keeper) noteTransfers(table, proposal spans.Table, at int64) {
+// noteTransfers notes what a proposed table gives on, once for each offset.
+func (keeper *Keeper) noteTransfers(table, proposal spans.Table, at int64, now cherrykeel.Instant) {
 	for service, list := range table.Services {
 		for _, before := range list {
 			transfer := openTransfer{service: service, owner: before.Owner, span: before.Span(), at: at}
-			if before.Owner != "" && !proposal.SameOwner(service, before) && !slices.Contains(keeper.transfers, transfer) {
-				keeper.transfers = append(keeper.transfers, transfer)
+			if before.Owner == "" || proposal.SameOwner(service, before) || slices.Contains(keeper.transfers, transfer) {
+				continue
 			}
+			keeper.transfers = append(keeper.transfers, transfer)
+			keeper.logTransfer(service, before, proposal, at, now)
 		}
 	}
 }
@@ -52,7 +54,7 @@
 func (keeper *Keeper) transferred(key spans.Held) bool {
 	for _, transfer := range keeper.transfers {
 		same := transfer.service == key.Service && transfer.owner == key.Owner
-		if same && transfer.span.First <= key.Span.Last && transfer.span.Last >= key.Span.First {
+		if same && transfer.span.Overlaps(key.Span) {
 			return true
 		}
 	}
--- a/keyspan.go
+++ b/keyspan.go
@@ -36,6 +36,16 @@
 	return key >= span.First && key <= span.Last
 }
 
+// Overlaps reports whether a key lies in both spans.
+func (span KeySpan) Overlaps(other KeySpan) bool {
+	return span.First <= other.Last && span.Last >= other.First
+}
+
+// Covers reports whether all keys of the other span lie in this one.
+func (span KeySpan) Covers(other KeySpan) bool {
+	return span.First <= other.First && span.Last >= other.Last
+}
+
 // SpanGrant makes an upstream the owner of a span until its hold has passed.
 type SpanGrant struct {
 	Span KeySpan
--- a/spans/ledger.go
+++ b/spans/ledger.go
@@ -61,7 +61,7 @@
 // covers reports whether whoever holds this holds the other too, and no release frees this one alone.
 func (held Held) covers(other Held) bool {
 	same := held.Service == other.Service && held.Owner == other.Owner
-	return same && other.Fence <= held.Fence && other.Span.First >= held.Span.First && other.Span.Last <= held.Span.Last
+	return same && other.Fence <= held.Fence && held.Span.Covers(other.Span)
 }
 
 // Sent notes a grant that is under way, and returns its number. Until it is answered it may be carried out at
@@ -132,7 +132,7 @@
 	var free cherrykeel.Instant
 	for _, old := range ledger.holds {
 		other := old.Service == service && old.Owner != owner
-		if other && old.Span.First <= span.Last && old.Span.Last >= span.First {
+		if other && old.Span.Overlaps(span) {
 			free = max(free, old.until)
 		}
 	}
--- a/spans/table.go
+++ b/spans/table.go
@@ -85,8 +85,7 @@
 // SameOwner reports whether all of a span that another table names has the same owner in this one.
 func (table Table) SameOwner(service string, before Owned) bool {
 	for _, owned := range table.Services[service] {
-		overlaps := owned.First <= before.Last && owned.Last >= before.First
-		if overlaps && owned.Owner != before.Owner {
+		if owned.Span().Overlaps(before.Span()) && owned.Owner != before.Owner {
 			return false
 		}
 	}
