Hosts log which requests were at work when an upstream's process ended, and by what they know it

Cause: a request that ends the upstreams that run it comes again under another ID, and the log has neither path, caller nor body; an upstream's end shows in a refused connection, a lapsed entry and a new process at its address, which stand apart. So the log could not tell whether one request comes again, our own repeats carry it on, or something else ends the upstreams. Change: a request's identity is a digest of method, host, path with query, caller's address and body (package poison), in event 506 of a send that ended unanswered. A host keeps such sends until their upstream's end is shown (poison.Witness), asks the address itself once (package deny), and logs each as event 508 with the evidence. No decision rests on it yet. Cost: nothing on requests that are answered but one look at a flag; one connection to an address at which a request was lost and none rests, twice a second at the most. Ruled out: a digest in each line of a served request (processor time of every request), the path (it may hold secrets).

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -13,6 +13,8 @@
 	ErrLimit = errors.New("no connection is free")
 	// ErrConnect means that no connection could be made.
 	ErrConnect = errors.New("the upstream cannot be reached")
+	// ErrRefused is an ErrConnect that means that no process listens at the upstream's address.
+	ErrRefused = errors.WithMessage(ErrConnect, "nobody listens there")
 )
 
 const (
@@ -186,7 +188,7 @@
 	socket, err := dialer.DialContext(ctx, "tcp", name)
 	if err != nil {
 		pool.closed(name)
-		return nil, errors.Wrap(ErrConnect, err.Error())
+		return nil, errors.Wrap(connectError(err), err.Error())
 	}
 	conn := newConn(name, socket)
 	conn.keep = pool.idleTimeout
--- a/entry/host.go
+++ b/entry/host.go
@@ -16,9 +16,11 @@
 	"cherrykeel"
 	"cherrykeel/caller"
 	"cherrykeel/conns"
+	"cherrykeel/deny"
 	"cherrykeel/drain"
 	"cherrykeel/events"
 	"cherrykeel/grants"
+	"cherrykeel/poison"
 	"cherrykeel/relay"
 	"cherrykeel/share"
 	"cherrykeel/watch"
@@ -62,6 +64,7 @@
 	metrics  http.Handler
 
 	relay     *relay.Relay
+	denied    *deny.List
 	conns     *conns.Pool
 	server    *caller.Server
 	mesh      *share.Mesh
@@ -163,11 +166,13 @@
 	host.spans = watch.NewSpans(host.clock, host.logger, host.spansChanged, host.tellSpans)
 	host.mesh = share.New(host.self, host.clock, host.logger, &state{host: host}, host.reported.ask, host.counted.ask, func(demand share.Demand) { host.keeper.Demand(demand) }, host.told)
 	host.conns = conns.NewPool(conns.WithDialTimeout(dialTimeout), conns.WithUserTimeout(userTimeout), conns.WithIdleTimeout(idleTimeout), conns.WithUnframed())
+	host.denied = deny.New(deny.Settings{Clock: host.clock, Logger: host.logger, Probe: host.conns.Refused,
+		Planned: func(life poison.Life) bool { return host.upstreams.Leaving(life.Upstream, life.Born) }})
 	host.relay = relay.New(relay.Settings{
 		Zone: host.settings.Zone, Bounds: host.currentBounds, Clock: host.clock, Dialect: host.platform.Dialect,
 		Pool:   host.conns,
 		Logger: host.logger, Scope: host.scope, Owner: host.spans.Owner, Asked: host.mesh.Asked, Hosts: host.mesh.Known,
-		Stale: host.misdirected, Ended: func(id string) { host.upstreams.End(id) },
+		Stale: host.misdirected, Ended: func(id string) { host.upstreams.End(id) }, Denied: host.denied,
 	})
 	host.server = caller.New(host.relay, caller.WithLimits(host.limits), caller.WithLogger(host.logger),
 		caller.WithMemory(int64(bodyShare*float64(host.settings.MemoryBytes))))
--- a/events/events.go
+++ b/events/events.go
@@ -70,6 +70,7 @@
 	RequestServed = define(505, zap.InfoLevel, "request was answered")
 	AttemptEnded  = define(506, zap.InfoLevel, "attempt brought no answer to pass on")
 	CallerGone    = define(507, zap.InfoLevel, "caller left before its answer")
+	RequestAtEnd  = define(508, zap.WarnLevel, "request was at work when its upstream ended")
 )
 
 // The events of an entry host on the platform.
--- a/layout_test.go
+++ b/layout_test.go
@@ -18,7 +18,7 @@
 }
 
 // deciding are the packages whose decisions take time, randomness and input as arguments.
-var deciding = []string{"admit", "demand", "flow", "fold", "keeper", "lease", "member", "picker", "place", "retry", "route", "spans", "topo", "views"}
+var deciding = []string{"admit", "demand", "flow", "fold", "keeper", "lease", "member", "picker", "place", "poison", "retry", "route", "spans", "topo", "views"}
 
 // worldly are the imports with which a package could read a clock, wait, or do I/O.
 var worldly = []string{"context", "crypto/rand", "io", "math/rand", "math/rand/v2", "net", "net/http", "os", "sync"}
--- /dev/null
+++ b/poison/witness_test.go
@@ -0,0 +1,62 @@
+package poison_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cherrykeel"
+	"cherrykeel/poison"
+)
+
+func at(moment time.Duration) cherrykeel.Instant {
+	return cherrykeel.Instant(moment)
+}
+
+var _ = Describe("a host that loses a request", func() {
+	life := poison.Life{Upstream: "u-1", Born: 5}
+	lost := func(moment time.Duration) poison.Break {
+		return poison.Break{Identity: poison.Identity{1}, Life: life, Address: "10.0.0.9:80", At: at(moment)}
+	}
+
+	It("knows that its upstream has ended once nobody listens there", func() {
+		var witness poison.Witness
+		witness.Broke(lost(time.Second))
+		Expect(witness.Unreachable("10.0.0.8:80", at(2*time.Second))).To(BeEmpty())
+		Expect(witness.Unreachable("10.0.0.9:80", at(2*time.Second))).To(HaveLen(1))
+		Expect(witness.Unreachable("10.0.0.9:80", at(2*time.Second))).To(BeEmpty(), "each is told once")
+	})
+
+	// A full upstream resets a connection and goes on. It ends seconds later, by something else: the request that it
+	// reset was not at work then.
+	It("does not when the upstream has answered another request since", func() {
+		var witness poison.Witness
+		witness.Broke(lost(time.Second))
+		witness.Answered(life, at(1100*time.Millisecond))
+		Expect(witness.Ended(life, at(2*time.Second))).To(BeEmpty())
+	})
+
+	// An answer that was on its way when the upstream ended is read after the other connections' ends.
+	It("does when the answer is to a request sent before", func() {
+		var witness poison.Witness
+		witness.Broke(lost(time.Second))
+		witness.Answered(life, at(900*time.Millisecond))
+		Expect(witness.Ended(life, at(2*time.Second))).To(HaveLen(1))
+	})
+
+	It("does not when another life of the upstream ends, or this one long after", func() {
+		var witness poison.Witness
+		witness.Broke(lost(time.Second))
+		Expect(witness.Ended(poison.Life{Upstream: "u-1", Born: 6}, at(2*time.Second))).To(BeEmpty())
+		Expect(witness.Ended(life, at(time.Minute))).To(BeEmpty())
+	})
+
+	It("keeps a bounded number of such requests", func() {
+		var witness poison.Witness
+		for range 10000 {
+			witness.Broke(lost(time.Second))
+		}
+		Expect(len(witness.Ended(life, at(time.Second)))).To(BeNumerically("<", 2000))
+	})
+})
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -39,6 +39,11 @@
 	body        []byte
 	load        cherrykeel.UpstreamLoad
 	detail      string
+	// unanswered says that the connection ended under the request, refused that none was to be had since nobody
+	// listens at the address, own that the answer is one of the upstream that was meant.
+	unanswered bool
+	refused    bool
+	own        bool
 }
 
 const (
@@ -113,16 +118,21 @@
 	}
 	answer, progress, err := trip.relay.pool.SendWith(ctx, place.Upstream.Address, trip.outgoing(place.Upstream, left), care)
 	if err != nil {
-		return broken(progress, err)
+		result := broken(progress, err)
+		result.unanswered = progress != conns.NotSent && ctx.Err() == nil
+		return result
 	}
 	defer answer.Close()
 	reply := trip.relay.dialect.Reply(answer.Status, answer.Header)
 	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes+1))
 	result := result{status: answer.Status, header: answer.Header, body: body, load: reply.Load, misdirected: reply.Misdirected}
+	result.unanswered = err != nil && ctx.Err() == nil
+	result.own = err == nil && (reply.Instance == "" || reply.Instance == place.Upstream.ID)
 	switch {
 	case reply.ID != "" && reply.ID != trip.asked.ID:
 		result.finding = uncertain
 		result.detail = errForeign.Error()
+		result.own = false
 	case reply.Misdirected && reply.Instance != "" && reply.Instance != place.Upstream.ID:
 		result.finding = notRun
 		result.detail = "another upstream has the address"
@@ -175,7 +185,7 @@
 
 func broken(progress conns.Progress, err error) result {
 	if progress == conns.NotSent {
-		return result{finding: notSent, detail: err.Error()}
+		return result{finding: notSent, detail: err.Error(), refused: errors.Is(err, conns.ErrRefused)}
 	}
 	return result{finding: uncertain, detail: err.Error()}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -11,7 +11,9 @@
 
 	"cherrykeel"
 	"cherrykeel/conns"
+	"cherrykeel/deny"
 	"cherrykeel/flow"
+	"cherrykeel/poison"
 )
 
 // Settings is what a Relay needs of its host.
@@ -33,6 +35,8 @@
 	Stale func()
 	// Ended is told that an upstream's process has ended, since another one answered at its address.
 	Ended func(id string)
+	// Denied are the requests that end the upstreams that run them.
+	Denied *deny.List
 }
 
 // Relay serves callers' requests; it is an http.Handler that gets whole requests.
@@ -60,6 +64,9 @@
 
 // New returns a relay that knows no routes and refuses all requests.
 func New(settings Settings) *Relay {
+	if settings.Denied == nil {
+		settings.Denied = deny.New(deny.Settings{Clock: settings.Clock, Logger: settings.Logger})
+	}
 	return &Relay{
 		Settings: settings,
 		dialect:  settings.Dialect,
@@ -102,24 +109,39 @@
 
 // SetUpstreams replaces the upstreams that may get requests.
 func (relay *Relay) SetUpstreams(upstreams []cherrykeel.Upstream) {
+	for _, life := range relay.replaceUpstreams(upstreams) {
+		relay.Denied.Ended(life)
+	}
+}
+
+// replaceUpstreams returns the lives that are over.
+func (relay *Relay) replaceUpstreams(upstreams []cherrykeel.Upstream) []poison.Life {
 	relay.mutex.Lock()
 	defer relay.mutex.Unlock()
-	relay.forgetEnded(upstreams)
+	over := relay.forgetEnded(upstreams)
 	relay.upstreams = upstreams
 	relay.share()
+	return over
 }
 
-// forgetEnded closes the connections to upstreams that have started again; Relay.mutex is held.
-func (relay *Relay) forgetEnded(next []cherrykeel.Upstream) {
+// forgetEnded closes the connections to upstreams that have started again, and returns the lives that are over;
+// Relay.mutex is held.
+func (relay *Relay) forgetEnded(next []cherrykeel.Upstream) []poison.Life {
 	born := map[string]int64{}
 	for _, upstream := range next {
 		born[upstream.ID] = upstream.Born
 	}
+	var over []poison.Life
 	for _, upstream := range relay.upstreams {
-		if born[upstream.ID] > upstream.Born {
+		nextBorn, listed := born[upstream.ID]
+		if !listed || nextBorn > upstream.Born {
+			over = append(over, poison.LifeOf(upstream))
+		}
+		if nextBorn > upstream.Born {
 			relay.pool.Forget(upstream.Address)
 		}
 	}
+	return over
 }
 
 // share gives each lane its upstreams; Relay.mutex is held.
--- a/relay/trip.go
+++ b/relay/trip.go
@@ -13,6 +13,7 @@
 	"cherrykeel"
 	"cherrykeel/events"
 	"cherrykeel/flow"
+	"cherrykeel/poison"
 )
 
 const (
@@ -54,6 +55,9 @@
 	kept *keptAnswer
 	// inputs are what the last verdict of the scheduler rested on.
 	inputs flow.Inputs
+	// identity is worked out when it is first asked for.
+	identity   poison.Identity
+	identified bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -144,6 +148,7 @@
 		gone := ctx.Err() != nil
 		now := trip.relay.clock.Now()
 		trip.lane.leave(place, result.ending(gone), result.load, now)
+		trip.tellOfUpstream(place, result, now)
 		if result.finding == answered && !trip.lostWithKey(result, now) {
 			trip.pass(place, result)
 			return nil
@@ -289,7 +294,11 @@
 }
 
 func (trip *trip) noteAttempt(place *flow.Place, result result) {
-	events.Log(trip.relay.Logger, events.AttemptEnded, append(trip.fields(),
+	fields := trip.fields()
+	if result.unanswered {
+		fields = append(fields, zap.Stringer("Identity", trip.identify()))
+	}
+	events.Log(trip.relay.Logger, events.AttemptEnded, append(fields,
 		zap.String("Upstream", place.Upstream.ID), zap.String("Address", place.Upstream.Address), zap.Int("Load", place.Load),
 		zap.Int("Attempt", trip.attempts), zap.Bool("MayHaveRun", result.finding == uncertain), zap.Int("Status", result.status),
 		zap.String("Detail", result.detail), zap.Duration("Took", trip.relay.clock.Now().Sub(place.Begun)))...)
--- a/watch/upstreams.go
+++ b/watch/upstreams.go
@@ -187,6 +187,14 @@
 	upstreams.changed(changed)
 }
 
+// Leaving reports whether a life of an upstream has said that it leaves, also after its end.
+func (upstreams *Upstreams) Leaving(id string, born int64) bool {
+	upstreams.mutex.Lock()
+	defer upstreams.mutex.Unlock()
+	known, exists := upstreams.entries[id]
+	return exists && known.upstream.Born == born && known.upstream.Leaving
+}
+
 // Refused returns how many entries named no upstream.
 func (upstreams *Upstreams) Refused() int64 {
 	upstreams.mutex.Lock()
