Failing specs: a request that ends the upstreams that run it is sent on each time it comes again

Symptom: a caller's request ends the upstream that begins to run it, and comes again at any host, with another request ID. Three would be allowed, over all hosts. The stand-ins of upstreams can end as they begin to run a request for one path.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -45,6 +45,9 @@
 	return serve(command.Listen, hosts)
 }
 
+// crashed is the exit code of an upstream that a request has ended.
+const crashed = 2
+
 type upstreamCommand struct {
 	Name         string        `help:"Name in the settings." required:""`
 	Listen       string        `help:"IP and port." required:""`
@@ -52,6 +55,7 @@
 	Queue        int           `help:"Requests that wait; more are shed." default:"16"`
 	Work         time.Duration `help:"Time that a request takes." default:"2ms"`
 	IgnoreFences bool          `help:"Act on every request, whoever owns the key."`
+	EndsOn       string        `help:"Path of requests that end the process as they begin to run."`
 }
 
 func (command *upstreamCommand) Run() error {
@@ -61,6 +65,8 @@
 		QueueLength:   command.Queue,
 		Work:          command.Work,
 		EnforceFences: !command.IgnoreFences,
+		EndsOn:        command.EndsOn,
+		End:           func() { os.Exit(crashed) },
 	}))
 }
 
--- a/fakes/upstream.go
+++ b/fakes/upstream.go
@@ -59,6 +59,9 @@
 	Registers *Registers
 	// EnforceFences refuses requests for keys that are not owned.
 	EnforceFences bool
+	// EndsOn, if set, is a path under which the process ends as soon as it begins to run a request; End ends it.
+	EndsOn string
+	End    func()
 }
 
 // Upstream is the stand-in of a server that holds keys.
@@ -206,6 +209,10 @@
 	if !upstream.work(ctx) {
 		abort()
 	}
+	if upstream.options.EndsOn != "" && call.path == upstream.options.EndsOn {
+		upstream.options.End()
+		abort()
+	}
 	return upstream.effect(call)
 }
 
--- /dev/null
+++ b/proof/poison_test.go
@@ -0,0 +1,88 @@
+package proof_test
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const (
+	// deadlyEnds is how many upstreams a request may end before hosts know it, moreSends how often it may be sent on
+	// after that, over all hosts together, and settled when all of them know it.
+	deadlyEnds = 3
+	moreSends  = 3
+	settled    = 3 * time.Second
+	deadlyPath = "/frail/deadly"
+)
+
+// frail are upstreams that end when they run a request for deadlyPath, and are started again.
+type frail struct {
+	processes []*process
+	start     []func() *process
+	ends      int
+}
+
+func (cluster *cluster) addFrail(count int) *frail {
+	found := &frail{}
+	text := "PathPrefix = \"/frail\"\nIdempotent = \"always\"\nTimeout = \"2s\"\n"
+	for i := range count {
+		name, address := fmt.Sprintf("frail-%d", i+1), freeAddress()
+		found.start = append(found.start, func() *process {
+			started := start(name, standinPath, "upstream", "--name", name, "--listen", address, "--slots", "8", "--ends-on", deadlyPath)
+			awaitListening(address)
+			return started
+		})
+		found.processes = append(found.processes, found.start[i]())
+		text += fmt.Sprintf("\n[[Upstreams]]\nName = %q\nAddress = %q\nZone = \"zone-%d\"\n", name, address, i%zones)
+	}
+	cluster.write("shop/frail.toml", text)
+	return found
+}
+
+// revive starts the processes again that have ended.
+func (frail *frail) revive() {
+	for i, process := range frail.processes {
+		select {
+		case <-process.done:
+			frail.ends++
+			frail.processes[i] = frail.start[i]()
+		default:
+		}
+	}
+}
+
+var _ = Describe("a request that ends the upstreams that run it, on a plain log", func() {
+	// A caller's lookup ends each upstream that begins to run it, and comes again at any host as soon as the upstream is
+	// back. Hosts took each for a new one, and sent it once more themselves: two upstreams ended for each time it came.
+	It("is sent on three times more at the most, over all hosts", func() {
+		cluster := newCluster(2)
+		cluster.write("firm.toml", "Timeout = \"5s\"\n")
+		cluster.write("shop/team.toml", "Domains = [\"shop.example\"]\nSlots = 64\nConnections = 800\n")
+		frail := cluster.addFrail(3)
+		cluster.publish("first")
+		for _, entry := range cluster.hosts {
+			Eventually(func() int { return cluster.ask(entry, http.MethodGet, "/frail/x", "").status }, patience, "50ms").Should(Equal(http.StatusOK))
+		}
+		number := 0
+		again := func() {
+			cluster.ask(cluster.hosts[number%len(cluster.hosts)], http.MethodGet, deadlyPath, "")
+			number++
+			frail.revive()
+		}
+		Eventually(func() int {
+			again()
+			return frail.ends
+		}, patience, "50ms").Should(BeNumerically(">=", deadlyEnds))
+		time.Sleep(settled)
+		frail.revive()
+		before := frail.ends
+		for range 4 * moreSends {
+			again()
+			time.Sleep(100 * time.Millisecond)
+		}
+		Expect(frail.ends - before).To(BeNumerically("<=", moreSends))
+	})
+})
