A request under which three upstreams have ended is refused by all hosts

Callers saw: 502 for all that ran at an upstream when it ended, and 503 for its keys until another one had them, again and again: one caller's request ended each upstream that began to run it, and came again at any host. Cause: nobody remembered. A host saw a connection end, took it for one of many such ends, and the request's return for a new request; no host told another. Our own repeat of lookups took the request to a second upstream each time. Change: what stood at an upstream's end is known by the request's identity (package poison, pure): a record of ends for each, merged end by end, so that order, repeats and ways do not matter. At three ends a request is refused on arrival, where it waits, and before each send: 503, not run, Retry-After for as long as it is remembered, an hour after its last end. A host tells the others at once and three times more, writes a request that stands at two ends to the store, under the topic that hosts read at their start anyway, and is ready only when it has read that (2 s at the most, if that partition alone is away). A request that stands at an end already is not repeated by hosts. Why it holds: ends are counted by an upstream's life, not by broken connections: a connection to its address is refused (asked for 10 ms after the break), its entry is gone, or another life has it. All that ran there ends with it, so only those at most ends are held to have caused it, and a good answer takes all back. Bounded: 512 suspects and 1,024 refused, apart, 16 ends each. Between the third end and all hosts' knowing lies a probe and a datagram; lost ones are sent again within 0.9 s; the bound is 3 s. Ruled out: counting broken connections (full upstreams reset hundreds), a topic of its own (one call more for each host that starts), refusing after one or two ends (what merely ran beside it), never forgetting.

--- a/deny/list.go
+++ b/deny/list.go
@@ -23,14 +23,22 @@
 	Gone Evidence = "entry gone"
 )
 
-// Settings is what a List needs of its host.
+// keptEnds is how many ends a request stands at when the platform's store is told of it. One end is told from host to
+// host alone: each loss of an upstream leaves some dozens of requests that stand at one, and next to none at two.
+const keptEnds = 2
+
+// Settings is what a List needs of its host; what is nil is not asked or told.
 type Settings struct {
 	Clock  cherrykeel.Clock
 	Logger *zap.Logger
-	// Probe asks for a connection to an address and reports whether it was refused; nil asks nobody.
+	// Probe asks for a connection to an address and reports whether it was refused.
 	Probe func(address string) bool
-	// Planned reports whether an upstream's life had said that it would end; nil takes none for planned.
+	// Planned reports whether an upstream's life had said that it would end.
 	Planned func(life poison.Life) bool
+	// Tell passes on to the other hosts what this host has seen itself, and Keep writes it where hosts find it
+	// that start later.
+	Tell func(record poison.Record)
+	Keep func(record poison.Record)
 }
 
 // List is one host's list.
@@ -40,8 +48,13 @@
 
 	mutex   sync.Mutex
 	witness poison.Witness
-	// broken says that the witness keeps breaks, so that requests need not take the lock on usual days.
+	table   *poison.Table
+	// broken says that the witness keeps breaks and known that the table has records, so that requests need not take
+	// the lock on usual days.
 	broken atomic.Bool
+	known  atomic.Bool
+	// changed is closed when one more request is refused.
+	changed chan struct{}
 }
 
 // New returns an empty list.
@@ -52,84 +65,129 @@
 	if settings.Planned == nil {
 		settings.Planned = func(poison.Life) bool { return false }
 	}
-	list := &List{Settings: settings}
+	if settings.Tell == nil {
+		settings.Tell = func(poison.Record) {}
+	}
+	if settings.Keep == nil {
+		settings.Keep = func(poison.Record) {}
+	}
+	list := &List{Settings: settings, table: poison.NewTable(), changed: make(chan struct{})}
 	list.probes = newProber(list.ask)
 	return list
 }
 
-// Broke takes a request that was sent and whose connection ended without a whole answer.
-func (list *List) Broke(found poison.Break) {
+// Empty reports whether nothing is known of any request.
+func (list *List) Empty() bool {
+	return !list.known.Load()
+}
+
+// Concerns reports whether anything is known of requests for a target.
+func (list *List) Concerns(target poison.Target) bool {
 	list.mutex.Lock()
-	list.witness.Broke(found)
-	list.broken.Store(true)
-	list.mutex.Unlock()
-	list.probes.soon(found.Address)
+	defer list.mutex.Unlock()
+	return list.table.Concerns(target)
 }
 
-// Answered takes it that an upstream's life has answered a request that was sent at the given time.
-func (list *List) Answered(life poison.Life, sent cherrykeel.Instant) {
-	if !list.broken.Load() {
-		return
-	}
+// Refused reports whether a request is not to be sent, and for how long that is remembered.
+func (list *List) Refused(identity poison.Identity) (time.Duration, bool) {
 	list.mutex.Lock()
 	defer list.mutex.Unlock()
-	list.witness.Answered(life, sent)
-	list.broken.Store(!list.witness.Empty())
+	left := time.Duration(list.table.Until(identity)-list.now()) * time.Millisecond
+	return max(0, left), list.table.Refused(identity)
 }
 
-// Unreachable takes it that a connection to an address was refused.
-func (list *List) Unreachable(address string) {
-	if !list.broken.Load() {
-		return
-	}
-	now := list.Clock.Now()
+// Suspected reports whether an upstream has ended while a request was at work there.
+func (list *List) Suspected(identity poison.Identity) bool {
 	list.mutex.Lock()
-	breaks := list.witness.Unreachable(address, now)
-	list.broken.Store(!list.witness.Empty())
-	list.mutex.Unlock()
-	list.ended(breaks, Refused, now)
+	defer list.mutex.Unlock()
+	return list.table.Suspected(identity)
 }
 
-// Ended takes it that an upstream's life is over.
-func (list *List) Ended(life poison.Life) {
-	if !list.broken.Load() {
-		return
+// Changed returns a channel that is closed when one more request is refused.
+func (list *List) Changed() <-chan struct{} {
+	list.mutex.Lock()
+	defer list.mutex.Unlock()
+	return list.changed
+}
+
+// Records returns all that is known, for a host that knows nothing yet.
+func (list *List) Records() []poison.Record {
+	list.mutex.Lock()
+	defer list.mutex.Unlock()
+	return list.table.Records()
+}
+
+// Find returns what is known of a request.
+func (list *List) Find(identity poison.Identity) (poison.Record, bool) {
+	list.mutex.Lock()
+	defer list.mutex.Unlock()
+	return list.table.Find(identity)
+}
+
+// Counts returns how many requests are refused, and how many are known in all.
+func (list *List) Counts() (refused, known int) {
+	list.mutex.Lock()
+	defer list.mutex.Unlock()
+	return list.table.Counts()
+}
+
+// Forget drops what is too old, and returns what it dropped.
+func (list *List) Forget() []poison.Identity {
+	if list.Empty() {
+		return nil
 	}
-	now := list.Clock.Now()
 	list.mutex.Lock()
-	breaks := list.witness.Ended(life, now)
-	list.broken.Store(!list.witness.Empty())
+	defer list.mutex.Unlock()
+	dropped := list.table.Forget(list.now())
+	list.noteCounts()
+	return dropped
+}
+
+// now is in Unix milliseconds.
+func (list *List) now() int64 {
+	return list.Clock.Wall().UnixMilli()
+}
+
+// noteCounts keeps known right; List.mutex is held.
+func (list *List) noteCounts() {
+	_, known := list.table.Counts()
+	list.known.Store(known > 0)
+}
+
+// Merge takes what another host has seen.
+func (list *List) Merge(record poison.Record) {
+	list.mutex.Lock()
+	before := list.table.Refused(record.Identity)
+	merged, news := list.table.Merge(record, list.now())
+	if news {
+		list.changedOne(record.Identity, before)
+	}
 	list.mutex.Unlock()
-	list.ended(breaks, Gone, now)
-}
-
-// ended takes requests that were at work when their upstreams ended.
-func (list *List) ended(breaks []poison.Break, evidence Evidence, now cherrykeel.Instant) {
-	for _, found := range breaks {
-		if list.Planned(found.Life) {
-			continue
-		}
-		events.Log(list.Logger, events.RequestAtEnd,
-			zap.String("Request", found.Request), zap.Stringer("Identity", found.Identity), zap.String("Service", found.Service),
-			zap.String("Upstream", found.Life.Upstream), zap.Int64("Born", found.Life.Born),
-			zap.String("Evidence", string(evidence)), zap.Duration("After", now.Sub(found.At)))
+	if news {
+		list.logChange(merged, before)
+	}
+}
+
+// changedOne wakes those that wait if a request is refused that was not; List.mutex is held.
+func (list *List) changedOne(identity poison.Identity, before bool) {
+	list.noteCounts()
+	if !before && list.table.Refused(identity) {
+		close(list.changed)
+		list.changed = make(chan struct{})
 	}
 }
 
-// ask looks whether a process listens at an address at which a request was lost. Other requests, and the heartbeats'
-// lapse, would tell later: on a quiet service by seconds, in which the same request ends the next upstream.
-func (list *List) ask(address string) {
+func (list *List) logChange(record poison.Record, before bool) {
 	list.mutex.Lock()
-	waits := list.witness.Waits(address)
+	refused := list.table.Refused(record.Identity)
 	list.mutex.Unlock()
-	if waits && list.Probe(address) {
-		list.Unreachable(address)
+	if refused == before {
+		return
+	}
+	event := events.RequestDenied
+	if before {
+		event = events.RequestCleared
 	}
+	events.Log(list.Logger, event,
+		zap.Stringer("Identity", record.Identity), zap.String("Service", record.Service), zap.Any("Ends", record.Ends))
 }
-
-const (
-	// probeAfter lets an upstream's process end whose connections have begun to.
-	probeAfter = 10 * time.Millisecond
-	// probeEvery bounds the probes of one address; upstreams that are full end hundreds of connections a second.
-	probeEvery = 500 * time.Millisecond
-)
--- a/entry/announce.go
+++ b/entry/announce.go
@@ -55,12 +55,18 @@
 
 func (host *Host) takePeers(peers []cherrykeel.Peer) {
 	host.mutex.Lock()
+	before := host.lives
+	newcomers := false
 	host.lives = map[string]string{}
 	for _, peer := range peers {
 		host.lives[peer.Name] = peer.Life
+		newcomers = newcomers || before[peer.Name] != peer.Life
 	}
 	host.mutex.Unlock()
 	host.mesh.SetPeers(peers)
+	if newcomers {
+		host.tellNewcomers()
+	}
 }
 
 func (host *Host) peerLife(name string) (string, bool) {
--- /dev/null
+++ b/entry/denied.go
@@ -0,0 +1,191 @@
+package entry
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cherrykeel"
+	"cherrykeel/events"
+	"cherrykeel/poison"
+	"cherrykeel/share"
+	"cherrykeel/watch"
+)
+
+const (
+	// topicDenied names, among the hosts, what they tell each other of requests that stand at upstreams' ends.
+	topicDenied = "denied"
+	// deniedPrefix begins the keys of such requests in the topic of the hosts, which each host reads at its start
+	// anyway: a topic of their own would cost one call more for each host there is.
+	deniedPrefix = "denied/"
+	// deniedPatience is how long a host that knows all else waits for that topic before it is ready.
+	deniedPatience = 2 * time.Second
+)
+
+// toldAgain is when the others are told once more: datagrams are lost, a few in a hundred on bad links, and all hosts
+// have to know within a second or two.
+var toldAgain = []time.Duration{100 * time.Millisecond, 300 * time.Millisecond, 900 * time.Millisecond}
+
+// tellDenied tells the other hosts of a request, now and some more times.
+func (host *Host) tellDenied(record poison.Record) {
+	host.tellRecords(record)
+	for _, pause := range toldAgain {
+		time.AfterFunc(pause, func() {
+			newest, known := host.denied.Find(record.Identity)
+			if known {
+				host.tellRecords(newest)
+			}
+		})
+	}
+}
+
+func (host *Host) tellRecords(records ...poison.Record) {
+	var told []cherrykeel.KeyedRecord
+	for _, record := range records {
+		value, err := record.Encode()
+		if err != nil {
+			events.Log(host.logger, events.WriteFailed, zap.Error(err))
+			continue
+		}
+		told = append(told, cherrykeel.KeyedRecord{Key: deniedPrefix + record.Identity.String(), Value: value})
+	}
+	host.mesh.Tell(topicDenied, told, share.NoChange)
+}
+
+// tellNewcomers tells all that is known to hosts that have just started. Among many hosts only those do that hear from
+// all.
+func (host *Host) tellNewcomers() {
+	if host.denied.Empty() || host.mesh.Watching() == 0 {
+		return
+	}
+	host.tellRecords(host.denied.Records()...)
+}
+
+// applyHosts takes what the topic of the hosts brought: the hosts themselves, and the requests to refuse.
+func (host *Host) applyHosts(update watch.Update) {
+	var peers, denied []cherrykeel.KeyedRecord
+	for _, record := range update.Records {
+		if strings.HasPrefix(record.Key, deniedPrefix) {
+			denied = append(denied, record)
+			continue
+		}
+		peers = append(peers, record)
+	}
+	update.Records = peers
+	host.applyDenied(denied)
+	host.peers.Apply(update)
+}
+
+// applyDenied takes what other hosts have seen, by whichever way it came.
+func (host *Host) applyDenied(records []cherrykeel.KeyedRecord) {
+	for _, record := range records {
+		if len(record.Value) == 0 {
+			continue
+		}
+		told, err := poison.DecodeRecord(strings.TrimPrefix(record.Key, deniedPrefix), record.Value)
+		if err != nil {
+			events.Log(host.logger, events.RecordInvalid, zap.String("Key", record.Key), zap.Int64("Offset", record.Offset), zap.Error(err))
+			continue
+		}
+		host.denied.Merge(told)
+	}
+}
+
+// knowsDenied reports whether this host has read which requests end upstreams. It does not wait for that for ever:
+// one partition of the store may be away while the others are not, and nobody would be served.
+func (host *Host) knowsDenied() bool {
+	return host.hostsTopic.Known() || host.clock.Now().Sub(host.started) > deniedPatience
+}
+
+// forgetDenied drops what is too old, at one host from the store too, and shows how much is left.
+func (host *Host) forgetDenied(ctx context.Context) {
+	refused, known := host.denied.Counts()
+	host.scope.Gauge("denied_requests").Update(float64(refused))
+	host.scope.Gauge("suspected_requests").Update(float64(known - refused))
+	dropped := host.denied.Forget()
+	if len(dropped) == 0 || host.rank() > 0 {
+		return
+	}
+	for _, identity := range dropped {
+		_, err := host.platform.Hosts.Put(ctx, deniedPrefix+identity.String(), nil)
+		if err != nil {
+			events.Log(host.logger, events.WriteFailed, zap.String("Key", deniedPrefix+identity.String()), zap.Error(err))
+		}
+	}
+}
+
+// keptDenied are the requests whose records are to be written to the store.
+type keptDenied struct {
+	mutex   sync.Mutex
+	pending map[poison.Identity]bool
+	woken   chan struct{}
+}
+
+func newKeptDenied() *keptDenied {
+	return &keptDenied{pending: map[poison.Identity]bool{}, woken: make(chan struct{}, 1)}
+}
+
+func (kept *keptDenied) add(record poison.Record) {
+	kept.mutex.Lock()
+	kept.pending[record.Identity] = true
+	kept.mutex.Unlock()
+	select {
+	case kept.woken <- struct{}{}:
+	default:
+	}
+}
+
+func (kept *keptDenied) take() (poison.Identity, bool) {
+	kept.mutex.Lock()
+	defer kept.mutex.Unlock()
+	for identity := range kept.pending {
+		delete(kept.pending, identity)
+		return identity, true
+	}
+	return poison.Identity{}, false
+}
+
+// keepDenied writes records until the context ends, each until the store has taken it.
+func (host *Host) keepDenied(ctx context.Context) {
+	for ctx.Err() == nil {
+		identity, pending := host.kept.take()
+		if !pending {
+			select {
+			case <-host.kept.woken:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		wait := announcePause
+		for ctx.Err() == nil && !host.writeDenied(ctx, identity) {
+			pause(ctx, wait)
+			wait = min(2*wait, longestAnnouncePause)
+		}
+	}
+}
+
+// writeDenied reports whether nothing is left to write of a request.
+func (host *Host) writeDenied(ctx context.Context, identity poison.Identity) bool {
+	record, known := host.denied.Find(identity)
+	if !known {
+		return true
+	}
+	key := deniedPrefix + identity.String()
+	value, err := record.Encode()
+	if err != nil {
+		events.Log(host.logger, events.WriteFailed, zap.String("Key", key), zap.Error(err))
+		return true
+	}
+	offset, err := host.platform.Hosts.Put(ctx, key, value)
+	if err != nil {
+		events.Log(host.logger, events.WriteFailed, zap.String("Key", key), zap.Error(err))
+		return false
+	}
+	written := []cherrykeel.KeyedRecord{{Key: key, Value: value, Offset: offset}}
+	host.hostsTopic.Told(written)
+	host.mesh.Tell(topicHosts, written, share.NoChange)
+	return true
+}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -184,6 +184,8 @@
 		host.hostsTopic.Told(told.Records)
 	case topicSpans:
 		host.toldSpans(told)
+	case topicDenied:
+		host.applyDenied(told.Records)
 	}
 }
 
--- a/entry/host.go
+++ b/entry/host.go
@@ -65,6 +65,7 @@
 
 	relay     *relay.Relay
 	denied    *deny.List
+	kept      *keptDenied
 	conns     *conns.Pool
 	server    *caller.Server
 	mesh      *share.Mesh
@@ -166,8 +167,11 @@
 	host.spans = watch.NewSpans(host.clock, host.logger, host.spansChanged, host.tellSpans)
 	host.mesh = share.New(host.self, host.clock, host.logger, &state{host: host}, host.reported.ask, host.counted.ask, func(demand share.Demand) { host.keeper.Demand(demand) }, host.told)
 	host.conns = conns.NewPool(conns.WithDialTimeout(dialTimeout), conns.WithUserTimeout(userTimeout), conns.WithIdleTimeout(idleTimeout), conns.WithUnframed())
-	host.denied = deny.New(deny.Settings{Clock: host.clock, Logger: host.logger, Probe: host.conns.Refused,
-		Planned: func(life poison.Life) bool { return host.upstreams.Leaving(life.Upstream, life.Born) }})
+	host.kept = newKeptDenied()
+	host.denied = deny.New(deny.Settings{
+		Clock: host.clock, Logger: host.logger, Probe: host.conns.Refused, Tell: host.tellDenied, Keep: host.kept.add,
+		Planned: func(life poison.Life) bool { return host.upstreams.Leaving(life.Upstream, life.Born) },
+	})
 	host.relay = relay.New(relay.Settings{
 		Zone: host.settings.Zone, Bounds: host.currentBounds, Clock: host.clock, Dialect: host.platform.Dialect,
 		Pool:   host.conns,
@@ -182,7 +186,7 @@
 	host.peers = watch.NewPeers(host.clock, host.logger, host.takePeers, host.tellOne(topicHosts))
 	host.operatorTopic = host.follow(topicSettings, host.platform.Operator, host.routes.Apply, host.settingsSchedule)
 	host.upstreamsTopic = host.follow(topicUpstreams, host.platform.Upstreams, host.upstreams.Apply, host.upstreamsSchedule)
-	host.hostsTopic = host.follow(topicHosts, host.platform.Hosts, host.peers.Apply, host.tableSchedule)
+	host.hostsTopic = host.follow(topicHosts, host.platform.Hosts, host.applyHosts, host.tableSchedule)
 	host.spansTopic = host.follow(topicSpans, host.platform.Spans, host.spans.Apply, host.tableSchedule)
 	host.spans.SetLongestHold(func() time.Duration { return host.currentBounds().MaxHold })
 	host.upstreams.SetHealth(host.upstreamsTopic.WellFor)
@@ -254,6 +258,7 @@
 	go host.keeper.Run(running)
 	go host.announce(running)
 	go host.tend(running)
+	go host.keepDenied(running)
 	go func() {
 		defer close(host.accepted)
 		host.server.Serve(host.listener)
--- a/entry/tend.go
+++ b/entry/tend.go
@@ -60,6 +60,7 @@
 			host.gather()
 		case <-drop.C:
 			host.dropSilent(ctx, host.clock.Now().Sub(begun))
+			host.forgetDenied(ctx)
 			// Connections that rest take up room at upstreams, which reset what is beyond theirs.
 			host.conns.Sweep()
 		case <-demand.C:
@@ -71,10 +72,10 @@
 	}
 }
 
-// noteReady makes the host ready once it knows routes and upstreams, and reports whether it is.
+// noteReady makes the host ready once it knows routes, upstreams and the requests to refuse, and reports whether it is.
 func (host *Host) noteReady() bool {
 	_, known := host.routes.Current()
-	if !known || !host.upstreamsTopic.Known() {
+	if !known || !host.upstreamsTopic.Known() || !host.knowsDenied() {
 		return false
 	}
 	host.ready.Store(true)
--- a/poison/identity.go
+++ b/poison/identity.go
@@ -4,13 +4,20 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"hash"
 	"net/netip"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 )
 
-// identityBytes is enough that no two requests ever share an identity by chance.
-const identityBytes = 16
+const (
+	// targetBytes name what is asked for, in a digest that is cheap enough to be made for each request, and
+	// digestBytes the whole request, in one that nobody can make to collide with another's.
+	targetBytes   = 8
+	digestBytes   = 16
+	identityBytes = targetBytes + digestBytes
+)
 
 // ErrIdentity means that a text is no identity.
 var ErrIdentity = errors.New("not the identity of a request")
@@ -19,34 +26,54 @@
 // memory nor logs hold what a caller sent.
 type Identity [identityBytes]byte
 
+// Target is the part of an identity that says what is asked for, whoever asks and whatever the body is.
+type Target [targetBytes]byte
+
 // Parts are what makes two requests the same one.
 type Parts struct {
 	Method string
-	// Domain and Target are the host that was asked for, and path with query as they came.
+	// Domain and Path are the host that was asked for, and the path with its query, as they came.
 	Domain string
-	Target string
+	Path   string
 	// Caller is the caller's address, with or without a port.
 	Caller string
 	// Body is whole; how it came in parts says nothing.
 	Body []byte
 }
 
+// Target returns the first part of the request's identity.
+func (parts *Parts) Target() Target {
+	digest := xxhash.New()
+	for _, part := range []string{parts.Method, parts.Domain, parts.Path} {
+		add(digest, part)
+	}
+	var target Target
+	binary.BigEndian.PutUint64(target[:], digest.Sum64())
+	return target
+}
+
 // Identify returns the identity of a request.
 func Identify(parts Parts) Identity {
 	digest := sha256.New()
-	for _, part := range []string{parts.Method, parts.Domain, parts.Target, callerOf(parts.Caller)} {
-		// With its length before it, no part can pass for the end of another.
-		var length [8]byte
-		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
-		_, _ = digest.Write(length[:])
-		_, _ = digest.Write([]byte(part))
+	for _, part := range []string{parts.Method, parts.Domain, parts.Path, callerOf(parts.Caller)} {
+		add(digest, part)
 	}
 	_, _ = digest.Write(parts.Body)
+	target := parts.Target()
 	var identity Identity
-	copy(identity[:], digest.Sum(nil))
+	copy(identity[:], target[:])
+	copy(identity[targetBytes:], digest.Sum(nil))
 	return identity
 }
 
+// add adds a part with its length before it, so that none can pass for the end of another.
+func add(digest hash.Hash, part string) {
+	var length [8]byte
+	binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+	_, _ = digest.Write(length[:])
+	_, _ = digest.Write([]byte(part))
+}
+
 // callerOf drops the port, which is another one for each connection of a caller.
 func callerOf(address string) string {
 	whole, err := netip.ParseAddrPort(address)
@@ -56,6 +83,11 @@
 	return whole.Addr().Unmap().String()
 }
 
+// Target returns what the request asks for.
+func (identity Identity) Target() Target {
+	return Target(identity[:targetBytes])
+}
+
 // String returns the form for logs and records.
 func (identity Identity) String() string {
 	return hex.EncodeToString(identity[:])
--- a/poison/identity_test.go
+++ b/poison/identity_test.go
@@ -8,7 +8,7 @@
 )
 
 var _ = Describe("a request's identity", func() {
-	request := poison.Parts{Method: "GET", Domain: "h.example", Target: "/a/b?c", Caller: "10.0.0.1:4000", Body: []byte("xy")}
+	request := poison.Parts{Method: "GET", Domain: "h.example", Path: "/a/b?c", Caller: "10.0.0.1:4000", Body: []byte("xy")}
 
 	// A caller sends a request again after it has failed: on another connection, so from another port.
 	It("is the same from another port of its caller", func() {
@@ -25,9 +25,9 @@
 		Entry("of another caller", func(parts *poison.Parts) { parts.Caller = "10.0.0.2:4000" }),
 		Entry("with another method", func(parts *poison.Parts) { parts.Method = "PUT" }),
 		Entry("to another host", func(parts *poison.Parts) { parts.Domain = "i.example" }),
-		Entry("with another query", func(parts *poison.Parts) { parts.Target = "/a/b?d" }),
+		Entry("with another query", func(parts *poison.Parts) { parts.Path = "/a/b?d" }),
 		Entry("with another body", func(parts *poison.Parts) { parts.Body = []byte("xz") }),
-		Entry("where a part ends elsewhere", func(parts *poison.Parts) { parts.Domain, parts.Target = "h.example/", "a/b?c" }),
+		Entry("where a part ends elsewhere", func(parts *poison.Parts) { parts.Domain, parts.Path = "h.example/", "a/b?c" }),
 	)
 
 	It("is read back from its text, and from no other", func() {
--- /dev/null
+++ b/poison/record.go
@@ -0,0 +1,127 @@
+package poison
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// sameEnd is within what two hosts see one end of an upstream, each by its own time of day. Upstreams take some
+	// seconds to come back, and one that does not say when it was born may end again under its name.
+	sameEnd = 2 * time.Second
+	// maxEnds bounds the ends that are kept of one request; hosts refuse it long before.
+	maxEnds = 16
+)
+
+// ErrRecord means that a record cannot be read.
+var ErrRecord = errors.New("no record of a request")
+
+// End is an end of an upstream at which a request was at work.
+type End struct {
+	Life
+	// At is in Unix milliseconds on the clock of the host that saw it.
+	At int64
+	// Withdrawn ends do not count: an upstream has answered the request since.
+	Withdrawn bool `json:",omitempty"`
+}
+
+// same reports whether two hosts mean the same end.
+func (end End) same(other End) bool {
+	apart := time.Duration(max(end.At-other.At, other.At-end.At)) * time.Millisecond
+	return end.Life == other.Life && apart < sameEnd
+}
+
+// Record is what is known of one request. Records are merged end by end, so that it does not matter in what order,
+// how often, or by which way they come.
+type Record struct {
+	Identity Identity `json:"-"`
+	Service  string
+	Ends     []End
+}
+
+// DecodeRecord reads a record; ErrRecord says that it is none.
+func DecodeRecord(key string, value []byte) (Record, error) {
+	identity, err := ParseIdentity(key)
+	if err != nil {
+		return Record{}, err
+	}
+	record := Record{Identity: identity}
+	err = json.Unmarshal(value, &record)
+	if err != nil {
+		return Record{}, errors.Wrap(ErrRecord, err.Error())
+	}
+	if len(record.Ends) == 0 || len(record.Ends) > maxEnds {
+		return Record{}, errors.Wrapf(ErrRecord, "%d ends", len(record.Ends))
+	}
+	return record, nil
+}
+
+// Encode returns the record's value; its key is the identity.
+func (record *Record) Encode() ([]byte, error) {
+	data, err := json.Marshal(record)
+	return data, errors.WithStack(err)
+}
+
+// Standing returns the ends that count.
+func (record *Record) Standing() []End {
+	var standing []End
+	for _, end := range record.Ends {
+		if !end.Withdrawn {
+			standing = append(standing, end)
+		}
+	}
+	return standing
+}
+
+// newest is when the record's last end was seen.
+func (record *Record) newest() int64 {
+	newest := int64(0)
+	for _, end := range record.Ends {
+		newest = max(newest, end.At)
+	}
+	return newest
+}
+
+// add takes an end and reports whether it says anything new. What is withdrawn stays so, whatever comes late.
+func (record *Record) add(end End) bool {
+	known := slices.IndexFunc(record.Ends, end.same)
+	if known >= 0 {
+		news := end.Withdrawn && !record.Ends[known].Withdrawn
+		record.Ends[known].Withdrawn = record.Ends[known].Withdrawn || end.Withdrawn
+		return news
+	}
+	record.Ends = append(record.Ends, end)
+	if len(record.Ends) > maxEnds {
+		record.dropOldest()
+	}
+	return true
+}
+
+func (record *Record) dropOldest() {
+	oldest := 0
+	for i, end := range record.Ends {
+		if end.At < record.Ends[oldest].At {
+			oldest = i
+		}
+	}
+	record.Ends = slices.Delete(record.Ends, oldest, oldest+1)
+}
+
+// withdraw takes all ends back and reports whether any stood.
+func (record *Record) withdraw() bool {
+	stood := len(record.Standing()) > 0
+	for i := range record.Ends {
+		record.Ends[i].Withdrawn = true
+	}
+	return stood
+}
+
+// clone returns a copy that later changes do not touch.
+func (record *Record) clone() Record {
+	copied := *record
+	copied.Ends = slices.Clone(record.Ends)
+	return copied
+}
--- /dev/null
+++ b/poison/table.go
@@ -0,0 +1,227 @@
+package poison
+
+import "time"
+
+const (
+	// DeadlyEnds is how many ends of upstreams a request stands at before it is refused. Fewer would refuse what merely
+	// was at work beside others; each one more costs an upstream with all that runs there.
+	DeadlyEnds = 3
+	// remembered is for how long after its last end a request is known. Refused for that long, it may end three more
+	// upstreams an hour; a caller that is refused wrongly is denied no longer.
+	remembered = time.Hour
+	// maxSuspects and maxRefused bound what is kept, apart from each other: however many requests stand at one end or
+	// two, they push out none that is refused. A record takes some 300 bytes.
+	maxSuspects = 512
+	maxRefused  = 1024
+)
+
+// Table keeps which requests were at work when upstreams ended, as all hosts together have seen it.
+type Table struct {
+	records map[Identity]*Record
+	refused map[Identity]bool
+	// targets counts the records by what their requests ask for.
+	targets map[Target]int
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{records: map[Identity]*Record{}, refused: map[Identity]bool{}, targets: map[Target]int{}}
+}
+
+// Ended takes an end that this host has seen, and returns the request's record if it is news.
+func (table *Table) Ended(found Break, at int64) (Record, bool) {
+	end := End{Life: found.Life, At: at}
+	return table.Merge(Record{Identity: found.Identity, Service: found.Service, Ends: []End{end}}, at)
+}
+
+// Merge takes what another host has seen, and returns all that is known of the request if it is news.
+func (table *Table) Merge(told Record, now int64) (Record, bool) {
+	record, known := table.records[told.Identity]
+	if !known {
+		record = &Record{Identity: told.Identity, Service: told.Service}
+	}
+	news := false
+	for _, end := range told.Ends {
+		if !forgotten(end.At, now) {
+			news = record.add(end) || news
+		}
+	}
+	if !news {
+		return Record{}, false
+	}
+	if !known {
+		table.records[told.Identity] = record
+		table.targets[told.Identity.Target()]++
+	}
+	table.forget(now)
+	table.judge()
+	table.bound()
+	return record.clone(), true
+}
+
+// Answered takes it that an upstream has run a request to its end: those that have ended others did not by it. It
+// returns the request's record if it is news.
+func (table *Table) Answered(identity Identity) (Record, bool) {
+	record, known := table.records[identity]
+	if !known || !record.withdraw() {
+		return Record{}, false
+	}
+	table.judge()
+	return record.clone(), true
+}
+
+// Refused reports whether a request is not to be sent to any upstream.
+func (table *Table) Refused(identity Identity) bool {
+	return table.refused[identity]
+}
+
+// Concerns reports whether anything is known of a request that asks for a target: if not, its whole identity need not
+// be worked out.
+func (table *Table) Concerns(target Target) bool {
+	return table.targets[target] > 0
+}
+
+// Suspected reports whether a request stands at any end.
+func (table *Table) Suspected(identity Identity) bool {
+	record, known := table.records[identity]
+	return known && len(record.Standing()) > 0
+}
+
+// Find returns what is known of a request.
+func (table *Table) Find(identity Identity) (Record, bool) {
+	record, known := table.records[identity]
+	if !known {
+		return Record{}, false
+	}
+	return record.clone(), true
+}
+
+// Records returns all that is known.
+func (table *Table) Records() []Record {
+	var records []Record
+	for _, record := range table.records {
+		records = append(records, record.clone())
+	}
+	return records
+}
+
+// Counts returns how many requests are refused, and how many are known in all.
+func (table *Table) Counts() (refused, known int) {
+	return len(table.refused), len(table.records)
+}
+
+// Until returns when a request is forgotten, in Unix milliseconds.
+func (table *Table) Until(identity Identity) int64 {
+	record, known := table.records[identity]
+	if !known {
+		return 0
+	}
+	return record.newest() + remembered.Milliseconds()
+}
+
+// Forget drops what is too old, and returns what it dropped.
+func (table *Table) Forget(now int64) []Identity {
+	dropped := table.forget(now)
+	if len(dropped) > 0 {
+		table.judge()
+	}
+	return dropped
+}
+
+func (table *Table) forget(now int64) []Identity {
+	var dropped []Identity
+	for identity, record := range table.records {
+		if forgotten(record.newest(), now) {
+			table.remove(identity)
+			dropped = append(dropped, identity)
+		}
+	}
+	return dropped
+}
+
+func forgotten(at, now int64) bool {
+	return time.Duration(now-at)*time.Millisecond > remembered
+}
+
+// judge finds the requests to refuse. All that ran on an upstream ends with it, and on a busy service some request may
+// stand beside another at several ends. Of those at an end, only the ones that stand at the most ends are held to
+// have caused it. What is refused stays so while it stands at as many ends: it cannot end more, and others can.
+func (table *Table) judge() {
+	beside := map[Life][]witnessed{}
+	for _, record := range table.records {
+		standing := record.Standing()
+		for _, end := range standing {
+			beside[end.Life] = append(beside[end.Life], witnessed{end: end, ends: len(standing)})
+		}
+	}
+	before := table.refused
+	table.refused = map[Identity]bool{}
+	for identity, record := range table.records {
+		standing := record.Standing()
+		caused := 0
+		for _, end := range standing {
+			if len(standing) >= mostEnds(beside[end.Life], end) {
+				caused++
+			}
+		}
+		if caused >= DeadlyEnds || before[identity] && len(standing) >= DeadlyEnds {
+			table.refused[identity] = true
+		}
+	}
+}
+
+// witnessed is an end at which a request stood that stands at so many ends in all.
+type witnessed struct {
+	end  End
+	ends int
+}
+
+func mostEnds(all []witnessed, end End) int {
+	most := 0
+	for _, other := range all {
+		if other.end.same(end) {
+			most = max(most, other.ends)
+		}
+	}
+	return most
+}
+
+// bound drops the requests that say least while there are too many.
+func (table *Table) bound() {
+	for len(table.records)-len(table.refused) > maxSuspects {
+		table.drop(false)
+	}
+	for len(table.refused) > maxRefused {
+		table.drop(true)
+	}
+}
+
+// drop drops one request, refused or not: that with the fewest ends, and the oldest of these.
+func (table *Table) drop(refused bool) {
+	var least *Record
+	for identity, record := range table.records {
+		if table.refused[identity] == refused && (least == nil || record.less(least)) {
+			least = record
+		}
+	}
+	table.remove(least.Identity)
+}
+
+func (table *Table) remove(identity Identity) {
+	delete(table.records, identity)
+	delete(table.refused, identity)
+	target := identity.Target()
+	table.targets[target]--
+	if table.targets[target] == 0 {
+		delete(table.targets, target)
+	}
+}
+
+// less reports whether a record says less than another.
+func (record *Record) less(other *Record) bool {
+	own, others := len(record.Standing()), len(other.Standing())
+	if own != others {
+		return own < others
+	}
+	return record.newest() < other.newest()
+}
--- a/relay/again.go
+++ b/relay/again.go
@@ -34,6 +34,9 @@
 	if result.finding == uncertain && !trip.route.Repeatable {
 		return false
 	}
+	if result.unanswered && trip.suspected() {
+		return false
+	}
 	if result.misdirected && trip.lane.keyed {
 		return trip.againElsewhere(ctx)
 	}
--- a/relay/trip.go
+++ b/relay/trip.go
@@ -168,8 +168,12 @@
 	}
 }
 
-// admit waits for a place on an upstream.
+// admit waits for a place on an upstream, unless the request is one that ends upstreams.
 func (trip *trip) admit(ctx context.Context) (flow.Verdict, *cherrykeel.Failure) {
+	denials := trip.relay.Denied.Changed()
+	if failure := trip.denied(); failure != nil {
+		return flow.Verdict{}, failure
+	}
 	now := trip.relay.clock.Now()
 	ticket := &flow.Ticket{
 		Priority: trip.route.Priority,
@@ -182,22 +186,42 @@
 	verdicts := trip.lane.offer(ticket, now)
 	timer := time.NewTimer(max(0, trip.deadline.Sub(now)))
 	defer timer.Stop()
-	select {
-	case verdict := <-verdicts:
-		trip.inputs = verdict.Inputs
-		if verdict.Place == nil {
-			return verdict, trip.refuse(string(verdict.Reason), "no upstream can answer in time")
+	for {
+		select {
+		case verdict := <-verdicts:
+			return trip.admitted(verdict)
+		case <-denials:
+			denials = trip.relay.Denied.Changed()
+			failure := trip.denied()
+			if failure == nil {
+				continue
+			}
+			trip.lane.cancel(ticket, verdicts, trip.relay.clock.Now())
+			return flow.Verdict{}, failure
+		case <-ctx.Done():
+			trip.lane.cancel(ticket, verdicts, trip.relay.clock.Now())
+			return flow.Verdict{}, trip.callerGone()
+		case <-timer.C:
+			trip.lane.cancel(ticket, verdicts, trip.relay.clock.Now())
+			return flow.Verdict{}, trip.refuse("timeout", "no upstream became free in time")
 		}
-		return verdict, nil
-	case <-ctx.Done():
-		trip.lane.cancel(ticket, verdicts, trip.relay.clock.Now())
-		return flow.Verdict{}, trip.callerGone()
-	case <-timer.C:
-		trip.lane.cancel(ticket, verdicts, trip.relay.clock.Now())
-		return flow.Verdict{}, trip.refuse("timeout", "no upstream became free in time")
 	}
 }
 
+// admitted takes the scheduler's verdict. It may have come together with what shows that the request is not to be
+// sent.
+func (trip *trip) admitted(verdict flow.Verdict) (flow.Verdict, *cherrykeel.Failure) {
+	trip.inputs = verdict.Inputs
+	if verdict.Place == nil {
+		return verdict, trip.refuse(string(verdict.Reason), "no upstream can answer in time")
+	}
+	failure := trip.denied()
+	if failure != nil {
+		trip.lane.leave(verdict.Place, flow.Abandoned, cherrykeel.UpstreamLoad{}, trip.relay.clock.Now())
+	}
+	return verdict, failure
+}
+
 // refuse says that the request has not run and when to come back, unless an attempt may have run.
 func (trip *trip) refuse(code, detail string) *cherrykeel.Failure {
 	if trip.mayHaveRun {
@@ -290,15 +314,14 @@
 	if trip.asked.Key != cherrykeel.NoKey {
 		fields = append(fields, zap.Int("Key", trip.asked.Key))
 	}
+	if trip.identified {
+		fields = append(fields, zap.Stringer("Identity", trip.identity))
+	}
 	return fields
 }
 
 func (trip *trip) noteAttempt(place *flow.Place, result result) {
-	fields := trip.fields()
-	if result.unanswered {
-		fields = append(fields, zap.Stringer("Identity", trip.identify()))
-	}
-	events.Log(trip.relay.Logger, events.AttemptEnded, append(fields,
+	events.Log(trip.relay.Logger, events.AttemptEnded, append(trip.fields(),
 		zap.String("Upstream", place.Upstream.ID), zap.String("Address", place.Upstream.Address), zap.Int("Load", place.Load),
 		zap.Int("Attempt", trip.attempts), zap.Bool("MayHaveRun", result.finding == uncertain), zap.Int("Status", result.status),
 		zap.String("Detail", result.detail), zap.Duration("Took", trip.relay.clock.Now().Sub(place.Begun)))...)
