On a plain log too a request under which three upstreams have ended is refused by all hosts

Callers saw: the same as on the platform; 12 returns of a lookup at two hosts ended 19 upstreams, from 3 s after the third end on. Cause: the same; edge forwards on its own code, and its retries took the request to up to four upstreams each time. Change: the forwarding stage refuses, stops waiting and does not repeat by the same list (package deny, now with deny.Request for one request's part in it, which relay uses too). What a host has seen goes into the log from the first end on, several requests a record; the fold keeps it and checkpoints carry it, so that a host that has caught up, which it must to be ready, knows all. While the log is out the other hosts are told directly, and the record is proposed until the log has it. Why it holds: every host reads the log within some 0.1 s; an upstream's life is its name and the time of the end here, so ends of one name less than 2 s apart count once. Not counted here: an upstream that is silent instead of gone, and one whose process is back before the probe, 10 ms after the break. Mixed versions: a host of before takes such a record for an empty one and logs that folds differ (event 205).

--- a/conns/progress.go
+++ b/conns/progress.go
@@ -23,3 +23,8 @@
 func (progress Progress) String() string {
 	return progressNames[progress]
 }
+
+// Unanswered reports whether an upstream has got some of the request, and no answer of it has come.
+func (progress Progress) Unanswered() bool {
+	return progress == SentPart || progress == Sent
+}
--- a/deny/list.go
+++ b/deny/list.go
@@ -23,10 +23,6 @@
 	Gone Evidence = "entry gone"
 )
 
-// keptEnds is how many ends a request stands at when the platform's store is told of it. One end is told from host to
-// host alone: each loss of an upstream leaves some dozens of requests that stand at one, and next to none at two.
-const keptEnds = 2
-
 // Settings is what a List needs of its host; what is nil is not asked or told.
 type Settings struct {
 	Clock  cherrykeel.Clock
@@ -36,9 +32,10 @@
 	// Planned reports whether an upstream's life had said that it would end.
 	Planned func(life poison.Life) bool
 	// Tell passes on to the other hosts what this host has seen itself, and Keep writes it where hosts find it
-	// that start later.
-	Tell func(record poison.Record)
-	Keep func(record poison.Record)
+	// that start later, from so many ends on.
+	Tell     func(record poison.Record)
+	Keep     func(record poison.Record)
+	KeptEnds int
 }
 
 // List is one host's list.
@@ -81,23 +78,21 @@
 	return !list.known.Load()
 }
 
-// Concerns reports whether anything is known of requests for a target.
-func (list *List) Concerns(target poison.Target) bool {
+// concerns reports whether anything is known of requests for a target.
+func (list *List) concerns(target poison.Target) bool {
 	list.mutex.Lock()
 	defer list.mutex.Unlock()
 	return list.table.Concerns(target)
 }
 
-// Refused reports whether a request is not to be sent, and for how long that is remembered.
-func (list *List) Refused(identity poison.Identity) (time.Duration, bool) {
+func (list *List) refused(identity poison.Identity) (time.Duration, bool) {
 	list.mutex.Lock()
 	defer list.mutex.Unlock()
 	left := time.Duration(list.table.Until(identity)-list.now()) * time.Millisecond
 	return max(0, left), list.table.Refused(identity)
 }
 
-// Suspected reports whether an upstream has ended while a request was at work there.
-func (list *List) Suspected(identity poison.Identity) bool {
+func (list *List) suspected(identity poison.Identity) bool {
 	list.mutex.Lock()
 	defer list.mutex.Unlock()
 	return list.table.Suspected(identity)
@@ -143,17 +138,17 @@
 	return dropped
 }
 
-// now is in Unix milliseconds.
-func (list *List) now() int64 {
-	return list.Clock.Wall().UnixMilli()
-}
-
 // noteCounts keeps known right; List.mutex is held.
 func (list *List) noteCounts() {
 	_, known := list.table.Counts()
 	list.known.Store(known > 0)
 }
 
+// now is the time of day by which ends are told, in Unix milliseconds.
+func (list *List) now() int64 {
+	return list.Clock.Wall().UnixMilli()
+}
+
 // Merge takes what another host has seen.
 func (list *List) Merge(record poison.Record) {
 	list.mutex.Lock()
--- a/deny/witness.go
+++ b/deny/witness.go
@@ -17,8 +17,7 @@
 	probeEvery = 500 * time.Millisecond
 )
 
-// Broke takes a request that was sent and whose connection ended without a whole answer.
-func (list *List) Broke(found poison.Break) {
+func (list *List) broke(found poison.Break) {
 	list.mutex.Lock()
 	list.witness.Broke(found)
 	list.broken.Store(true)
@@ -83,8 +82,7 @@
 	}
 }
 
-// Served takes it that an upstream has run a request to a good end.
-func (list *List) Served(identity poison.Identity) {
+func (list *List) served(identity poison.Identity) {
 	list.mutex.Lock()
 	before := list.table.Refused(identity)
 	record, news := list.table.Answered(identity)
@@ -98,7 +96,7 @@
 func (list *List) spread(record poison.Record, before bool) {
 	list.logChange(record, before)
 	list.Tell(record)
-	if len(record.Ends) >= keptEnds {
+	if len(record.Ends) >= list.KeptEnds {
 		list.Keep(record)
 	}
 }
--- a/edge/abandon_test.go
+++ b/edge/abandon_test.go
@@ -15,6 +15,7 @@
 
 	"cherrykeel"
 	"cherrykeel/conns"
+	"cherrykeel/deny"
 	"cherrykeel/edge"
 	"cherrykeel/picker"
 )
@@ -111,7 +112,7 @@
 		Arrived:   world.clock.Now(),
 		Deadline:  world.clock.Now().Add(timeout),
 	}
-	Expect(edge.NewForward(world.fleet, sender, world.clock, zap.NewNop()).Serve(exchange, nil)).NotTo(BeNil())
+	Expect(edge.NewForward(world.fleet, sender, deny.New(deny.Settings{Clock: world.clock, Logger: zap.NewNop()}), world.clock, zap.NewNop()).Serve(exchange, nil)).NotTo(BeNil())
 }
 
 var _ = Describe("a request to an upstream that checks no fences", func() {
--- a/edge/admission.go
+++ b/edge/admission.go
@@ -8,6 +8,7 @@
 
 	"cherrykeel"
 	"cherrykeel/admit"
+	"cherrykeel/deny"
 )
 
 const (
@@ -16,7 +17,11 @@
 )
 
 // admit waits until the request may go to an upstream, or refuses it.
-func (forward *forward) admit(ctx context.Context, pool *pool, exchange *cherrykeel.Exchange, tried string) (*place, *cherrykeel.Failure) {
+func (forward *forward) admit(ctx context.Context, pool *pool, exchange *cherrykeel.Exchange, listed *deny.Request, tried string) (*place, *cherrykeel.Failure) {
+	denials := forward.denied.Changed()
+	if failure := refusal(listed); failure != nil {
+		return nil, failure
+	}
 	woken := make(chan bool, 1)
 	ticket := &admit.Ticket{
 		Priority: exchange.Priority,
@@ -41,7 +46,8 @@
 		return nil, overloaded("deadline-too-near", exchange, wait)
 	case admit.Queued:
 		forward.fleet.signal()
-		failure := await(ctx, pool, queue, ticket, woken, exchange)
+		waiting := &waiting{pool: pool, queue: queue, ticket: ticket, woken: woken, exchange: exchange}
+		failure := forward.await(ctx, waiting, listed, denials)
 		if failure != nil {
 			return nil, failure
 		}
@@ -49,29 +55,67 @@
 	return forward.take(pool, queue, exchange, tried), nil
 }
 
+// waiting is a request in a queue.
+type waiting struct {
+	pool     *pool
+	queue    *admit.Queue
+	ticket   *admit.Ticket
+	woken    chan bool
+	exchange *cherrykeel.Exchange
+}
+
 func overloaded(code string, exchange *cherrykeel.Exchange, wait time.Duration) *cherrykeel.Failure {
 	failure := cherrykeel.Refuse(statusBusy, code, "the upstreams of %s are busy; the wait would be %v", exchange.Service.Path, wait.Round(time.Millisecond))
 	failure.RetryAfter = max(minRetryAfter, wait)
 	return failure
 }
 
-func await(ctx context.Context, pool *pool, queue *admit.Queue, ticket *admit.Ticket, woken chan bool, exchange *cherrykeel.Exchange) *cherrykeel.Failure {
-	select {
-	case admitted := <-woken:
-		if admitted {
-			return nil
+// await waits for the request's turn, unless its time passes or it becomes known to end upstreams.
+func (forward *forward) await(ctx context.Context, waiting *waiting, listed *deny.Request, denials <-chan struct{}) *cherrykeel.Failure {
+	for {
+		select {
+		case admitted := <-waiting.woken:
+			if admitted {
+				return waiting.admitted(listed)
+			}
+			return overloaded("queue-left", waiting.exchange, 0)
+		case <-denials:
+			denials = forward.denied.Changed()
+			failure := refusal(listed)
+			if failure != nil {
+				waiting.cancel()
+				return failure
+			}
+		case <-ctx.Done():
+			waiting.cancel()
+			return overloaded("deadline-passed", waiting.exchange, 0)
 		}
-		return overloaded("queue-left", exchange, 0)
-	case <-ctx.Done():
 	}
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	if !queue.Cancel(ticket) && <-woken {
-		// Admitted in the same moment: the place goes to the next one.
-		now := pool.fleet.clock.Now()
-		queue.Done(0, now)
+}
+
+// admitted looks once more: the request's turn may have come together with what shows that it is not to be sent.
+func (waiting *waiting) admitted(listed *deny.Request) *cherrykeel.Failure {
+	failure := refusal(listed)
+	if failure != nil {
+		waiting.giveBack()
 	}
-	return overloaded("deadline-passed", exchange, 0)
+	return failure
+}
+
+// cancel takes the request out of its queue; admitted in the same moment, it leaves the place to the next one.
+func (waiting *waiting) cancel() {
+	waiting.pool.mutex.Lock()
+	canceled := waiting.queue.Cancel(waiting.ticket)
+	waiting.pool.mutex.Unlock()
+	if !canceled && <-waiting.woken {
+		waiting.giveBack()
+	}
+}
+
+func (waiting *waiting) giveBack() {
+	waiting.pool.mutex.Lock()
+	defer waiting.pool.mutex.Unlock()
+	waiting.queue.Done(0, waiting.pool.fleet.clock.Now())
 }
 
 // queueFor returns the queue that the request waits in, or nil if a keyed request has no owner to wait for.
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -38,6 +38,13 @@
 	finished finished
 	// tried names the upstream.
 	tried string
+	// unanswered says that the connection ended under the request, refused that none was to be had since nobody
+	// listens at the upstream's address, own that the answer is to this request.
+	unanswered bool
+	refused    bool
+	own        bool
+	// streamed is told how the rest of an answer ended that is too large to be held.
+	streamed func(err error)
 }
 
 // hopHeaders belong to one connection and are not passed on.
@@ -100,6 +107,8 @@
 		result = broken(progress, err)
 		// An upstream that ended the connection itself works on nothing; one that this host left may.
 		result.finished.abandoned = progress == conns.AnswerBegun || progress != conns.NotSent && ctx.Err() != nil
+		result.unanswered = progress.Unanswered() && ctx.Err() == nil
+		result.refused = errors.Is(err, conns.ErrRefused)
 	} else {
 		result = forward.read(ctx, exchange, answer, attemptID)
 	}
@@ -132,6 +141,7 @@
 		result.finished.abandoned = true
 		return result
 	}
+	result.own = true
 	if refusal := answer.Header.Get(cherrykeel.HeaderRefused); refusal != "" && echoed == attemptID {
 		return refused(result, answer, refusal)
 	}
@@ -159,6 +169,8 @@
 		result.ending = retry.Ending{Evidence: retry.Uncertain, Detail: "the upstream's answer broke off"}
 		result.finished.reached = false
 		result.finished.abandoned = ctx.Err() != nil
+		result.unanswered = ctx.Err() == nil
+		result.own = false
 		return result
 	}
 	result.body = body
--- /dev/null
+++ b/edge/denied.go
@@ -0,0 +1,46 @@
+package edge
+
+import (
+	"net/http"
+
+	"cherrykeel"
+	"cherrykeel/deny"
+	"cherrykeel/poison"
+)
+
+// partsOf are what makes a request the same one when its caller sends it again.
+func partsOf(exchange *cherrykeel.Exchange) poison.Parts {
+	request := exchange.Request
+	return poison.Parts{
+		Method: request.Method, Domain: request.Host, Path: request.URL.RequestURI(),
+		Caller: request.RemoteAddr, Body: exchange.Body,
+	}
+}
+
+// refusal refuses a request under which upstreams have ended.
+func refusal(listed *deny.Request) *cherrykeel.Failure {
+	left, refused := listed.Refused()
+	if !refused {
+		return nil
+	}
+	failure := cherrykeel.Refuse(statusBusy, "ends-upstreams", "upstreams have ended under this request")
+	failure.RetryAfter = left
+	return failure
+}
+
+// tellOfUpstream says what an attempt showed of the upstream's process, and of the request.
+func (forward *forward) tellOfUpstream(place *place, exchange *cherrykeel.Exchange, listed *deny.Request, result result) {
+	server := place.upstream.server
+	life := poison.Life{Upstream: exchange.Service.Path + " " + server.Name}
+	switch {
+	case result.unanswered:
+		listed.Broke(exchange.ID, exchange.Service.Path, life, server.Address, forward.clock.Now())
+	case result.refused:
+		forward.denied.Unreachable(server.Address)
+	case result.own:
+		forward.denied.Answered(life, place.begun)
+	}
+	if result.own && result.ending.Refusal == "" && result.status < http.StatusInternalServerError {
+		listed.Served()
+	}
+}
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -11,6 +11,7 @@
 
 	"cherrykeel"
 	"cherrykeel/admit"
+	"cherrykeel/deny"
 	"cherrykeel/events"
 	"cherrykeel/lease"
 	"cherrykeel/retry"
@@ -22,13 +23,15 @@
 type forward struct {
 	fleet  *Fleet
 	sender Sender
+	denied *deny.List
 	clock  cherrykeel.Clock
 	logger *zap.Logger
 }
 
-// NewForward returns the stage that sends requests to upstreams and passes their answers on.
-func NewForward(fleet *Fleet, sender Sender, clock cherrykeel.Clock, logger *zap.Logger) cherrykeel.Stage {
-	return &forward{fleet: fleet, sender: sender, clock: clock, logger: logger}
+// NewForward returns the stage that sends requests to upstreams, but for those that end them, and passes their answers
+// on.
+func NewForward(fleet *Fleet, sender Sender, denied *deny.List, clock cherrykeel.Clock, logger *zap.Logger) cherrykeel.Stage {
+	return &forward{fleet: fleet, sender: sender, denied: denied, clock: clock, logger: logger}
 }
 
 // Serve implements cherrykeel.Stage.
@@ -41,16 +44,19 @@
 	ctx, cancel := context.WithTimeout(exchange.Request.Context(), left)
 	defer cancel()
 	pool.arrived(exchange)
+	listed := forward.denied.Request(partsOf(exchange))
 	mayHaveRun := false
 	tried := ""
 	for number := 1; ; number++ {
-		result, failure := forward.admitAndAttempt(ctx, pool, exchange, number, tried)
+		result, failure := forward.admitAndAttempt(ctx, pool, exchange, listed, number, tried)
 		tried = result.tried
 		if failure != nil {
 			return retry.Final(failure, mayHaveRun)
 		}
 		mayHaveRun = mayHaveRun || result.ending.Evidence == retry.Uncertain
-		verdict := retry.Decide(result.ending, forward.situation(pool, exchange, number))
+		situation := forward.situation(pool, exchange, number)
+		situation.Suspected = result.unanswered && listed.Suspected()
+		verdict := retry.Decide(result.ending, situation)
 		if verdict.Pass {
 			return forward.pass(exchange, result)
 		}
@@ -104,8 +110,8 @@
 }
 
 // admitAndAttempt waits for a place on an upstream and makes one attempt there.
-func (forward *forward) admitAndAttempt(ctx context.Context, pool *pool, exchange *cherrykeel.Exchange, number int, tried string) (result, *cherrykeel.Failure) {
-	place, failure := forward.admit(ctx, pool, exchange, tried)
+func (forward *forward) admitAndAttempt(ctx context.Context, pool *pool, exchange *cherrykeel.Exchange, listed *deny.Request, number int, tried string) (result, *cherrykeel.Failure) {
+	place, failure := forward.admit(ctx, pool, exchange, listed, tried)
 	if failure != nil {
 		return result{}, failure
 	}
@@ -117,10 +123,16 @@
 	result := forward.attempt(ctx, exchange, place, number)
 	result.tried = place.upstream.server.Name
 	if result.answer == nil {
+		forward.tellOfUpstream(place, exchange, listed, result)
 		cancel()
 		place.leave(result.finished)
 		return result, nil
 	}
+	result.streamed = func(err error) {
+		result.own = result.answer.Whole()
+		result.unanswered = err != nil && ctx.Err() == nil
+		forward.tellOfUpstream(place, exchange, listed, result)
+	}
 	// A large answer keeps its place until it has been passed on; pass closes it.
 	result.answer.OnClose(func() {
 		cancel()
@@ -218,6 +230,7 @@
 // is broken too, since nothing else can tell the caller that the answer is not whole.
 func (forward *forward) stream(exchange *cherrykeel.Exchange, result result) {
 	err := copyAnswer(exchange.Writer, result.answer)
+	result.streamed(err)
 	if err == nil {
 		return
 	}
--- a/entry/denied.go
+++ b/entry/denied.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strings"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,6 +20,9 @@
 	// deniedPrefix begins the keys of such requests in the topic of the hosts, which each host reads at its start
 	// anyway: a topic of their own would cost one call more for each host there is.
 	deniedPrefix = "denied/"
+	// keptEnds is how many ends a request stands at when it is written there. One end is told from host to host alone:
+	// each loss of an upstream leaves some dozens of requests that stand at one, and next to none at two.
+	keptEnds = 2
 	// deniedPatience is how long a host that knows all else waits for that topic before it is ready.
 	deniedPatience = 2 * time.Second
 )
@@ -117,52 +119,15 @@
 	}
 }
 
-// keptDenied are the requests whose records are to be written to the store.
-type keptDenied struct {
-	mutex   sync.Mutex
-	pending map[poison.Identity]bool
-	woken   chan struct{}
-}
-
-func newKeptDenied() *keptDenied {
-	return &keptDenied{pending: map[poison.Identity]bool{}, woken: make(chan struct{}, 1)}
-}
-
-func (kept *keptDenied) add(record poison.Record) {
-	kept.mutex.Lock()
-	kept.pending[record.Identity] = true
-	kept.mutex.Unlock()
-	select {
-	case kept.woken <- struct{}{}:
-	default:
-	}
-}
-
-func (kept *keptDenied) take() (poison.Identity, bool) {
-	kept.mutex.Lock()
-	defer kept.mutex.Unlock()
-	for identity := range kept.pending {
-		delete(kept.pending, identity)
-		return identity, true
-	}
-	return poison.Identity{}, false
-}
-
 // keepDenied writes records until the context ends, each until the store has taken it.
 func (host *Host) keepDenied(ctx context.Context) {
 	for ctx.Err() == nil {
-		identity, pending := host.kept.take()
-		if !pending {
-			select {
-			case <-host.kept.woken:
-			case <-ctx.Done():
+		for _, identity := range host.kept.Take(ctx) {
+			wait := announcePause
+			for ctx.Err() == nil && !host.writeDenied(ctx, identity) {
+				pause(ctx, wait)
+				wait = min(2*wait, longestAnnouncePause)
 			}
-			continue
-		}
-		wait := announcePause
-		for ctx.Err() == nil && !host.writeDenied(ctx, identity) {
-			pause(ctx, wait)
-			wait = min(2*wait, longestAnnouncePause)
 		}
 	}
 }
--- a/entry/host.go
+++ b/entry/host.go
@@ -65,7 +65,7 @@
 
 	relay     *relay.Relay
 	denied    *deny.List
-	kept      *keptDenied
+	kept      *deny.Pending
 	conns     *conns.Pool
 	server    *caller.Server
 	mesh      *share.Mesh
@@ -167,9 +167,10 @@
 	host.spans = watch.NewSpans(host.clock, host.logger, host.spansChanged, host.tellSpans)
 	host.mesh = share.New(host.self, host.clock, host.logger, &state{host: host}, host.reported.ask, host.counted.ask, func(demand share.Demand) { host.keeper.Demand(demand) }, host.told)
 	host.conns = conns.NewPool(conns.WithDialTimeout(dialTimeout), conns.WithUserTimeout(userTimeout), conns.WithIdleTimeout(idleTimeout), conns.WithUnframed())
-	host.kept = newKeptDenied()
+	host.kept = deny.NewPending()
 	host.denied = deny.New(deny.Settings{
-		Clock: host.clock, Logger: host.logger, Probe: host.conns.Refused, Tell: host.tellDenied, Keep: host.kept.add,
+		Clock: host.clock, Logger: host.logger, Probe: host.conns.Refused,
+		Tell: host.tellDenied, Keep: host.kept.Add, KeptEnds: keptEnds,
 		Planned: func(life poison.Life) bool { return host.upstreams.Leaving(life.Upstream, life.Born) },
 	})
 	host.relay = relay.New(relay.Settings{
--- a/fold/apply.go
+++ b/fold/apply.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"cherrykeel"
+	"cherrykeel/poison"
 	"cherrykeel/tree"
 )
 
@@ -36,6 +37,8 @@
 	case record.Checkpoint != nil:
 		verdict.Accepted = true
 		state.CheckpointAt = offset
+	case len(record.Denials) > 0:
+		state.applyDenials(&verdict, record)
 	default:
 		verdict.Reason = "the record is empty"
 	}
@@ -132,6 +135,23 @@
 	verdict.Accepted = true
 }
 
+// applyDenials merges what hosts have seen. How old a request's ends are is counted from the record's own time, so that
+// every host folds the same.
+func (state *State) applyDenials(verdict *Verdict, record Record) {
+	for _, denial := range record.Denials {
+		identity, err := poison.ParseIdentity(denial.Identity)
+		if err != nil {
+			verdict.Reason = err.Error()
+			return
+		}
+		told := denial.Request
+		told.Identity = identity
+		state.Denied = poison.Fold(state.Denied, told, record.Time.UnixMilli())
+	}
+	state.DeniedAt = verdict.Version
+	verdict.Accepted = true
+}
+
 // Place returns the placement that an assignment makes of the last one.
 func Place(last cherrykeel.Placement, assign Assign) cherrykeel.Placement {
 	next := cherrykeel.Placement{
--- a/fold/record.go
+++ b/fold/record.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"cherrykeel/poison"
 	"cherrykeel/tree"
 )
 
@@ -28,6 +29,14 @@
 	Claim      *Claim      `json:",omitempty"`
 	Assign     *Assign     `json:",omitempty"`
 	Checkpoint *Checkpoint `json:",omitempty"`
+	Denials    []Denial    `json:",omitempty"`
+}
+
+// Denial tells what its author knows of a request that was at work when upstreams ended.
+type Denial struct {
+	// Identity is the request's, as poison.Identity writes it.
+	Identity string
+	Request  poison.Record
 }
 
 // Change proposes edits to the settings tree; all are accepted or none.
--- a/fold/state.go
+++ b/fold/state.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"cherrykeel"
+	"cherrykeel/poison"
 	"cherrykeel/tree"
 )
 
@@ -68,6 +69,10 @@
 	CheckpointAt int64
 	// Chain is a hash over all records and verdicts; hosts that judged a record differently differ from there on.
 	Chain uint64
+	// Denied are the requests that were at work when upstreams ended, by identity, and DeniedAt is the version of the
+	// last record that told of one.
+	Denied   map[string]poison.Record `json:",omitempty"`
+	DeniedAt int64                    `json:",omitempty"`
 }
 
 // Verdict says what the fold made of a record.
--- a/host/host.go
+++ b/host/host.go
@@ -16,6 +16,7 @@
 	"cherrykeel"
 	"cherrykeel/config"
 	"cherrykeel/conns"
+	"cherrykeel/deny"
 	"cherrykeel/drain"
 	"cherrykeel/edge"
 	"cherrykeel/events"
@@ -61,6 +62,10 @@
 	conns    *conns.Pool
 	fleet    *edge.Fleet
 	peers    *wire.Client
+	denied   *deny.List
+	kept     *deny.Pending
+	// deniedAt is the version of the last record on such requests, for the follower's goroutine.
+	deniedAt int64
 	workers  pond.Pool
 	table    atomic.Pointer[route.Table]
 	refused  atomic.Pointer[string]
@@ -145,6 +150,8 @@
 	for _, option := range options {
 		option(host)
 	}
+	host.kept = deny.NewPending()
+	host.denied = newDenied(host)
 	host.guard = intent.NewGuard(host.intents, host.clock, config.Name)
 	host.workers = pond.NewPool(poolWorkers)
 	host.roster = &roster{view: member.NewRoster(host.member())}
@@ -216,6 +223,7 @@
 
 // onState takes a new state into force.
 func (host *Host) onState(state *fold.State) {
+	host.learnDenied(state)
 	if host.table.Load() != nil && host.refused.Load() == nil && state.Version == host.resolved {
 		// Only ownership has changed; reading every setting again would cost a hundred times as much.
 		host.duty.onState(state)
@@ -303,6 +311,7 @@
 	go host.follower.Run(ctx)
 	go host.guard.Run(ctx)
 	go host.askSlots(ctx)
+	go host.keepDenied(ctx)
 	go every(ctx, listPause, host.readList)
 	go every(ctx, announcePause, host.announce)
 	go every(ctx, helloPause, host.sayHello)
--- a/host/inner.go
+++ b/host/inner.go
@@ -38,6 +38,7 @@
 		wire.MethodView:    host.onView,
 		wire.MethodFetch:   host.onFetch,
 		wire.MethodSlots:   host.onSlots,
+		wire.MethodDenied:  host.onDenied,
 	}
 }
 
--- a/host/serve.go
+++ b/host/serve.go
@@ -35,7 +35,7 @@
 		cherrykeel.WithStage(edge.NewMatch(host), edge.PriorityMatch),
 		cherrykeel.WithStage(edge.NewBody(host.clock), edge.PriorityBody),
 		cherrykeel.WithStage(intent.NewStage(host.guard, host.clock), edge.PriorityRepeat),
-		cherrykeel.WithStage(edge.NewForward(host.fleet, host.conns, host.clock, host.logger), edge.PriorityForward),
+		cherrykeel.WithStage(edge.NewForward(host.fleet, host.conns, host.denied, host.clock, host.logger), edge.PriorityForward),
 	)
 }
 
--- a/poison/record.go
+++ b/poison/record.go
@@ -125,3 +125,22 @@
 	copied.Ends = slices.Clone(record.Ends)
 	return copied
 }
+
+// Fold merges what is told into a map of records by identity, and returns a new map; those that are too old at the
+// time of telling are left out, and beyond a bound those that say least. Equal maps and equal words make equal maps.
+func Fold(records map[string]Record, told Record, now int64) map[string]Record {
+	table := NewTable()
+	for key, record := range records {
+		identity, err := ParseIdentity(key)
+		if err == nil {
+			record.Identity = identity
+			_, _ = table.Merge(record, now)
+		}
+	}
+	_, _ = table.Merge(told, now)
+	folded := make(map[string]Record, len(table.records))
+	for identity, record := range table.records {
+		folded[identity.String()] = *record
+	}
+	return folded
+}
--- a/poison/table.go
+++ b/poison/table.go
@@ -1,6 +1,10 @@
 package poison
 
-import "time"
+import (
+	"bytes"
+	"cmp"
+	"time"
+)
 
 const (
 	// DeadlyEnds is how many ends of upstreams a request stands at before it is refused. Fewer would refuse what merely
@@ -217,11 +221,11 @@
 	}
 }
 
-// less reports whether a record says less than another.
+// less reports whether a record says less than another; equal ones have an order too, the same at each host.
 func (record *Record) less(other *Record) bool {
-	own, others := len(record.Standing()), len(other.Standing())
-	if own != others {
-		return own < others
-	}
-	return record.newest() < other.newest()
+	return cmp.Or(
+		cmp.Compare(len(record.Standing()), len(other.Standing())),
+		cmp.Compare(record.newest(), other.newest()),
+		bytes.Compare(record.Identity[:], other.Identity[:]),
+	) < 0
 }
--- a/proof/poison_test.go
+++ b/proof/poison_test.go
@@ -15,6 +15,7 @@
 	deadlyEnds = 3
 	moreSends  = 3
 	settled    = 3 * time.Second
+	backAfter  = 200 * time.Millisecond
 	deadlyPath = "/frail/deadly"
 )
 
@@ -42,8 +43,9 @@
 	return found
 }
 
-// revive starts the processes again that have ended.
+// revive starts the processes again that have ended, after a moment as a supervisor would.
 func (frail *frail) revive() {
+	time.Sleep(backAfter)
 	for i, process := range frail.processes {
 		select {
 		case <-process.done:
@@ -57,6 +59,7 @@
 var _ = Describe("a request that ends the upstreams that run it, on a plain log", func() {
 	// A caller's lookup ends each upstream that begins to run it, and comes again at any host as soon as the upstream is
 	// back. Hosts took each for a new one, and sent it once more themselves: two upstreams ended for each time it came.
+	// The cause is the same as on the platform: no host kept what was at work when a process had ended, or told another.
 	It("is sent on three times more at the most, over all hosts", func() {
 		cluster := newCluster(2)
 		cluster.write("firm.toml", "Timeout = \"5s\"\n")
@@ -81,7 +84,6 @@
 		before := frail.ends
 		for range 4 * moreSends {
 			again()
-			time.Sleep(100 * time.Millisecond)
 		}
 		Expect(frail.ends - before).To(BeNumerically("<=", moreSends))
 	})
--- a/relay/again.go
+++ b/relay/again.go
@@ -34,7 +34,7 @@
 	if result.finding == uncertain && !trip.route.Repeatable {
 		return false
 	}
-	if result.unanswered && trip.suspected() {
+	if result.unanswered && trip.listed.Suspected() {
 		return false
 	}
 	if result.misdirected && trip.lane.keyed {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -119,7 +119,7 @@
 	answer, progress, err := trip.relay.pool.SendWith(ctx, place.Upstream.Address, trip.outgoing(place.Upstream, left), care)
 	if err != nil {
 		result := broken(progress, err)
-		result.unanswered = progress != conns.NotSent && ctx.Err() == nil
+		result.unanswered = progress.Unanswered() && ctx.Err() == nil
 		return result
 	}
 	defer answer.Close()
--- a/relay/denied_test.go
+++ b/relay/denied_test.go
@@ -82,7 +82,8 @@
 	// make the first send undone, and a payment would be sent again by its caller.
 	It("is told that the outcome is unknown if a send may have run", func() {
 		trip := &trip{relay: relay, request: httptest.NewRequest(http.MethodGet, "http://h/deadly", nil), mayHaveRun: true, deadline: relay.clock.Now().Add(time.Minute)}
-		condemn(trip.identify())
+		trip.listed = denied.Request(trip.parts())
+		condemn(trip.listed.Identity())
 		_, failure := trip.admit(context.Background())
 		Expect(failure.Outcome).To(Equal(cherrykeel.OutcomeUnknown))
 		Expect(failure.Status).To(Equal(http.StatusBadGateway))
--- a/relay/trip.go
+++ b/relay/trip.go
@@ -11,9 +11,9 @@
 	"go.uber.org/zap"
 
 	"cherrykeel"
+	"cherrykeel/deny"
 	"cherrykeel/events"
 	"cherrykeel/flow"
-	"cherrykeel/poison"
 )
 
 const (
@@ -55,9 +55,8 @@
 	kept *keptAnswer
 	// inputs are what the last verdict of the scheduler rested on.
 	inputs flow.Inputs
-	// identity is worked out when it is first asked for.
-	identity   poison.Identity
-	identified bool
+	// listed is the request as the list of those sees it that end upstreams.
+	listed *deny.Request
 }
 
 // ServeHTTP implements http.Handler.
@@ -104,6 +103,7 @@
 		return cherrykeel.Refuse(http.StatusBadRequest, "body-broke", "%s", err)
 	}
 	trip.body = body
+	trip.listed = trip.relay.Denied.Request(trip.parts())
 	if trip.outlastsHost() {
 		failure := trip.refuse("stopping", "this host ends before the request would")
 		failure.RetryAfter = elsewhere
@@ -314,8 +314,12 @@
 	if trip.asked.Key != cherrykeel.NoKey {
 		fields = append(fields, zap.Int("Key", trip.asked.Key))
 	}
-	if trip.identified {
-		fields = append(fields, zap.Stringer("Identity", trip.identity))
+	if trip.listed == nil {
+		return fields
+	}
+	identity, identified := trip.listed.Identified()
+	if identified {
+		fields = append(fields, zap.Stringer("Identity", identity))
 	}
 	return fields
 }
--- a/retry/decide.go
+++ b/retry/decide.go
@@ -49,6 +49,8 @@
 	Keyed      bool
 	// BudgetLeft says that the service's retry budget has room.
 	BudgetLeft bool
+	// Suspected says that upstreams have ended while the request was at work there; to repeat it may cost another.
+	Suspected bool
 	// Random is uniform in [0, 1).
 	Random float64
 }
@@ -146,7 +148,7 @@
 		return doubt(statusTimeout, "upstream-timeout", ending)
 	}
 	wait := backoff(retryBackoff, maxOwnerBackoff, situation)
-	mayRepeat := situation.Repeatable && situation.BudgetLeft && situation.Attempt < maxAttempts
+	mayRepeat := situation.Repeatable && !situation.Suspected && situation.BudgetLeft && situation.Attempt < maxAttempts
 	if mayRepeat && situation.fits(wait) {
 		return Verdict{Again: true, Wait: wait, Cost: cost(ending)}
 	}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -5,6 +5,7 @@
 
 	"cherrykeel"
 	"cherrykeel/admit"
+	"cherrykeel/fold"
 	"cherrykeel/follow"
 	"cherrykeel/keeper"
 )
@@ -20,6 +21,7 @@
 	MethodView    = "Grant.View"
 	MethodFetch   = "Log.Fetch"
 	MethodSlots   = "Slots.Ask"
+	MethodDenied  = "Requests.Denied"
 )
 
 // Hello tells a peer how its sender fares, about once a second.
@@ -113,5 +115,10 @@
 	Length  time.Duration
 }
 
+// Denied tells of requests that were at work when upstreams ended, while the log that says so is out.
+type Denied struct {
+	Denials []fold.Denial
+}
+
 // Done is the answer of methods that return nothing.
 type Done struct{}
