--- a/deny/list.go
+++ b/deny/list.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"cherrykeel"
@@ -52,6 +53,8 @@
 	known  atomic.Bool
 	// changed is closed when one more request is refused.
 	changed chan struct{}
+	// refusals counts what was not sent.
+	refusals atomic.Int64
 }
 
 // New returns an empty list.
@@ -88,8 +91,12 @@
 func (list *List) refused(identity poison.Identity) (time.Duration, bool) {
 	list.mutex.Lock()
 	defer list.mutex.Unlock()
+	if !list.table.Refused(identity) {
+		return 0, false
+	}
+	list.refusals.Add(1)
 	left := time.Duration(list.table.Until(identity)-list.now()) * time.Millisecond
-	return max(0, left), list.table.Refused(identity)
+	return max(0, left), true
 }
 
 func (list *List) suspected(identity poison.Identity) bool {
@@ -119,11 +126,14 @@
 	return list.table.Find(identity)
 }
 
-// Counts returns how many requests are refused, and how many are known in all.
-func (list *List) Counts() (refused, known int) {
+// Count shows in a host's metrics how many requests are denied and suspected, and how often one was refused.
+func (list *List) Count(scope tally.Scope) {
 	list.mutex.Lock()
-	defer list.mutex.Unlock()
-	return list.table.Counts()
+	refused, known := list.table.Counts()
+	list.mutex.Unlock()
+	scope.Gauge("denied_requests").Update(float64(refused))
+	scope.Gauge("suspected_requests").Update(float64(known - refused))
+	scope.Gauge("denied_refusals").Update(float64(list.refusals.Load()))
 }
 
 // Forget drops what is too old, and returns what it dropped.
--- /dev/null
+++ b/deny/list_test.go
@@ -0,0 +1,156 @@
+package deny_test
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"cherrykeel"
+	"cherrykeel/deny"
+	"cherrykeel/poison"
+)
+
+func TestDeny(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "deny")
+}
+
+const address = "10.0.0.9:80"
+
+var parts = poison.Parts{Method: "GET", Domain: "h", Path: "/deadly", Caller: "10.0.0.1:5", Body: []byte("x")}
+
+// scene is a list whose upstream answers connections, or does not.
+type scene struct {
+	list     *deny.List
+	clock    cherrykeel.Clock
+	refuses  atomic.Bool
+	probes   atomic.Int64
+	leaving  atomic.Bool
+	told     atomic.Int64
+	kept     atomic.Int64
+	upstream int
+}
+
+func newScene() *scene {
+	scene := &scene{clock: cherrykeel.SystemClock()}
+	scene.list = deny.New(deny.Settings{
+		Clock: scene.clock, Logger: zap.NewNop(), KeptEnds: 2,
+		Probe: func(string) bool {
+			scene.probes.Add(1)
+			return scene.refuses.Load()
+		},
+		Planned: func(poison.Life) bool { return scene.leaving.Load() },
+		Tell:    func(poison.Record) { scene.told.Add(1) },
+		Keep:    func(poison.Record) { scene.kept.Add(1) },
+	})
+	return scene
+}
+
+func (scene *scene) life() poison.Life {
+	return poison.Life{Upstream: fmt.Sprint("u-", scene.upstream)}
+}
+
+// lose has the request's connection end without an answer.
+func (scene *scene) lose() {
+	scene.list.Request(parts).Broke("r", "s", scene.life(), address, scene.clock.Now())
+}
+
+// end has the upstream end under the request, and the next one come.
+func (scene *scene) end() {
+	scene.lose()
+	scene.list.Ended(scene.life())
+	scene.upstream++
+}
+
+var _ = Describe("a host's list of requests that end upstreams", func() {
+	var scene *scene
+
+	BeforeEach(func() { scene = newScene() })
+
+	refused := func() bool {
+		_, refused := scene.list.Request(parts).Refused()
+		return refused
+	}
+
+	It("asks the address at which a request was lost, and counts the end if nobody listens there", func() {
+		scene.refuses.Store(true)
+		scene.lose()
+		Eventually(scene.list.Request(parts).Suspected).Should(BeTrue())
+		Expect(scene.told.Load()).To(Equal(int64(1)))
+		Expect(scene.kept.Load()).To(Equal(int64(0)), "one end is told, not kept")
+	})
+
+	// Upstreams that are full end hundreds of connections a second, and go on. A probe for each would take up the
+	// connections that they have left.
+	It("counts no connection that a living upstream ended, and asks seldom", func() {
+		for range 1000 {
+			scene.lose()
+		}
+		Eventually(scene.probes.Load).Should(Equal(int64(1)))
+		Expect(scene.list.Request(parts).Suspected()).To(BeFalse())
+		scene.list.Answered(scene.life(), scene.clock.Now())
+		scene.list.Ended(scene.life())
+		Expect(scene.list.Request(parts).Suspected()).To(BeFalse(), "it has answered since")
+	})
+
+	It("counts no end that an upstream had said before", func() {
+		scene.leaving.Store(true)
+		scene.end()
+		Expect(scene.list.Request(parts).Suspected()).To(BeFalse())
+	})
+
+	It("refuses at the third end, wakes who waits, and says for how long", func() {
+		scene.end()
+		scene.end()
+		changed := scene.list.Changed()
+		Expect(refused()).To(BeFalse())
+		scene.end()
+		Expect(changed).To(BeClosed())
+		left, _ := scene.list.Request(parts).Refused()
+		Expect(left).To(BeNumerically("~", time.Hour, time.Minute))
+		Expect(scene.kept.Load()).To(Equal(int64(2)))
+	})
+
+	It("refuses what another host has seen, and neither the same of another caller nor another body", func() {
+		other := newScene()
+		for range poison.DeadlyEnds {
+			other.end()
+		}
+		for _, record := range other.list.Records() {
+			scene.list.Merge(record)
+		}
+		Expect(refused()).To(BeTrue())
+		Expect(scene.told.Load()).To(Equal(int64(0)), "who has seen it tells")
+		for _, change := range []func(parts *poison.Parts){
+			func(parts *poison.Parts) { parts.Caller = "10.0.0.2:5" },
+			func(parts *poison.Parts) { parts.Body = []byte("y") },
+		} {
+			innocent := parts
+			change(&innocent)
+			_, found := scene.list.Request(innocent).Refused()
+			Expect(found).To(BeFalse())
+		}
+	})
+
+	It("takes all back once an upstream has served the request, and tells that", func() {
+		for range poison.DeadlyEnds {
+			scene.end()
+		}
+		told := scene.told.Load()
+		scene.list.Request(parts).Served()
+		Expect(refused()).To(BeFalse())
+		Expect(scene.told.Load()).To(Equal(told + 1))
+	})
+
+	It("works out no identity while nothing is known of what a request asks for", func() {
+		request := scene.list.Request(parts)
+		_, _ = request.Refused()
+		_, identified := request.Identified()
+		Expect(identified).To(BeFalse())
+	})
+})
--- a/entry/denied.go
+++ b/entry/denied.go
@@ -104,9 +104,7 @@
 
 // forgetDenied drops what is too old, at one host from the store too, and shows how much is left.
 func (host *Host) forgetDenied(ctx context.Context) {
-	refused, known := host.denied.Counts()
-	host.scope.Gauge("denied_requests").Update(float64(refused))
-	host.scope.Gauge("suspected_requests").Update(float64(known - refused))
+	host.denied.Count(host.scope)
 	dropped := host.denied.Forget()
 	if len(dropped) == 0 || host.rank() > 0 {
 		return
--- a/host/denied.go
+++ b/host/denied.go
@@ -118,11 +118,3 @@
 		host.denied.Merge(record)
 	}
 }
-
-// countDenied shows how many requests are refused, and how many stand at ends of upstreams besides.
-func (host *Host) countDenied() {
-	host.denied.Forget()
-	refused, known := host.denied.Counts()
-	host.scope.Gauge("denied_requests").Update(float64(refused))
-	host.scope.Gauge("suspected_requests").Update(float64(known - refused))
-}
--- a/host/watch.go
+++ b/host/watch.go
@@ -78,7 +78,8 @@
 // watch logs changes of the host's own condition and sweeps idle connections.
 func (host *Host) watch(context.Context) {
 	host.conns.Sweep()
-	host.countDenied()
+	_ = host.denied.Forget()
+	host.denied.Count(host.scope)
 	host.noteReadiness(host.Readiness())
 	host.noteLog(host.follower.Status().LogUp)
 	host.scope.Gauge("requests_in_flight").Update(float64(host.requests.count.Load()))
--- a/poison/identity.go
+++ b/poison/identity.go
@@ -43,9 +43,10 @@
 
 // Target returns the first part of the request's identity.
 func (parts *Parts) Target() Target {
-	digest := xxhash.New()
-	for _, part := range []string{parts.Method, parts.Domain, parts.Path} {
-		add(digest, part)
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, part := range [...]string{parts.Method, parts.Domain, parts.Path} {
+		_, _ = digest.WriteString(part)
 	}
 	var target Target
 	binary.BigEndian.PutUint64(target[:], digest.Sum64())
