No probe where a connection was reset; hosts that start are told of denied requests at a bounded pace

Cause: each request that was lost had its upstream's address asked. Change: the request under which a process ends has been read by it, so its connection is closed, not reset; only then is the address asked. What was reset there is counted when the end shows. And 195 hosts that start at once were each a reason to tell all hosts. Ruled out: waiting before the probe (the request comes again within 0.2 s).

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,6 +15,9 @@
 var (
 	// ErrBroken means that the connection failed or the answer was not whole.
 	ErrBroken = errors.New("the connection to the upstream broke")
+	// ErrReset is an ErrBroken that means that the connection was reset, as upstreams do that are full: a process that
+	// ends under a request closes its connection.
+	ErrReset = errors.WithMessage(ErrBroken, "reset")
 	// ErrNotReady means that the request was not to be sent any more when the connection was there.
 	ErrNotReady = errors.New("the request was not to be sent any more")
 	// ErrUnframed means that the answer does not say where it ends, so it cannot be known to be whole.
@@ -101,11 +105,11 @@
 		err = conn.writer.Flush()
 	}
 	if err != nil {
-		return nil, conn.progressOfWrite(), errors.Wrap(ErrBroken, err.Error())
+		return nil, conn.progressOfWrite(), broken(err)
 	}
 	response, err := conn.readHead(request)
 	if err != nil {
-		return nil, Sent, errors.Wrap(ErrBroken, err.Error())
+		return nil, Sent, broken(err)
 	}
 	if unframed(response) && !(takesUnframed && response.StatusCode != http.StatusSwitchingProtocols) {
 		return nil, AnswerBegun, errors.WithStack(ErrUnframed)
@@ -114,6 +118,13 @@
 	return answer, AnswerBegun, nil
 }
 
+func broken(err error) error {
+	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		return errors.Wrap(ErrReset, err.Error())
+	}
+	return errors.Wrap(ErrBroken, err.Error())
+}
+
 func (conn *conn) progressOfWrite() Progress {
 	if conn.written == 0 {
 		return NotSent
@@ -147,7 +158,7 @@
 		answer.whole = true
 	}
 	if err != nil && err != io.EOF {
-		err = errors.Wrap(ErrBroken, err.Error())
+		err = broken(err)
 	}
 	return count, err
 }
--- a/deny/list_test.go
+++ b/deny/list_test.go
@@ -55,9 +55,13 @@
 	return poison.Life{Upstream: fmt.Sprint("u-", scene.upstream)}
 }
 
+func (scene *scene) broke() poison.Break {
+	return poison.Break{Request: "r", Service: "s", Life: scene.life(), Address: address, At: scene.clock.Now()}
+}
+
 // lose has the request's connection end without an answer.
 func (scene *scene) lose() {
-	scene.list.Request(parts).Broke("r", "s", scene.life(), address, scene.clock.Now())
+	scene.list.Request(parts).Broke(scene.broke())
 }
 
 // end has the upstream end under the request, and the next one come.
@@ -85,8 +89,17 @@
 		Expect(scene.kept.Load()).To(Equal(int64(0)), "one end is told, not kept")
 	})
 
-	// Upstreams that are full end hundreds of connections a second, and go on. A probe for each would take up the
-	// connections that they have left.
+	// Upstreams that are full reset hundreds of connections a second, and go on. A probe for each took up connections
+	// that they had left: twice as many were beyond their room.
+	It("does not ask where a connection was reset", func() {
+		found := scene.broke()
+		found.Reset = true
+		scene.list.Request(parts).Broke(found)
+		Consistently(scene.probes.Load, "50ms").Should(Equal(int64(0)))
+		scene.list.Ended(scene.life())
+		Expect(scene.list.Request(parts).Suspected()).To(BeTrue(), "the end shows by itself later")
+	})
+
 	It("counts no connection that a living upstream ended, and asks seldom", func() {
 		for range 1000 {
 			scene.lose()
--- a/deny/request.go
+++ b/deny/request.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"cherrykeel"
 	"cherrykeel/poison"
 )
 
@@ -61,10 +60,9 @@
 	}
 }
 
-// Broke takes it that the request was sent to an upstream and its connection ended without a whole answer; id is that
-// of this attempt of the caller, for logs.
-func (request *Request) Broke(id, service string, life poison.Life, address string, at cherrykeel.Instant) {
-	request.list.broke(poison.Break{
-		Identity: request.Identity(), Request: id, Service: service, Life: life, Address: address, At: at,
-	})
+// Broke takes it that the request was sent to an upstream and its connection ended without a whole answer. Of the
+// break all is to be filled in but the identity; its Request is the id of this attempt of the caller, for logs.
+func (request *Request) Broke(found poison.Break) {
+	found.Identity = request.Identity()
+	request.list.broke(found)
 }
--- a/deny/witness.go
+++ b/deny/witness.go
@@ -17,12 +17,17 @@
 	probeEvery = 500 * time.Millisecond
 )
 
+// broke has the address asked unless the connection was reset. Upstreams that are full reset what is beyond their
+// room, and a probe for each takes more of it; the request under which a process ends has been read, so that its
+// connection is closed. What else was lost there waits for the answer too.
 func (list *List) broke(found poison.Break) {
 	list.mutex.Lock()
 	list.witness.Broke(found)
 	list.broken.Store(true)
 	list.mutex.Unlock()
-	list.probes.soon(found.Address)
+	if !found.Reset {
+		list.probes.soon(found.Address)
+	}
 }
 
 // Answered takes it that an upstream's life has answered a request that was sent at the given time.
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -43,6 +43,8 @@
 	unanswered bool
 	refused    bool
 	own        bool
+	// reset says that the connection was reset, not closed.
+	reset bool
 	// streamed is told how the rest of an answer ended that is too large to be held.
 	streamed func(err error)
 }
@@ -109,6 +111,7 @@
 		result.finished.abandoned = progress == conns.AnswerBegun || progress != conns.NotSent && ctx.Err() != nil
 		result.unanswered = progress.Unanswered() && ctx.Err() == nil
 		result.refused = errors.Is(err, conns.ErrRefused)
+		result.reset = errors.Is(err, conns.ErrReset)
 	} else {
 		result = forward.read(ctx, exchange, answer, attemptID)
 	}
@@ -170,6 +173,7 @@
 		result.finished.reached = false
 		result.finished.abandoned = ctx.Err() != nil
 		result.unanswered = ctx.Err() == nil
+		result.reset = errors.Is(err, conns.ErrReset)
 		result.own = false
 		return result
 	}
--- a/edge/denied.go
+++ b/edge/denied.go
@@ -34,7 +34,10 @@
 	life := poison.Life{Upstream: exchange.Service.Path + " " + server.Name}
 	switch {
 	case result.unanswered:
-		listed.Broke(exchange.ID, exchange.Service.Path, life, server.Address, forward.clock.Now())
+		listed.Broke(poison.Break{
+			Request: exchange.ID, Service: exchange.Service.Path, Life: life, Address: server.Address,
+			At: forward.clock.Now(), Reset: result.reset,
+		})
 	case result.refused:
 		forward.denied.Unreachable(server.Address)
 	case result.own:
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -7,10 +7,12 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"cherrykeel"
 	"cherrykeel/admit"
+	"cherrykeel/conns"
 	"cherrykeel/deny"
 	"cherrykeel/events"
 	"cherrykeel/lease"
@@ -131,6 +133,7 @@
 	result.streamed = func(err error) {
 		result.own = result.answer.Whole()
 		result.unanswered = err != nil && ctx.Err() == nil
+		result.reset = errors.Is(err, conns.ErrReset)
 		forward.tellOfUpstream(place, exchange, listed, result)
 	}
 	// A large answer keeps its place until it has been passed on; pass closes it.
--- a/entry/announce.go
+++ b/entry/announce.go
@@ -65,7 +65,7 @@
 	host.mutex.Unlock()
 	host.mesh.SetPeers(peers)
 	if newcomers {
-		host.tellNewcomers()
+		host.joined.ask()
 	}
 }
 
--- a/entry/denied.go
+++ b/entry/denied.go
@@ -23,6 +23,8 @@
 	// keptEnds is how many ends a request stands at when it is written there. One end is told from host to host alone:
 	// each loss of an upstream leaves some dozens of requests that stand at one, and next to none at two.
 	keptEnds = 2
+	// newcomersPace bounds how often hosts that have just started are told: when all start at once, each of them is one.
+	newcomersPace = 250 * time.Millisecond
 	// deniedPatience is how long a host that knows all else waits for that topic before it is ready.
 	deniedPatience = 2 * time.Second
 )
--- a/entry/host.go
+++ b/entry/host.go
@@ -90,6 +90,7 @@
 	recent   recentChanges
 	counted  *paced
 	reported *paced
+	joined   *paced
 	names    atomic.Pointer[shortNames]
 	// started is when the process began.
 	started cherrykeel.Instant
@@ -163,6 +164,7 @@
 func (host *Host) assemble() {
 	host.counted = &paced{clock: host.clock, pace: gatherPace, do: host.gather}
 	host.reported = &paced{clock: host.clock, pace: heardPace, do: host.heard}
+	host.joined = &paced{clock: host.clock, pace: newcomersPace, do: host.tellNewcomers}
 	host.names.Store(&shortNames{})
 	host.spans = watch.NewSpans(host.clock, host.logger, host.spansChanged, host.tellSpans)
 	host.mesh = share.New(host.self, host.clock, host.logger, &state{host: host}, host.reported.ask, host.counted.ask, func(demand share.Demand) { host.keeper.Demand(demand) }, host.told)
--- a/poison/witness.go
+++ b/poison/witness.go
@@ -35,6 +35,8 @@
 	Life    Life
 	Address string
 	At      cherrykeel.Instant
+	// Reset says that the connection was reset, not closed.
+	Reset bool
 }
 
 // Witness keeps one host's breaks until it is known whether their upstreams have ended. What a host sees first is a
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -44,6 +44,8 @@
 	unanswered bool
 	refused    bool
 	own        bool
+	// reset says that the connection was reset, not closed.
+	reset bool
 }
 
 const (
@@ -127,6 +129,7 @@
 	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes+1))
 	result := result{status: answer.Status, header: answer.Header, body: body, load: reply.Load, misdirected: reply.Misdirected}
 	result.unanswered = err != nil && ctx.Err() == nil
+	result.reset = errors.Is(err, conns.ErrReset)
 	result.own = err == nil && (reply.Instance == "" || reply.Instance == place.Upstream.ID)
 	switch {
 	case reply.ID != "" && reply.ID != trip.asked.ID:
@@ -187,7 +190,7 @@
 	if progress == conns.NotSent {
 		return result{finding: notSent, detail: err.Error(), refused: errors.Is(err, conns.ErrRefused)}
 	}
-	return result{finding: uncertain, detail: err.Error()}
+	return result{finding: uncertain, detail: err.Error(), reset: errors.Is(err, conns.ErrReset)}
 }
 
 // ending tells the scheduler how the place was left.
--- a/relay/denied.go
+++ b/relay/denied.go
@@ -35,7 +35,9 @@
 	life := poison.LifeOf(place.Upstream)
 	switch {
 	case result.unanswered:
-		trip.listed.Broke(trip.asked.ID, trip.lane.name, life, place.Upstream.Address, now)
+		trip.listed.Broke(poison.Break{
+			Request: trip.asked.ID, Service: trip.lane.name, Life: life, Address: place.Upstream.Address, At: now, Reset: result.reset,
+		})
 	case result.refused:
 		trip.relay.Denied.Unreachable(place.Upstream.Address)
 	case result.own:
