Hosts that write what they know of a request at the same moment write again what the later record lacks

Callers saw: after all hosts had been restarted, a request that had ended four upstreams was sent on four times more. Cause: two hosts each saw two ends and wrote two records, of which the store keeps the newest. Each learned of the other's ends by message, but neither wrote the sum; a host that started read two ends of four. Change: a host that reads a record that lacks anything it knows, of a request at whose ends it has seen something itself, writes all it knows; a write that lands behind records it has not read makes it read. Why it holds: whoever has written stays answerable for its ends being in the record that stands; records only grow, so it ends. Ruled out: conditional writes (a loser reads and writes again just the same, and each write costs a read more); one record a host (hosts that are gone leave theirs).

--- a/deny/list.go
+++ b/deny/list.go
@@ -173,6 +173,20 @@
 	}
 }
 
+// MergeKept takes the newest record that is kept of a request. Of two hosts that write at the same moment the later
+// one's record stands, without what only the other has seen; whoever has seen it writes all that is known again.
+// Hosts that start later would know too little, and send the request on once more often for each end that they lack.
+func (list *List) MergeKept(kept poison.Record) {
+	list.Merge(kept)
+	list.mutex.Lock()
+	known, exists := list.table.Find(kept.Identity)
+	lacks := exists && list.table.Own(kept.Identity) && kept.Lacks(known)
+	list.mutex.Unlock()
+	if lacks {
+		list.Keep(known)
+	}
+}
+
 // changedOne wakes those that wait if a request is refused that was not; List.mutex is held.
 func (list *List) changedOne(identity poison.Identity, before bool) {
 	list.noteCounts()
--- a/deny/list_test.go
+++ b/deny/list_test.go
@@ -160,6 +160,25 @@
 		Expect(scene.told.Load()).To(Equal(told + 1))
 	})
 
+	// Two hosts see two ends each and write them at the same moment. The later record stands in the place of the earlier
+	// one, so that a host that starts would know two ends of four.
+	It("has all kept again when the record that stands lacks what it has seen", func() {
+		other := newScene()
+		other.upstream = 10
+		for range 2 {
+			scene.end()
+			other.end()
+		}
+		kept, stood := scene.kept.Load(), other.list.Records()[0]
+		scene.list.MergeKept(stood)
+		Expect(scene.kept.Load()).To(Equal(kept + 1))
+		scene.list.MergeKept(scene.list.Records()[0])
+		Expect(scene.kept.Load()).To(Equal(kept+1), "it stands now")
+		reader := newScene()
+		reader.list.MergeKept(stood)
+		Expect(reader.kept.Load()).To(Equal(int64(0)), "who has seen nothing writes nothing")
+	})
+
 	It("works out no identity while nothing is known of what a request asks for", func() {
 		request := scene.list.Request(parts)
 		_, _ = request.Refused()
--- a/entry/denied.go
+++ b/entry/denied.go
@@ -79,12 +79,12 @@
 		peers = append(peers, record)
 	}
 	update.Records = peers
-	host.applyDenied(denied)
+	host.applyDenied(denied, host.denied.MergeKept)
 	host.peers.Apply(update)
 }
 
-// applyDenied takes what other hosts have seen, by whichever way it came.
-func (host *Host) applyDenied(records []cherrykeel.KeyedRecord) {
+// applyDenied takes what other hosts have seen, as they told it or as it is kept in the store.
+func (host *Host) applyDenied(records []cherrykeel.KeyedRecord, merge func(record poison.Record)) {
 	for _, record := range records {
 		if len(record.Value) == 0 {
 			continue
@@ -94,7 +94,7 @@
 			events.Log(host.logger, events.RecordInvalid, zap.String("Key", record.Key), zap.Int64("Offset", record.Offset), zap.Error(err))
 			continue
 		}
-		host.denied.Merge(told)
+		merge(told)
 	}
 }
 
@@ -150,7 +150,12 @@
 		return false
 	}
 	written := []cherrykeel.KeyedRecord{{Key: key, Value: value, Offset: offset}}
+	unread := host.hostsTopic.Next() < offset
 	host.hostsTopic.Told(written)
+	if unread {
+		// Another host may have written of the same request at the same moment.
+		host.hostsTopic.Nudge()
+	}
 	host.mesh.Tell(topicHosts, written, share.NoChange)
 	return true
 }
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -185,7 +185,7 @@
 	case topicSpans:
 		host.toldSpans(told)
 	case topicDenied:
-		host.applyDenied(told.Records)
+		host.applyDenied(told.Records, host.denied.Merge)
 	}
 }
 
--- a/poison/record.go
+++ b/poison/record.go
@@ -110,6 +110,17 @@
 	record.Ends = slices.Delete(record.Ends, oldest, oldest+1)
 }
 
+// Lacks reports whether another record of the request says anything that this one does not.
+func (record *Record) Lacks(other Record) bool {
+	copied := record.clone()
+	for _, end := range other.Ends {
+		if copied.add(end) {
+			return true
+		}
+	}
+	return false
+}
+
 // withdraw takes all ends back and reports whether any stood.
 func (record *Record) withdraw() bool {
 	stood := len(record.Standing()) > 0
--- a/poison/table.go
+++ b/poison/table.go
@@ -25,17 +25,29 @@
 	refused map[Identity]bool
 	// targets counts the records by what their requests ask for.
 	targets map[Target]int
+	// own are the requests of which this host has seen something itself.
+	own map[Identity]bool
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{records: map[Identity]*Record{}, refused: map[Identity]bool{}, targets: map[Target]int{}}
+	return &Table{records: map[Identity]*Record{}, refused: map[Identity]bool{}, targets: map[Target]int{}, own: map[Identity]bool{}}
 }
 
 // Ended takes an end that this host has seen, and returns the request's record if it is news.
 func (table *Table) Ended(found Break, at int64) (Record, bool) {
 	end := End{Life: found.Life, At: at}
-	return table.Merge(Record{Identity: found.Identity, Service: found.Service, Ends: []End{end}}, at)
+	record, news := table.Merge(Record{Identity: found.Identity, Service: found.Service, Ends: []End{end}}, at)
+	_, kept := table.records[found.Identity]
+	if news && kept {
+		table.own[found.Identity] = true
+	}
+	return record, news
+}
+
+// Own reports whether this host has seen something of a request itself, and has not only been told.
+func (table *Table) Own(identity Identity) bool {
+	return table.own[identity]
 }
 
 // Merge takes what another host has seen, and returns all that is known of the request if it is news.
@@ -70,6 +82,7 @@
 	if !known || !record.withdraw() {
 		return Record{}, false
 	}
+	table.own[identity] = true
 	table.judge()
 	return record.clone(), true
 }
@@ -214,6 +227,7 @@
 func (table *Table) remove(identity Identity) {
 	delete(table.records, identity)
 	delete(table.refused, identity)
+	delete(table.own, identity)
 	target := identity.Target()
 	table.targets[target]--
 	if table.targets[target] == 0 {
