A request under which the program panics costs its caller's connection, not the host's process

Callers would have seen: all connections of a host end, and those of the next host, to which the request came again. Cause: the handler's panic was passed on to the end of its goroutine, and a fault in reading a request was not caught at all. Change: both are contained and logged (event 511, with the request's id from relay, with the stack from caller); the place at the upstream is left, and the scheduler's lock is given back, so that no later request waits for either. Why it holds: every goroutine that a caller's bytes reach is one of these two; a panic elsewhere (messages, store) still ends the process, since what it guards is not known to be whole then. Ruled out: refusing such a request by its identity at other hosts (it costs a connection now).

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -7,10 +7,14 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"cherrykeel/events"
 )
 
 const (
@@ -27,6 +31,8 @@
 	// idleGrace is how much longer than the operator's limit a connection may be idle. Callers use one for
 	// up to four fifths of the limit; a request of the last moment may wait for the processor here.
 	idleGrace = time.Second
+	// maxStack bounds what is logged of a panic.
+	maxStack = 4 << 10
 )
 
 type conn struct {
@@ -83,6 +89,12 @@
 
 func (conn *conn) readAll() {
 	defer close(conn.answers)
+	defer func() {
+		failure := recover()
+		if failure != nil {
+			conn.panicked(failure)
+		}
+	}()
 	for conn.readOne() {
 	}
 }
@@ -239,13 +251,23 @@
 			return
 		}
 		answer.aborted = true
-		if failure != http.ErrAbortHandler {
-			panic(failure)
-		}
+		conn.panicked(failure)
 	}()
 	conn.server.handler.ServeHTTP(answer, request)
 }
 
+// panicked takes a fault of ours that one request has met. Passed on, it ends the process with all requests that it
+// holds, and the same request does so at the next host; contained, it costs its caller's connection.
+func (conn *conn) panicked(failure any) {
+	if failure == http.ErrAbortHandler {
+		return
+	}
+	stack := debug.Stack()
+	events.Log(conn.server.logger, events.RequestPanicked,
+		zap.String("Caller", conn.socket.RemoteAddr().String()), zap.Any("Failure", failure),
+		zap.ByteString("Stack", stack[:min(len(stack), maxStack)]))
+}
+
 // refuse answers a request that was not read whole; the connection ends with that answer.
 func (conn *conn) refuse(err error) bool {
 	answer := newAnswer(nil)
--- a/events/events.go
+++ b/events/events.go
@@ -73,6 +73,7 @@
 	RequestAtEnd   = define(508, zap.WarnLevel, "request was at work when its upstream ended")
 	RequestDenied  = define(509, zap.ErrorLevel, "request is refused from now on, since upstreams end under it")
 	RequestCleared = define(510, zap.InfoLevel, "request is refused no longer, since an upstream has served it")
+	RequestPanicked = define(511, zap.ErrorLevel, "this program panicked under a request")
 )
 
 // The events of an entry host on the platform.
--- a/relay/lane.go
+++ b/relay/lane.go
@@ -31,16 +31,20 @@
 func (lane *lane) offer(ticket *flow.Ticket, now cherrykeel.Instant) <-chan flow.Verdict {
 	verdicts := make(chan flow.Verdict, 1)
 	ticket.Wake = func(verdict flow.Verdict) { verdicts <- verdict }
-	lane.mutex.Lock()
-	lane.service.Offer(ticket, now)
-	waits := len(verdicts) == 0
-	lane.mutex.Unlock()
-	if waits {
+	if lane.offered(ticket, now, verdicts) {
 		lane.queued()
 	}
 	return verdicts
 }
 
+// offered reports whether the ticket waits.
+func (lane *lane) offered(ticket *flow.Ticket, now cherrykeel.Instant, verdicts <-chan flow.Verdict) bool {
+	lane.mutex.Lock()
+	defer lane.mutex.Unlock()
+	lane.service.Offer(ticket, now)
+	return len(verdicts) == 0
+}
+
 // cancel takes a ticket back; a place that was given meanwhile is left again.
 func (lane *lane) cancel(ticket *flow.Ticket, verdicts <-chan flow.Verdict, now cherrykeel.Instant) {
 	lane.mutex.Lock()
--- a/relay/trip.go
+++ b/relay/trip.go
@@ -62,6 +62,7 @@
 // ServeHTTP implements http.Handler.
 func (relay *Relay) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	trip := &trip{relay: relay, request: request, writer: writer, arrived: relay.clock.Now(), asked: relay.dialect.Asked(request)}
+	defer trip.noteFault()
 	failure := trip.prepare()
 	if failure == nil {
 		failure = trip.run()
@@ -71,6 +72,16 @@
 	}
 }
 
+// noteFault lets a panic be found by the request's id; who serves the connection contains it.
+func (trip *trip) noteFault() {
+	failure := recover()
+	if failure == nil {
+		return
+	}
+	events.Log(trip.relay.Logger, events.RequestPanicked, append(trip.fields(), zap.Any("Failure", failure))...)
+	panic(failure)
+}
+
 // prepare finds the route, the service and the time there is.
 func (trip *trip) prepare() *cherrykeel.Failure {
 	route, version, known := trip.relay.match(trip.request)
@@ -144,10 +155,9 @@
 		place := verdict.Place
 		trip.attempts++
 		trip.tried = append(trip.tried, place.Upstream.ID)
-		result := trip.attempt(ctx, place)
+		result := trip.attemptThere(ctx, place)
 		gone := ctx.Err() != nil
 		now := trip.relay.clock.Now()
-		trip.lane.leave(place, result.ending(gone), result.load, now)
 		trip.tellOfUpstream(place, result, now)
 		if result.finding == answered && !trip.lostWithKey(result, now) {
 			trip.pass(place, result)
@@ -168,6 +178,16 @@
 	}
 }
 
+// attemptThere makes an attempt and leaves its place, also if it panics: the place would count as taken for ever.
+func (trip *trip) attemptThere(ctx context.Context, place *flow.Place) result {
+	result := result{finding: uncertain}
+	defer func() {
+		trip.lane.leave(place, result.ending(ctx.Err() != nil), result.load, trip.relay.clock.Now())
+	}()
+	result = trip.attempt(ctx, place)
+	return result
+}
+
 // admit waits for a place on an upstream, unless the request is one that ends upstreams.
 func (trip *trip) admit(ctx context.Context) (flow.Verdict, *cherrykeel.Failure) {
 	denials := trip.relay.Denied.Changed()
