A request that was given up counts too if its upstream ends within two seconds

A request waits in an upstream's own queue until its caller leaves or its time is up; the host closes the connection. An upstream that does not look runs it all the same and ends. The host kept nothing of it, and its return was one request more that nobody knew. Change: what was sent and given up is kept for 2 s, apart from what was lost (512 at the most), is asked for nowhere, and counts if its upstream's end shows by then. Later answers of that upstream say nothing of it. Ruled out: keeping it for as long as lost requests (6 s): each loss of an upstream would count more that did not run there.

--- a/deny/witness.go
+++ b/deny/witness.go
@@ -25,7 +25,7 @@
 	list.witness.Broke(found)
 	list.broken.Store(true)
 	list.mutex.Unlock()
-	if !found.Reset {
+	if !found.Reset && !found.Abandoned {
 		list.probes.soon(found.Address)
 	}
 }
@@ -56,7 +56,7 @@
 	now := list.Clock.Now()
 	list.mutex.Lock()
 	breaks := known(now)
-	list.broken.Store(!list.witness.Empty())
+	list.broken.Store(!list.witness.Empty(now))
 	list.mutex.Unlock()
 	for _, found := range breaks {
 		// Who has said that it leaves ends when its work is done, whatever that was.
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -43,8 +43,9 @@
 	unanswered bool
 	refused    bool
 	own        bool
-	// reset says that the connection was reset, not closed.
-	reset bool
+	// reset says that the connection was reset, not closed, and abandoned that this host closed it before an answer.
+	reset     bool
+	abandoned bool
 	// streamed is told how the rest of an answer ended that is too large to be held.
 	streamed func(err error)
 }
@@ -110,6 +111,7 @@
 		// An upstream that ended the connection itself works on nothing; one that this host left may.
 		result.finished.abandoned = progress == conns.AnswerBegun || progress != conns.NotSent && ctx.Err() != nil
 		result.unanswered = progress.Unanswered() && ctx.Err() == nil
+		result.abandoned = progress.Unanswered() && ctx.Err() != nil
 		result.refused = errors.Is(err, conns.ErrRefused)
 		result.reset = errors.Is(err, conns.ErrReset)
 	} else {
--- a/edge/denied.go
+++ b/edge/denied.go
@@ -33,10 +33,10 @@
 	server := place.upstream.server
 	life := poison.Life{Upstream: exchange.Service.Path + " " + server.Name}
 	switch {
-	case result.unanswered:
+	case result.unanswered, result.abandoned:
 		listed.Broke(poison.Break{
 			Request: exchange.ID, Service: exchange.Service.Path, Life: life, Address: server.Address,
-			At: forward.clock.Now(), Reset: result.reset,
+			At: forward.clock.Now(), Reset: result.reset, Abandoned: result.abandoned,
 		})
 	case result.refused:
 		forward.denied.Unreachable(server.Address)
--- a/events/events.go
+++ b/events/events.go
@@ -62,17 +62,17 @@
 
 // The events of requests.
 var (
-	RequestFailed  = define(500, zap.WarnLevel, "request was answered by the router itself")
-	AnswerBroke    = define(501, zap.WarnLevel, "answer broke off after its head was passed on")
-	AnswerForeign  = define(502, zap.ErrorLevel, "upstream answered another request")
-	RequestUnread  = define(503, zap.WarnLevel, "request was refused before it was read whole")
-	AcceptFailed   = define(504, zap.ErrorLevel, "no connection could be taken")
-	RequestServed  = define(505, zap.InfoLevel, "request was answered")
-	AttemptEnded   = define(506, zap.InfoLevel, "attempt brought no answer to pass on")
-	CallerGone     = define(507, zap.InfoLevel, "caller left before its answer")
-	RequestAtEnd   = define(508, zap.WarnLevel, "request was at work when its upstream ended")
-	RequestDenied  = define(509, zap.ErrorLevel, "request is refused from now on, since upstreams end under it")
-	RequestCleared = define(510, zap.InfoLevel, "request is refused no longer, since an upstream has served it")
+	RequestFailed   = define(500, zap.WarnLevel, "request was answered by the router itself")
+	AnswerBroke     = define(501, zap.WarnLevel, "answer broke off after its head was passed on")
+	AnswerForeign   = define(502, zap.ErrorLevel, "upstream answered another request")
+	RequestUnread   = define(503, zap.WarnLevel, "request was refused before it was read whole")
+	AcceptFailed    = define(504, zap.ErrorLevel, "no connection could be taken")
+	RequestServed   = define(505, zap.InfoLevel, "request was answered")
+	AttemptEnded    = define(506, zap.InfoLevel, "attempt brought no answer to pass on")
+	CallerGone      = define(507, zap.InfoLevel, "caller left before its answer")
+	RequestAtEnd    = define(508, zap.WarnLevel, "request was at work when its upstream ended")
+	RequestDenied   = define(509, zap.ErrorLevel, "request is refused from now on, since upstreams end under it")
+	RequestCleared  = define(510, zap.InfoLevel, "request is refused no longer, since an upstream has served it")
 	RequestPanicked = define(511, zap.ErrorLevel, "this program panicked under a request")
 )
 
--- a/poison/witness_test.go
+++ b/poison/witness_test.go
@@ -59,4 +59,29 @@
 		}
 		Expect(len(witness.Ended(life, at(time.Second)))).To(BeNumerically("<", 2000))
 	})
+
+	// A request waits in an upstream's own queue until its caller leaves. The upstream does not look, runs it, and ends;
+	// meanwhile it has answered others that came later.
+	It("knows that one which it gave up may have run there a little later", func() {
+		var witness poison.Witness
+		abandoned := lost(time.Second)
+		abandoned.Abandoned = true
+		witness.Broke(abandoned)
+		witness.Answered(life, at(1100*time.Millisecond))
+		Expect(witness.Ended(life, at(2*time.Second))).To(HaveLen(1))
+		witness.Broke(abandoned)
+		Expect(witness.Ended(life, at(4*time.Second))).To(BeEmpty())
+	})
+
+	It("is not made to forget what it lost by many that it gave up", func() {
+		var witness poison.Witness
+		witness.Broke(lost(time.Second))
+		for range 10000 {
+			abandoned := lost(time.Second)
+			abandoned.Identity = poison.Identity{2}
+			abandoned.Abandoned = true
+			witness.Broke(abandoned)
+		}
+		Expect(witness.Ended(life, at(time.Second))).To(ContainElement(HaveField("Identity", poison.Identity{1})))
+	})
 })
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -44,8 +44,9 @@
 	unanswered bool
 	refused    bool
 	own        bool
-	// reset says that the connection was reset, not closed.
-	reset bool
+	// reset says that the connection was reset, not closed, and abandoned that this host closed it before an answer.
+	reset     bool
+	abandoned bool
 }
 
 const (
@@ -122,6 +123,7 @@
 	if err != nil {
 		result := broken(progress, err)
 		result.unanswered = progress.Unanswered() && ctx.Err() == nil
+		result.abandoned = progress.Unanswered() && ctx.Err() != nil
 		return result
 	}
 	defer answer.Close()
--- a/relay/denied.go
+++ b/relay/denied.go
@@ -34,9 +34,10 @@
 func (trip *trip) tellOfUpstream(place *flow.Place, result result, now cherrykeel.Instant) {
 	life := poison.LifeOf(place.Upstream)
 	switch {
-	case result.unanswered:
+	case result.unanswered, result.abandoned:
 		trip.listed.Broke(poison.Break{
-			Request: trip.asked.ID, Service: trip.lane.name, Life: life, Address: place.Upstream.Address, At: now, Reset: result.reset,
+			Request: trip.asked.ID, Service: trip.lane.name, Life: life, Address: place.Upstream.Address, At: now,
+			Reset: result.reset, Abandoned: result.abandoned,
 		})
 	case result.refused:
 		trip.relay.Denied.Unreachable(place.Upstream.Address)
