--- /dev/null
+++ b/conns/probe_test.go
@@ -0,0 +1,71 @@
+package conns_test
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cherrykeel/conns"
+)
+
+// answering answers each request of a connection until it ends.
+func answering(conn *net.TCPConn) {
+	reader := bufio.NewReader(conn)
+	for {
+		_, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+	}
+}
+
+var _ = Describe("an address at which a request was lost", func() {
+	It("refuses connections once nobody listens there", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		pool := conns.NewPool()
+		Expect(pool.Refused(listener.Addr().String())).To(BeFalse())
+		Expect(listener.Close()).To(Succeed())
+		Expect(pool.Refused(listener.Addr().String())).To(BeTrue())
+	})
+
+	// An upstream ends one connection of many. A process that had ended would have ended those that rest too, so that
+	// they tell that it lives, and none more has to be made.
+	It("is not asked while a connection to it rests", func() {
+		var taken atomic.Int64
+		address := serveConns(func(number int64, conn *net.TCPConn) {
+			taken.Store(number)
+			answering(conn)
+		})
+		pool := conns.NewPool()
+		_, err := sendWith(pool, address, conns.Care{MaxIdle: time.Minute})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(pool.Refused(address)).To(BeFalse())
+		Consistently(taken.Load, "50ms").Should(Equal(int64(1)))
+	})
+
+	// A full upstream resets connections and goes on; one that ends closes those whose requests it has read.
+	DescribeTable("tells a reset from a close", func(end func(conn *net.TCPConn), isReset bool) {
+		address := serveConns(func(_ int64, conn *net.TCPConn) {
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			end(conn)
+		})
+		progress, err := sendWith(conns.NewPool(), address, conns.Care{MaxIdle: time.Minute})
+		Expect(progress.Unanswered()).To(BeTrue())
+		Expect(err).To(MatchError(conns.ErrBroken))
+		if isReset {
+			Expect(err).To(MatchError(conns.ErrReset))
+			return
+		}
+		Expect(err).NotTo(MatchError(conns.ErrReset))
+	},
+		Entry("reset", reset, true),
+		Entry("closed", func(conn *net.TCPConn) { _ = conn.Close() }, false),
+	)
+})
