--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -21,6 +20,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/gexec"
 
+	"cherrykeel/fakes"
 	"cherrykeel/fault"
 	"cherrykeel/host"
 	"cherrykeel/opctl"
@@ -97,25 +97,6 @@
 	}
 }
 
-// The ports of freeAddress lie below those that the system gives to outgoing connections: one of these took
-// a port between its choice and the start of the program that was to listen there.
-const (
-	firstPort = 12000
-	lastPort  = 32000
-)
-
-// freeAddress returns an address that nobody listens on.
-func freeAddress() string {
-	for {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
-		listener, err := net.Listen("tcp", address)
-		if err == nil {
-			_ = listener.Close()
-			return address
-		}
-	}
-}
-
 func awaitListening(address string) {
 	Eventually(func() error {
 		conn, err := net.Dial("tcp", address)
@@ -159,7 +140,7 @@
 const zones = 3
 
 func newCluster(hosts int) *cluster {
-	cluster := &cluster{dir: GinkgoT().TempDir(), log: freeAddress(), list: freeAddress(), upstreams: map[string]*upstream{}}
+	cluster := &cluster{dir: GinkgoT().TempDir(), log: fakes.FreeAddress(), list: fakes.FreeAddress(), upstreams: map[string]*upstream{}}
 	cluster.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}, Timeout: patience}
 	DeferCleanup(cluster.client.CloseIdleConnections)
 	cluster.logStart = start("log", standinPath, "log", "--listen", cluster.log)
@@ -173,14 +154,14 @@
 }
 
 func (cluster *cluster) addHost(name string, zone int) *entry {
-	added := &entry{name: name, address: freeAddress(), admin: freeAddress()}
+	added := &entry{name: name, address: fakes.FreeAddress(), admin: fakes.FreeAddress()}
 	var err error
 	added.logProxy, err = fault.Listen(cluster.log)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(added.logProxy.Close)
 	added.config = filepath.Join(cluster.dir, name+".toml")
 	text := fmt.Sprintf("Name = %q\nZone = \"zone-%d\"\nListen = %q\nAdmin = %q\nInner = %q\nLog = \"http://%s\"\nHosts = \"http://%s\"\nStopDelay = \"300ms\"\nStopTimeout = \"30s\"\nCheckpointRecords = 10\n",
-		name, zone%zones, added.address, added.admin, freeAddress(), added.logProxy.Address(), cluster.list)
+		name, zone%zones, added.address, added.admin, fakes.FreeAddress(), added.logProxy.Address(), cluster.list)
 	Expect(os.WriteFile(added.config, []byte(text), 0o600)).To(Succeed())
 	added.process = start(name, cherrykeelPath, "run", "--config", added.config)
 	cluster.hosts = append(cluster.hosts, added)
@@ -192,7 +173,7 @@
 func (cluster *cluster) addUpstreams(prefix string, count int, flags ...string) string {
 	text := ""
 	for i := range count {
-		added := &upstream{name: fmt.Sprintf("%s-%d", prefix, i+1), address: freeAddress()}
+		added := &upstream{name: fmt.Sprintf("%s-%d", prefix, i+1), address: fakes.FreeAddress()}
 		arguments := append([]string{"upstream", "--name", added.name, "--listen", added.address}, flags...)
 		added.process = start(added.name, standinPath, arguments...)
 		awaitListening(added.address)
--- a/proof/poison_test.go
+++ b/proof/poison_test.go
@@ -7,6 +7,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"cherrykeel/fakes"
 )
 
 const (
@@ -30,7 +32,7 @@
 	found := &frail{}
 	text := "PathPrefix = \"/frail\"\nIdempotent = \"always\"\nTimeout = \"2s\"\n"
 	for i := range count {
-		name, address := fmt.Sprintf("frail-%d", i+1), freeAddress()
+		name, address := fmt.Sprintf("frail-%d", i+1), fakes.FreeAddress()
 		found.start = append(found.start, func() *process {
 			started := start(name, standinPath, "upstream", "--name", name, "--listen", address, "--slots", "8", "--ends-on", deadlyPath)
 			awaitListening(address)
--- a/share/awake_test.go
+++ b/share/awake_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"cherrykeel"
+	"cherrykeel/fakes"
 	"cherrykeel/share"
 )
 
@@ -41,8 +42,8 @@
 	// another owner.
 	It("does not take what has waited in its socket for fresh word", func() {
 		clock := &heldClock{now: cherrykeel.Instant(time.Hour)}
-		self := cherrykeel.Peer{Name: "host-1", Life: "a", Inner: freeAddress()}
-		other := cherrykeel.Peer{Name: "host-2", Life: "b", Inner: freeAddress()}
+		self := cherrykeel.Peer{Name: "host-1", Life: "a", Inner: fakes.FreeAddress()}
+		other := cherrykeel.Peer{Name: "host-2", Life: "b", Inner: fakes.FreeAddress()}
 		told := make(chan share.Told, 100)
 		state := &member{running: map[string]int{}}
 		mesh := share.New(self, clock, zap.NewNop(), state, func() {}, func() {}, func(share.Demand) {}, func(one share.Told) { told <- one })
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"cherrykeel"
+	"cherrykeel/fakes"
 	"cherrykeel/share"
 )
 
@@ -61,17 +62,9 @@
 	change()
 }
 
-func freeAddress() string {
-	GinkgoHelper()
-	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer socket.Close()
-	return socket.LocalAddr().String()
-}
-
 func newMember(name, life, zone string) *member {
 	GinkgoHelper()
-	member := &member{peer: cherrykeel.Peer{Name: name, Life: life, Inner: freeAddress(), Zone: zone}, running: map[string]int{}}
+	member := &member{peer: cherrykeel.Peer{Name: name, Life: life, Inner: fakes.FreeAddress(), Zone: zone}, running: map[string]int{}}
 	member.mesh = share.New(member.peer, cherrykeel.SystemClock(), zap.NewNop(), member, func() { member.changes.Add(1) }, func() { member.changes.Add(1) },
 		func(demand share.Demand) { member.set(func() { member.demands = append(member.demands, demand) }) },
 		func(told share.Told) { member.set(func() { member.told = append(member.told, told) }) })
