--- a/dialect.go
+++ b/dialect.go
@@ -36,6 +36,10 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Slowness is how many times as long as usual work takes on its machine at this moment; 0 if it does not say.
+	Slowness float64
+	// Unreadable is the start of a report that cannot be read; empty otherwise.
+	Unreadable string
 }
 
 // Dialect translates the headers of callers and upstreams.
--- a/events/events.go
+++ b/events/events.go
@@ -74,6 +74,7 @@
 	RequestDenied   = define(509, zap.ErrorLevel, "request is refused from now on, since upstreams end under it")
 	RequestCleared  = define(510, zap.InfoLevel, "request is refused no longer, since an upstream has served it")
 	RequestPanicked = define(511, zap.ErrorLevel, "this program panicked under a request")
+	LoadUnreadable  = define(512, zap.WarnLevel, "load that an upstream tells cannot be read")
 )
 
 // The events of an entry host on the platform.
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -131,6 +131,17 @@
 		zap.String("Detail", result.detail), zap.Duration("Took", trip.relay.clock.Now().Sub(place.Begun)))...)
 }
 
+// noteUnreadableLoad logs that an upstream's load cannot be read: it is then as if it told none, which is silent.
+func (trip *trip) noteUnreadableLoad(upstream cherrykeel.Upstream, load cherrykeel.UpstreamLoad) {
+	if load.Unreadable == "" {
+		return
+	}
+	trip.relay.loadLines.Do(func() {
+		events.Log(trip.relay.Logger, events.LoadUnreadable, append(trip.fields(),
+			zap.String("Upstream", upstream.ID), zap.String("Told", load.Unreadable))...)
+	})
+}
+
 // noteFault lets a panic be found by the request's id; who serves the connection contains it.
 func (trip *trip) noteFault() {
 	failure := recover()
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -128,6 +128,7 @@
 	}
 	defer answer.Close()
 	reply := trip.relay.dialect.Reply(answer.Status, answer.Header)
+	trip.noteUnreadableLoad(place.Upstream, reply.Load)
 	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes+1))
 	result := result{status: answer.Status, header: answer.Header, body: body, load: reply.Load, misdirected: reply.Misdirected}
 	result.unanswered = err != nil && ctx.Err() == nil
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -8,6 +8,7 @@
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"cherrykeel"
 	"cherrykeel/conns"
@@ -16,6 +17,9 @@
 	"cherrykeel/poison"
 )
 
+// loadLineEvery is the pace of log lines on loads that cannot be read: all upstreams of a version tell them alike.
+const loadLineEvery = time.Minute
+
 // Settings is what a Relay needs of its host.
 type Settings struct {
 	Zone    string
@@ -54,6 +58,8 @@
 	// endsAt is when the host's process ends, or 0.
 	endsAt atomic.Int64
 	queued chan struct{}
+	// loadLines bounds the log lines on loads that cannot be read.
+	loadLines *rate.Sometimes
 }
 
 // EndAt tells when the host's process will have ended: from now on requests are refused that may
@@ -75,6 +81,8 @@
 		meter:    newMeter(settings.Scope),
 		lanes:    map[string]*lane{},
 		queued:   make(chan struct{}, 1),
+
+		loadLines: &rate.Sometimes{First: 1, Interval: loadLineEvery},
 	}
 }
 
