Availability zones that the operator evacuates get nothing, and their owners' keys are handed over

Cause: no line of the product read the operator's orders on availability zones. Change: watch.Zones keeps the newest order for each zone by its offset, also when dropped records are no longer kept or arrive late; a host passes on no upstreams, and is not ready, before it has read the orders itself. Upstreams carry ClosedAt: at once for services without keys, 0.3 of the bound later for keyed ones, whose keeper takes them as no candidates and releases their spans. All upstreams closed: refused at once as evacuated. Ruled out: taking closed upstreams off the scheduler's list, which forgets what was learned of them; requests for keys held back from the order on, which leaves keys unserved before the keeper has acted.

--- a/cmd/cherrykeel/entry.go
+++ b/cmd/cherrykeel/entry.go
@@ -55,15 +55,16 @@
 	clock := cherrykeel.SuspendClock()
 	store := adapter.NewStore(settings.StoreURL, transport(storeIdle))
 	host := entry.New(settings, entry.Platform{
-		Dialect:        adapter.Dialect(),
-		Granter:        adapter.NewGranter(transport(orderIdle), clock),
-		Operator:       store.Topic(adapter.OperatorTopic),
-		Upstreams:      store.Topic(adapter.ServersTopic),
-		Hosts:          store.Topic(adapter.HostsTopic),
-		Spans:          store.Topic(adapter.SpansTopic),
-		RoutesKey:      adapter.RoutesKey,
-		DecodeRoutes:   adapter.DecodeRoutes,
-		DecodeUpstream: adapter.DecodeUpstream,
+		Dialect:          adapter.Dialect(),
+		Granter:          adapter.NewGranter(transport(orderIdle), clock),
+		Operator:         store.Topic(adapter.OperatorTopic),
+		Upstreams:        store.Topic(adapter.ServersTopic),
+		Hosts:            store.Topic(adapter.HostsTopic),
+		Spans:            store.Topic(adapter.SpansTopic),
+		EvacuationPrefix: adapter.EvacuationPrefix,
+		RoutesKey:        adapter.RoutesKey,
+		DecodeRoutes:     adapter.DecodeRoutes,
+		DecodeUpstream:   adapter.DecodeUpstream,
 	}, entry.WithLogger(logger), entry.WithMetrics(scope, handler), entry.WithClock(clock))
 	err = host.Listen()
 	if err != nil {
--- a/entry/counts.go
+++ b/entry/counts.go
@@ -47,11 +47,3 @@
 	}
 	host.relay.SetOthers(others)
 }
-
-// upstreamsChanged puts the upstreams in force that are not gone.
-func (host *Host) upstreamsChanged() {
-	upstreams := host.upstreams.Current()
-	names := newShortNames(upstreams)
-	host.names.Store(&names)
-	host.relay.SetUpstreams(upstreams)
-}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -55,7 +55,7 @@
 func (host *Host) offsets() map[string]int64 {
 	table, _, _ := host.spans.Current()
 	return map[string]int64{
-		topicSettings:  host.routes.Offset(),
+		topicSettings:  max(host.routes.Offset(), host.zones.Offset()),
 		topicUpstreams: host.upstreams.Offset(),
 		topicHosts:     host.peers.Offset(),
 		topicSpans:     table.Version,
--- a/entry/host.go
+++ b/entry/host.go
@@ -47,7 +47,10 @@
 	Hosts     cherrykeel.KeyedLog
 	Spans     cherrykeel.KeyedLog
 	// RoutesKey is the key of the routes in Operator.
-	RoutesKey      string
+	RoutesKey string
+	// EvacuationPrefix begins the keys of the orders in Operator that evacuate an availability zone.
+	EvacuationPrefix string
+
 	DecodeRoutes   func(value []byte) (cherrykeel.RouteSet, error)
 	DecodeUpstream func(id string, value []byte) (cherrykeel.Upstream, error)
 }
@@ -71,9 +74,13 @@
 	mesh      *share.Mesh
 	keeper    *grants.Keeper
 	routes    *watch.Routes
+	zones     *watch.Zones
 	upstreams *watch.Upstreams
-	peers     *watch.Peers
-	spans     *watch.Spans
+	// usable has the upstreams as they were last passed on.
+	usable      atomic.Pointer[[]cherrykeel.Upstream]
+	usableMutex sync.Mutex
+	peers  *watch.Peers
+	spans  *watch.Spans
 
 	operatorTopic  *watch.Follower
 	upstreamsTopic *watch.Follower
@@ -184,10 +191,11 @@
 	host.server = caller.New(host.relay, caller.WithLimits(host.limits), caller.WithLogger(host.logger),
 		caller.WithMemory(int64(bodyShare*float64(host.settings.MemoryBytes))))
 	host.routes = watch.NewRoutes(host.platform.RoutesKey, host.platform.DecodeRoutes, host.logger, host.relay.SetRoutes, host.tellOne(topicSettings))
+	host.zones = watch.NewZones(host.platform.EvacuationPrefix, host.clock, host.logger, host.putUpstreamsInForce, host.tellOne(topicSettings))
 	host.upstreams = watch.NewUpstreams(host.platform.DecodeUpstream, host.logger,
-		host.upstreamsChanged, host.tellUpstreams)
+		host.putUpstreamsInForce, host.tellUpstreams)
 	host.peers = watch.NewPeers(host.clock, host.logger, host.takePeers, host.tellOne(topicHosts))
-	host.operatorTopic = host.follow(topicSettings, host.platform.Operator, host.routes.Apply, host.settingsSchedule)
+	host.operatorTopic = host.follow(topicSettings, host.platform.Operator, host.applyOperator, host.settingsSchedule)
 	host.upstreamsTopic = host.follow(topicUpstreams, host.platform.Upstreams, host.upstreams.Apply, host.upstreamsSchedule)
 	host.hostsTopic = host.follow(topicHosts, host.platform.Hosts, host.applyHosts, host.tableSchedule)
 	host.spansTopic = host.follow(topicSpans, host.platform.Spans, host.spans.Apply, host.tableSchedule)
--- a/entry/tend.go
+++ b/entry/tend.go
@@ -72,10 +72,10 @@
 	}
 }
 
-// noteReady makes the host ready once it knows routes, upstreams and the requests to refuse, and reports whether it is.
+// noteReady makes the host ready once it knows routes, evacuated zones, upstreams and the requests to refuse, and reports whether it is.
 func (host *Host) noteReady() bool {
 	_, known := host.routes.Current()
-	if !known || !host.upstreamsTopic.Known() || !host.knowsDenied() {
+	if !known || !host.zones.Known() || !host.upstreamsTopic.Known() || !host.knowsDenied() {
 		return false
 	}
 	host.ready.Store(true)
--- /dev/null
+++ b/entry/usable.go
@@ -0,0 +1,70 @@
+package entry
+
+import (
+	"time"
+
+	"cherrykeel"
+	"cherrykeel/watch"
+)
+
+const (
+	// handoverShare is the part of the bound on evacuations in which keys are still served by their owners in an
+	// evacuated availability zone, until the keeper has given them on. Half of the bound is for all that is sent, and a
+	// host may learn of the order a fifth of it late.
+	handoverShare = 0.3
+	// longAgo is before any order that a host which has just started could find.
+	longAgo = time.Hour
+)
+
+// putUpstreamsInForce passes on the upstreams that are not gone, with what the operator's orders mean for them. A host
+// that does not know the orders yet passes on none: it would send requests into a zone that is evacuated. Calls follow each other, so that the last one knows all changes.
+func (host *Host) putUpstreamsInForce() {
+	host.usableMutex.Lock()
+	defer host.usableMutex.Unlock()
+	if !host.zones.Known() {
+		return
+	}
+	listed := host.upstreams.Current()
+	usable := make([]cherrykeel.Upstream, len(listed))
+	for i, upstream := range listed {
+		upstream.ClosedAt = host.closedAt(upstream)
+		usable[i] = upstream
+	}
+	names := newShortNames(usable)
+	host.names.Store(&names)
+	host.usable.Store(&usable)
+	host.relay.SetUpstreams(usable)
+}
+
+// usableUpstreams returns what was last passed on.
+func (host *Host) usableUpstreams() []cherrykeel.Upstream {
+	usable := host.usable.Load()
+	if usable == nil {
+		return nil
+	}
+	return *usable
+}
+
+// closedAt is when the upstream gets nothing more, or 0. Any other upstream can take the requests of a service without
+// keys at once; those for a key need its next owner.
+func (host *Host) closedAt(upstream cherrykeel.Upstream) cherrykeel.Instant {
+	state, ordered := host.zones.State(upstream.Zone)
+	if !ordered || !state.Evacuated {
+		return 0
+	}
+	closedAt := state.Since
+	routes, _ := host.routes.Current()
+	switch {
+	case state.AtStart:
+		closedAt = closedAt.Add(-longAgo)
+	case routes.Services[upstream.Service].Keyed:
+		closedAt = closedAt.Add(part(host.currentBounds().Evacuate, handoverShare))
+	}
+	return max(closedAt, 1)
+}
+
+// applyOperator takes what the operator's topic brought.
+func (host *Host) applyOperator(update watch.Update) {
+	host.zones.Apply(update)
+	host.routes.Apply(update)
+}
--- a/entry/world.go
+++ b/entry/world.go
@@ -31,7 +31,7 @@
 
 // Upstreams implements grants.World.
 func (world *world) Upstreams() []cherrykeel.Upstream {
-	return world.host.upstreams.Current()
+	return world.host.usableUpstreams()
 }
 
 // Replaced implements grants.World.
--- a/events/events.go
+++ b/events/events.go
@@ -99,6 +99,8 @@
 	WriteFailed     = define(617, zap.WarnLevel, "record could not be written")
 	GroupChanged    = define(620, zap.InfoLevel, "host tells its load to another head")
 	PeerDropped     = define(619, zap.WarnLevel, "record of a silent host was dropped")
+	ZoneEvacuated   = define(621, zap.WarnLevel, "availability zone is evacuated")
+	ZoneTakenBack   = define(622, zap.InfoLevel, "availability zone is taken back")
 	LinesDropped    = define(618, zap.WarnLevel, "log lines were dropped, since they could not be written fast enough")
 )
 
--- a/flow/member.go
+++ b/flow/member.go
@@ -67,9 +67,19 @@
 	return member.upstream.Slots + (member.upstream.Slots+2)/3
 }
 
+// closed reports whether nothing more is to be sent there, since its availability zone is evacuated.
+func (member *member) closed(now cherrykeel.Instant) bool {
+	return member.upstream.ClosedAt != 0 && now >= member.upstream.ClosedAt
+}
+
+// reachable reports whether it may be sent requests, if it has room for them.
+func (member *member) reachable(now cherrykeel.Instant) bool {
+	return now >= member.pausedUntil && !member.closed(now)
+}
+
 // takes reports whether a request may go there now.
 func (member *member) takes(now cherrykeel.Instant) bool {
-	return now >= member.pausedUntil && member.load() < member.limit()
+	return member.reachable(now) && member.load() < member.limit()
 }
 
 // workTime is the expected time of one request in a slot.
--- a/flow/owned.go
+++ b/flow/owned.go
@@ -95,12 +95,19 @@
 	}
 	owner := owned.owner(ticket)
 	member, known := owned.service.members[owner.ID]
-	if !known || owner.Moving || now < member.pausedUntil || !owned.hasTurn(member) {
+	if !known || owner.Moving || !member.reachable(now) || !owned.hasTurn(member) {
 		return nil
 	}
 	return member
 }
 
+// openOwner returns the upstream that has the ticket's key, unless it gets nothing any more: then the key waits for
+// the next owner, as one does that has none.
+func (owned *owned) openOwner(ticket *Ticket, now cherrykeel.Instant) (*member, bool) {
+	member, known := owned.service.members[owned.owner(ticket).ID]
+	return member, known && !member.closed(now)
+}
+
 // hasTurn reports whether this host may send one more request to an owner. While requests wait anywhere each
 // host has a share of the owner's room, by what it has running and waiting. Without shares whoever gets an
 // answer sends the next request at once, so that a host without a running one waits until its requests are
@@ -169,8 +176,8 @@
 
 func (owned *owned) hopeless(ticket *Ticket, now cherrykeel.Instant) bool {
 	work := owned.service.usual()
-	member, known := owned.service.members[owned.owner(ticket).ID]
-	if known {
+	member, open := owned.openOwner(ticket, now)
+	if open {
 		return ticket.outlasts(member.workTime(work, now), now)
 	}
 	waited := now.Sub(ticket.Arrived)
--- a/flow/service.go
+++ b/flow/service.go
@@ -90,7 +90,7 @@
 // Full reports whether some upstream has no free slot.
 func (service *Service) Full() bool {
 	for _, member := range service.members {
-		if member.load() >= member.upstream.Slots {
+		if member.upstream.ClosedAt == 0 && member.load() >= member.upstream.Slots {
 			return true
 		}
 	}
@@ -144,6 +144,8 @@
 	switch {
 	case len(service.members) == 0:
 		return NoUpstream, true
+	case service.allClosed(now):
+		return Evacuated, true
 	case service.discipline.hopeless(ticket, now):
 		return TooLate, true
 	case answer > ticket.latest(stood):
@@ -153,6 +155,16 @@
 	}
 }
 
+// allClosed reports whether every upstream is in an availability zone that is evacuated.
+func (service *Service) allClosed(now cherrykeel.Instant) bool {
+	for _, member := range service.members {
+		if !member.closed(now) {
+			return false
+		}
+	}
+	return len(service.members) > 0
+}
+
 // overtakes reports whether a waiting request should go before the ticket.
 func (service *Service) overtakes(ticket *Ticket) bool {
 	for _, other := range service.waiting {
@@ -208,6 +220,9 @@
 	if member != nil {
 		return service.granted(ticket, member, now), true
 	}
+	if service.allClosed(now) {
+		return service.refusal(ticket, Evacuated, now), true
+	}
 	if service.discipline.hopeless(ticket, now) {
 		return service.refusal(ticket, TooLate, now), true
 	}
--- a/flow/ticket.go
+++ b/flow/ticket.go
@@ -33,6 +33,8 @@
 	Crowded Reason = "crowded"
 	// NoUpstream means that no upstream of the service is known.
 	NoUpstream Reason = "no-upstream"
+	// Evacuated means that all upstreams of the service are in availability zones that are evacuated.
+	Evacuated Reason = "evacuated"
 	// NoOwner means that no upstream holds the key in time.
 	NoOwner Reason = "no-owner"
 )
--- a/grants/change.go
+++ b/grants/change.go
@@ -137,7 +137,7 @@
 		mean = total / time.Duration(len(known))
 	}
 	for _, upstream := range upstreams {
-		if upstream.Service != service || upstream.Leaving || keeper.lost(upstream.ID, now) {
+		if upstream.Service != service || upstream.Leaving || upstream.ClosedAt != 0 || keeper.lost(upstream.ID, now) {
 			continue
 		}
 		candidates = append(candidates, spans.Candidate{ID: upstream.ID, Address: upstream.Address, Born: upstream.Born, Capacity: keeper.capacity(upstream, mean, now)})
--- a/routes.go
+++ b/routes.go
@@ -70,6 +70,8 @@
 	Slots int
 	// Leaving upstreams get no new work.
 	Leaving bool
+	// ClosedAt is from when on it gets nothing, since its availability zone is evacuated; 0 if it is not.
+	ClosedAt Instant
 	// Warmup is how much longer it is slow after its start, as it last said.
 	Warmup time.Duration
 }
--- a/settings.go
+++ b/settings.go
@@ -30,6 +30,8 @@
 	Drain time.Duration
 	// InForce is within what accepted settings have to be in force.
 	InForce time.Duration
+	// Evacuate is within what the upstreams of an evacuated availability zone have to get nothing more.
+	Evacuate time.Duration
 	// Grace is the time from the request to stop to the kill.
 	Grace time.Duration
 	// MaxHold is the longest hold that an upstream takes.
--- /dev/null
+++ b/watch/zones.go
@@ -0,0 +1,150 @@
+package watch
+
+import (
+	"strings"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"cherrykeel"
+	"cherrykeel/events"
+)
+
+// Zones keeps which availability zones the operator has evacuated: the key of a zone's record is a prefix and the
+// zone's name, and the zone is taken back when the record is dropped.
+type Zones struct {
+	prefix string
+	clock  cherrykeel.Clock
+	logger *zap.Logger
+	change func()
+	tell   func(record cherrykeel.KeyedRecord)
+
+	mutex  sync.Mutex
+	zones  map[string]ZoneState
+	offset int64
+	known  bool
+}
+
+// ZoneState is what the operator last ordered for an availability zone.
+type ZoneState struct {
+	Evacuated bool
+	// Offset is where the order stands in the operator's topic.
+	Offset int64
+	// Since is when this host learned of the order; AtStart says that it may have been given long before.
+	Since   cherrykeel.Instant
+	AtStart bool
+}
+
+// NewZones returns a view that knows nothing; change is called when a zone was evacuated or taken back, and when the
+// topic has been read for the first time, and tell with each order that this host has read itself.
+func NewZones(prefix string, clock cherrykeel.Clock, logger *zap.Logger, change func(), tell func(cherrykeel.KeyedRecord)) *Zones {
+	return &Zones{prefix: prefix, clock: clock, logger: logger, change: change, tell: tell, zones: map[string]ZoneState{}, offset: -1}
+}
+
+// Known reports whether this host has read the topic itself: until then a zone may be evacuated without its knowledge.
+func (zones *Zones) Known() bool {
+	zones.mutex.Lock()
+	defer zones.mutex.Unlock()
+	return zones.known
+}
+
+// Offset returns where the newest order stands, or -1.
+func (zones *Zones) Offset() int64 {
+	zones.mutex.Lock()
+	defer zones.mutex.Unlock()
+	return zones.offset
+}
+
+// State returns the last order for a zone; false if none is known.
+func (zones *Zones) State(zone string) (ZoneState, bool) {
+	zones.mutex.Lock()
+	defer zones.mutex.Unlock()
+	state, known := zones.zones[zone]
+	return state, known
+}
+
+// Evacuated returns the zones that are evacuated.
+func (zones *Zones) Evacuated() map[string]ZoneState {
+	zones.mutex.Lock()
+	defer zones.mutex.Unlock()
+	evacuated := map[string]ZoneState{}
+	for zone, state := range zones.zones {
+		if state.Evacuated {
+			evacuated[zone] = state
+		}
+	}
+	return evacuated
+}
+
+// Apply takes what the topic brought.
+func (zones *Zones) Apply(update Update) {
+	zones.mutex.Lock()
+	orders := zones.orders(update)
+	var news []cherrykeel.KeyedRecord
+	for _, order := range orders {
+		if zones.take(order, update) {
+			news = append(news, order)
+		}
+	}
+	first := !zones.known && !update.Told
+	zones.known = zones.known || !update.Told
+	zones.mutex.Unlock()
+	if first || len(news) > 0 {
+		zones.change()
+	}
+	if update.Told {
+		return
+	}
+	for _, order := range news {
+		zones.tell(order)
+	}
+}
+
+// orders returns the records about zones. The newest records of all keys lack those that were dropped, also when what
+// dropped them is no longer kept; such a zone was taken back by the end of what was read.
+func (zones *Zones) orders(update Update) []cherrykeel.KeyedRecord {
+	var orders []cherrykeel.KeyedRecord
+	listed := map[string]bool{}
+	for _, record := range update.Records {
+		zone, isOrder := strings.CutPrefix(record.Key, zones.prefix)
+		if isOrder {
+			orders = append(orders, record)
+			listed[zone] = true
+		}
+	}
+	if !update.Whole {
+		return orders
+	}
+	for zone := range zones.zones {
+		if !listed[zone] {
+			orders = append(orders, cherrykeel.KeyedRecord{Key: zones.prefix + zone, Offset: update.Next - 1})
+		}
+	}
+	return orders
+}
+
+// take puts an order in force unless a later one for the zone is known, and reports whether it changes anything. A
+// take-back is remembered also by a host that missed the evacuation, which may still be told to it.
+func (zones *Zones) take(order cherrykeel.KeyedRecord, update Update) bool {
+	zone := strings.TrimPrefix(order.Key, zones.prefix)
+	before, known := zones.zones[zone]
+	evacuated := len(order.Value) > 0
+	if known && order.Offset <= before.Offset {
+		return false
+	}
+	zones.offset = max(zones.offset, order.Offset)
+	if known && before.Evacuated == evacuated {
+		before.Offset = order.Offset
+		zones.zones[zone] = before
+		return false
+	}
+	zones.zones[zone] = ZoneState{
+		Evacuated: evacuated, Offset: order.Offset, Since: zones.clock.Now(), AtStart: !zones.known && !update.Told,
+	}
+	event := events.ZoneTakenBack
+	if evacuated {
+		event = events.ZoneEvacuated
+	}
+	events.Log(zones.logger, event, zap.String("Zone", zone), zap.Int64("Offset", order.Offset), zap.Bool("Told", update.Told))
+	return true
+}
--- /dev/null
+++ b/watch/zones_test.go
@@ -0,0 +1,94 @@
+package watch_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"cherrykeel"
+	"cherrykeel/watch"
+)
+
+var _ = Describe("the evacuated availability zones", func() {
+	var (
+		view  *watch.Zones
+		clock *manualClock
+		told  []cherrykeel.KeyedRecord
+		calls int
+	)
+
+	BeforeEach(func() {
+		told, calls = nil, 0
+		clock = &manualClock{now: 100}
+		view = watch.NewZones("evacuate/", clock, zap.NewNop(), func() { calls++ }, func(record cherrykeel.KeyedRecord) { told = append(told, record) })
+	})
+
+	evacuated := func(zone string) bool {
+		_, evacuated := view.Evacuated()[zone]
+		return evacuated
+	}
+	read := func(records ...cherrykeel.KeyedRecord) { view.Apply(watch.Update{Records: records}) }
+	hear := func(records ...cherrykeel.KeyedRecord) {
+		view.Apply(watch.Update{Records: records, Told: true})
+	}
+	whole := func(next int64, records ...cherrykeel.KeyedRecord) {
+		view.Apply(watch.Update{Records: records, Whole: true, Next: next})
+	}
+
+	It("are known once this host has read the topic itself", func() {
+		hear(record("evacuate/a", "{}", 3))
+		Expect(evacuated("a")).To(BeTrue())
+		Expect(view.Known()).To(BeFalse())
+		whole(4, record("config", "x", 1), record("evacuate/a", "{}", 3))
+		Expect(view.Known()).To(BeTrue())
+		Expect(calls).To(Equal(2))
+	})
+
+	It("are each on their own, also two at once", func() {
+		whole(1)
+		read(record("evacuate/a", "{}", 3), record("config", "x", 4), record("evacuate/b", "{}", 5))
+		read(record("evacuate/a", "", 6))
+		Expect(evacuated("a")).To(BeFalse())
+		Expect(evacuated("b")).To(BeTrue())
+		Expect(view.Offset()).To(Equal(int64(6)))
+		Expect(told).To(HaveLen(3))
+	})
+
+	// Guards against a datagram that comes late and evacuates a zone that was taken back, also at a host that has missed
+	// the evacuation.
+	It("stay taken back when an older order comes late", func() {
+		whole(1)
+		hear(record("evacuate/a", "", 6))
+		hear(record("evacuate/a", "{}", 5))
+		Expect(evacuated("a")).To(BeFalse())
+		state, _ := view.State("a")
+		Expect(state.Offset).To(Equal(int64(6)))
+	})
+
+	// Guards against a zone that stays evacuated for ever, since the record that took it back is no longer kept.
+	It("are taken back if the newest records of all keys lack them", func() {
+		whole(1)
+		read(record("evacuate/a", "{}", 3))
+		clock.now = 200
+		whole(9, record("config", "x", 8))
+		Expect(evacuated("a")).To(BeFalse())
+		state, _ := view.State("a")
+		Expect(state).To(Equal(watch.ZoneState{Offset: 8, Since: 200}))
+		Expect(told[len(told)-1]).To(Equal(cherrykeel.KeyedRecord{Key: "evacuate/a", Offset: 8}))
+	})
+
+	It("keep the time of the first order while it is repeated", func() {
+		whole(1)
+		read(record("evacuate/a", "{}", 3))
+		clock.now = 200
+		read(record("evacuate/a", "{}", 4))
+		state, _ := view.State("a")
+		Expect(state).To(Equal(watch.ZoneState{Evacuated: true, Offset: 4, Since: 100}))
+	})
+
+	It("found at the start may have been evacuated for long", func() {
+		whole(4, record("evacuate/a", "{}", 3))
+		state, _ := view.State("a")
+		Expect(state.AtStart).To(BeTrue())
+	})
+})
