Cold upstreams get no more than they bear in any second, by parts that a few hosts have

Cause: coldness was a factor of two on the expected work. Nothing bounded what all hosts together sent to a cold upstream, and an upstream that turned cold in the middle of its life was told to nobody. Change: package cold. ColdUntil replaces the warm-up left, is told when it moves by a second, and holds for the slow start after a zone's take-back, whose entries say so a second later. Cold upstreams are given no keys while others may have them; a cold owner gets what its slots take.

--- a/entry/announce.go
+++ b/entry/announce.go
@@ -64,6 +64,9 @@
 	}
 	host.mutex.Unlock()
 	host.mesh.SetPeers(peers)
+	if host.coldUpstreams() > 0 {
+		host.putUpstreamsInForce()
+	}
 	if newcomers {
 		host.joined.ask()
 	}
--- /dev/null
+++ b/entry/cold.go
@@ -0,0 +1,56 @@
+package entry
+
+import (
+	"cherrykeel"
+	"cherrykeel/cold"
+)
+
+// noteCold puts down until when an upstream is cold, and what this host may send it until then.
+func (host *Host) noteCold(upstream *cherrykeel.Upstream) {
+	routes, _ := host.routes.Current()
+	service := routes.Services[upstream.Service]
+	upstream.ColdUntil = max(upstream.ColdUntil, host.coldSinceTakenBack(upstream.Zone, service))
+	if service.SlowStartRate <= 0 || host.clock.Now() >= upstream.ColdUntil {
+		return
+	}
+	bounds := host.currentBounds()
+	bound := service.SlowStartRate*bounds.SlowStartFactor + bounds.SlowStartSlack
+	upstream.ColdBounded = true
+	upstream.ColdPart = cold.Part(host.self.Name, host.knownHosts(), upstream.ID, bound)
+}
+
+// coldSinceTakenBack is until when the upstreams of a zone that was taken back count as cold. Their entries say so a
+// second later only, and in the meantime all callers would be sent to them.
+func (host *Host) coldSinceTakenBack(zone string, service cherrykeel.RoutedService) cherrykeel.Instant {
+	state, ordered := host.zones.State(zone)
+	if !ordered || state.Evacuated || state.AtStart || service.SlowStartRate <= 0 {
+		return 0
+	}
+	return state.Since.Add(service.SlowStart)
+}
+
+// knownHosts names the hosts that share what cold upstreams bear; none while this host does not know them.
+func (host *Host) knownHosts() []string {
+	if !host.hostsTopic.Known() {
+		return nil
+	}
+	host.mutex.Lock()
+	defer host.mutex.Unlock()
+	names := make([]string, 0, len(host.lives))
+	for name := range host.lives {
+		names = append(names, name)
+	}
+	return names
+}
+
+// coldUpstreams counts the upstreams of whose requests this host may send only a part.
+func (host *Host) coldUpstreams() int {
+	now := host.clock.Now()
+	count := 0
+	for _, upstream := range host.usableUpstreams() {
+		if upstream.ColdBounded && now < upstream.ColdUntil {
+			count++
+		}
+	}
+	return count
+}
--- a/entry/host.go
+++ b/entry/host.go
@@ -79,8 +79,8 @@
 	// usable has the upstreams as they were last passed on.
 	usable      atomic.Pointer[[]cherrykeel.Upstream]
 	usableMutex sync.Mutex
-	peers  *watch.Peers
-	spans  *watch.Spans
+	peers       *watch.Peers
+	spans       *watch.Spans
 
 	operatorTopic  *watch.Follower
 	upstreamsTopic *watch.Follower
@@ -192,7 +192,7 @@
 		caller.WithMemory(int64(bodyShare*float64(host.settings.MemoryBytes))))
 	host.routes = watch.NewRoutes(host.platform.RoutesKey, host.platform.DecodeRoutes, host.logger, host.relay.SetRoutes, host.tellOne(topicSettings))
 	host.zones = watch.NewZones(host.platform.EvacuationPrefix, host.clock, host.logger, host.putUpstreamsInForce, host.tellOne(topicSettings))
-	host.upstreams = watch.NewUpstreams(host.platform.DecodeUpstream, host.logger,
+	host.upstreams = watch.NewUpstreams(host.platform.DecodeUpstream, host.clock, host.logger,
 		host.putUpstreamsInForce, host.tellUpstreams)
 	host.peers = watch.NewPeers(host.clock, host.logger, host.takePeers, host.tellOne(topicHosts))
 	host.operatorTopic = host.follow(topicSettings, host.platform.Operator, host.applyOperator, host.settingsSchedule)
--- a/entry/usable.go
+++ b/entry/usable.go
@@ -28,6 +28,7 @@
 	usable := make([]cherrykeel.Upstream, len(listed))
 	for i, upstream := range listed {
 		upstream.ClosedAt = host.closedAt(upstream)
+		host.noteCold(&upstream)
 		usable[i] = upstream
 	}
 	names := newShortNames(usable)
--- a/flow/flow_test.go
+++ b/flow/flow_test.go
@@ -106,7 +106,7 @@
 		_, verdicts := ask(service, 0, keep)
 		service.Leave((*verdicts)[0].Place, flow.Answered, cherrykeel.UpstreamLoad{}, at(50*time.Millisecond))
 		cold := upstream("new", 3)
-		cold.Warmup = 5 * time.Second
+		cold.ColdUntil = at(6 * time.Second)
 		service.SetUpstreams([]cherrykeel.Upstream{upstream("a", 3), upstream("b", 3), early, cold}, at(time.Second))
 		chosen := func(now time.Duration) string {
 			_, verdicts := ask(service, now, keep)
@@ -125,7 +125,7 @@
 	// All hosts start before the first request, while upstreams are still registering. None of them has joined
 	// others that are known: tried at once by 18 hosts, they would have queues from the first second on.
 	It("takes no upstream for a new one before any has answered", func() {
-		service.SetUpstreams([]cherrykeel.Upstream{upstream("a", 3), upstream("b", 3), {ID: "c", Zone: "z", Slots: 3, Warmup: time.Second}}, at(100*time.Millisecond))
+		service.SetUpstreams([]cherrykeel.Upstream{upstream("a", 3), upstream("b", 3), {ID: "c", Zone: "z", Slots: 3, ColdUntil: at(1100 * time.Millisecond)}}, at(100*time.Millisecond))
 		_, verdicts := ask(service, 4*time.Second, keep)
 		first := (*verdicts)[0].Place
 		_, verdicts = ask(service, 4*time.Second, keep)
--- a/flow/member.go
+++ b/flow/member.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cherrykeel"
+	"cherrykeel/cold"
 )
 
 const (
@@ -33,7 +34,6 @@
 // member is one upstream as this host sees it.
 type member struct {
 	upstream cherrykeel.Upstream
-	warmAt   cherrykeel.Instant
 	// tryAt is when this host should have tried an upstream that joined; 0 once it has, and for those that
 	// were there before.
 	tryAt cherrykeel.Instant
@@ -42,6 +42,8 @@
 	others int
 	// otherWaiting counts the other hosts' requests that wait for this upstream alone.
 	otherWaiting int
+	// sent counts what this host sends while it is cold.
+	sent cold.Window
 	// turn is what this host drew among the hosts that wait, since the last counts.
 	turn turn
 	// standing is about the queue of the requests for its keys.
@@ -77,8 +79,16 @@
 	return now >= member.pausedUntil && !member.closed(now)
 }
 
+// coldBounded reports whether it is cold and bears only so many requests a second.
+func (member *member) coldBounded(now cherrykeel.Instant) bool {
+	return member.upstream.ColdBounded && now < member.upstream.ColdUntil
+}
+
 // takes reports whether a request may go there now.
 func (member *member) takes(now cherrykeel.Instant) bool {
+	if member.coldBounded(now) && !member.sent.Allows(member.upstream.ColdPart, now) {
+		return false
+	}
 	return member.reachable(now) && member.load() < member.limit()
 }
 
@@ -88,7 +98,7 @@
 	if work == 0 {
 		work = usual
 	}
-	if now < member.warmAt {
+	if now < member.upstream.ColdUntil {
 		work *= coldFactor
 	}
 	return work
--- a/flow/service.go
+++ b/flow/service.go
@@ -37,7 +37,7 @@
 		old, known := service.members[upstream.ID]
 		if !known || old.upstream.Born != upstream.Born {
 			// Another life of an upstream knows nothing, and nothing that was learned is about it.
-			old = &member{decayed: now, warmAt: now.Add(upstream.Warmup)}
+			old = &member{decayed: now}
 			if service.answered() {
 				old.tryAt = now.Add(time.Duration(service.random() * float64(newcomerWithin)))
 			}
@@ -258,6 +258,9 @@
 func (member *member) take(now cherrykeel.Instant) *Place {
 	member.own++
 	member.tryAt = 0
+	if member.coldBounded(now) {
+		member.sent.Note(now)
+	}
 	return &Place{Upstream: member.upstream, Load: member.load(), Begun: now, member: member}
 }
 
--- a/flow/shared.go
+++ b/flow/shared.go
@@ -121,7 +121,7 @@
 	}
 	rate := 0.0
 	for _, member := range shared.members {
-		if member.reachable(now) {
+		if member.reachable(now) && !member.coldBounded(now) {
 			rate += float64(member.upstream.Slots) / float64(member.workTime(usual, now))
 		}
 	}
--- a/grants/change.go
+++ b/grants/change.go
@@ -140,7 +140,7 @@
 		if upstream.Service != service || upstream.Leaving || upstream.ClosedAt != 0 || keeper.lost(upstream.ID, now) {
 			continue
 		}
-		candidates = append(candidates, spans.Candidate{ID: upstream.ID, Address: upstream.Address, Born: upstream.Born, Capacity: keeper.capacity(upstream, mean, now)})
+		candidates = append(candidates, spans.Candidate{ID: upstream.ID, Address: upstream.Address, Born: upstream.Born, Capacity: keeper.capacity(upstream, mean, now), Cold: upstream.ColdBounded && now < upstream.ColdUntil})
 	}
 	return candidates
 }
@@ -151,7 +151,7 @@
 		work = mean
 	}
 	capacity := float64(upstream.Slots) / work.Seconds()
-	if upstream.Warmup > 0 {
+	if now < upstream.ColdUntil {
 		capacity *= coldShare
 	}
 	return capacity
--- a/routes.go
+++ b/routes.go
@@ -45,6 +45,10 @@
 	Warmup time.Duration
 	// HealthPath is where an upstream tells whether it is well and stays; empty if there is none.
 	HealthPath string
+	// SlowStart is how long an upstream is cold after its start, and after its availability zone is taken back.
+	SlowStart time.Duration
+	// SlowStartRate is how many requests a second a cold upstream tolerates; 0 if the settings do not say.
+	SlowStartRate float64
 	// Connections bounds the connections to one upstream from all hosts together.
 	Connections int
 }
@@ -72,6 +76,12 @@
 	Leaving bool
 	// ClosedAt is from when on it gets nothing, since its availability zone is evacuated; 0 if it is not.
 	ClosedAt Instant
-	// Warmup is how much longer it is slow after its start, as it last said.
+	// Warmup is how much longer it was cold when it last said so: slower than usual, and ended by too many requests.
 	Warmup time.Duration
+	// ColdUntil is when that is over, by this process's clock; 0 if it was not cold.
+	ColdUntil Instant
+	// ColdBounded says that it bears only so many requests a second while it is cold, of which this host may send
+	// ColdPart.
+	ColdBounded bool
+	ColdPart    int
 }
--- a/settings.go
+++ b/settings.go
@@ -41,6 +41,10 @@
 	// RetrySlack is how many more may be, in each RetryWindow.
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// SlowStartFactor and SlowStartSlack bound what a cold upstream may get in any second: that many times the rate which
+	// it tolerates, and so many requests more.
+	SlowStartFactor float64
+	SlowStartSlack  float64
 	// Settled is how long the store has to be well before its silence says anything.
 	Settled time.Duration
 }
--- a/spans/next.go
+++ b/spans/next.go
@@ -188,6 +188,9 @@
 	best := Candidate{}
 	bestUse := math.Inf(1)
 	for _, candidate := range step.facts.Candidates {
+		if candidate.Cold && !step.allCold() {
+			continue
+		}
 		use := (step.load[candidate.ID] + more) / max(candidate.Capacity, math.SmallestNonzeroFloat64)
 		if candidate.ID == owned.Owner && owned.Moving && len(step.fit) > 1 {
 			// What was taken for balance does not go back in the same breath.
@@ -201,6 +204,15 @@
 	return best
 }
 
+func (step *step) allCold() bool {
+	for _, candidate := range step.facts.Candidates {
+		if !candidate.Cold {
+			return false
+		}
+	}
+	return true
+}
+
 // balance marks spans of the most used upstreams as moving.
 func (step *step) balance() {
 	moving := 0
--- a/spans/plan.go
+++ b/spans/plan.go
@@ -14,6 +14,8 @@
 	Born int64
 	// Capacity is what it can do in a second, in requests.
 	Capacity float64
+	// Cold upstreams get no keys while others may have them.
+	Cold bool
 }
 
 // Move gives one span to another upstream.
@@ -134,6 +136,7 @@
 			planner.count[owned.Owner]++
 		}
 	}
+	planner.leaveOutCold()
 	if capacity > 0 {
 		planner.mean = planner.total / capacity
 	}
@@ -141,6 +144,17 @@
 	return planner
 }
 
+// leaveOutCold takes the cold upstreams that own nothing out of those that could get keys.
+func (planner *planner) leaveOutCold() {
+	var order []string
+	for _, id := range planner.order {
+		if !planner.candidates[id].Cold || planner.count[id] > 0 {
+			order = append(order, id)
+		}
+	}
+	planner.order = order
+}
+
 // foresee counts what is moving where it will go: to the least used. Counted with its owner still, the same
 // load would be taken from there twice.
 func (planner *planner) foresee() {
@@ -197,9 +211,15 @@
 
 // takers returns who may take keys from the upstream at a place in the order of use.
 func (planner *planner) takers(giver int) []string {
-	least := min(maxTakers, giver)
-	takers := append([]string(nil), planner.order[:least]...)
-	rest := append([]string(nil), planner.order[least:giver]...)
+	var warm []string
+	for _, id := range planner.order[:giver] {
+		if !planner.candidates[id].Cold {
+			warm = append(warm, id)
+		}
+	}
+	least := min(maxTakers, len(warm))
+	takers := append([]string(nil), warm[:least]...)
+	rest := append([]string(nil), warm[least:]...)
 	sort.SliceStable(rest, func(i, j int) bool {
 		return planner.candidates[rest[i]].Capacity > planner.candidates[rest[j]].Capacity
 	})
--- a/watch/entries.go
+++ b/watch/entries.go
@@ -18,6 +18,9 @@
 		upstreams.noteInvalid(record, err)
 		return false
 	}
+	if upstream.Warmup > 0 {
+		upstream.ColdUntil = upstreams.clock.Now().Add(upstream.Warmup)
+	}
 	since := record.Offset
 	if known {
 		switch {
@@ -32,17 +35,23 @@
 	}
 	upstreams.listed = false
 	upstreams.entries[record.Key] = &entry{upstream: upstream, offset: record.Offset, since: since, latest: latest}
-	if known && !old.gone && old.upstream.Leaving == upstream.Leaving && old.upstream.Address == upstream.Address && old.upstream.Born == upstream.Born {
+	if known && !old.gone && sameToHosts(old.upstream, upstream) {
 		return false
 	}
 	upstreams.offset = max(upstreams.offset, record.Offset)
 	upstreams.untold = append(upstreams.untold, record)
 	events.Log(upstreams.logger, events.UpstreamSeen,
 		zap.String("Upstream", upstream.ID), zap.String("Service", upstream.Service), zap.String("Address", upstream.Address),
-		zap.Int64("Born", upstream.Born), zap.Bool("Leaving", upstream.Leaving), zap.Int64("Offset", record.Offset))
+		zap.Int64("Born", upstream.Born), zap.Bool("Leaving", upstream.Leaving), zap.Duration("Cold", upstream.Warmup), zap.Int64("Offset", record.Offset))
 	return true
 }
 
+// sameToHosts reports whether an entry says nothing new that the other hosts have to know.
+func sameToHosts(old, next cherrykeel.Upstream) bool {
+	cold := next.ColdUntil > old.ColdUntil.Add(coldAgain)
+	return !cold && old.Leaving == next.Leaving && old.Address == next.Address && old.Born == next.Born
+}
+
 // noteInvalid logs an entry that names no upstream, once for each record. What is known of its key stays: another
 // writer's word says nothing of an upstream that lives.
 func (upstreams *Upstreams) noteInvalid(record cherrykeel.KeyedRecord, err error) {
--- a/watch/replaced_test.go
+++ b/watch/replaced_test.go
@@ -20,7 +20,7 @@
 		decode := func(id string, value []byte) (cherrykeel.Upstream, error) {
 			return cherrykeel.Upstream{ID: id, Address: string(value), Born: born[id]}, nil
 		}
-		view := watch.NewUpstreams(decode, zap.NewNop(), func() {}, func([]cherrykeel.KeyedRecord, int64) {})
+		view := watch.NewUpstreams(decode, cherrykeel.SystemClock(), zap.NewNop(), func() {}, func([]cherrykeel.KeyedRecord, int64) {})
 		view.SetHealth(func() time.Duration { return time.Hour })
 		view.Apply(watch.Update{Whole: true, Records: []cherrykeel.KeyedRecord{record("later", "10.0.0.1:1", 190), record("earlier", "10.0.0.1:1", 200)}})
 		Expect(view.Replaced("later", "10.0.0.1:1")).To(BeFalse())
@@ -37,7 +37,7 @@
 		decode := func(id string, value []byte) (cherrykeel.Upstream, error) {
 			return cherrykeel.Upstream{ID: id, Address: string(value), Born: born[id]}, nil
 		}
-		view := watch.NewUpstreams(decode, zap.NewNop(), func() {}, func([]cherrykeel.KeyedRecord, int64) {})
+		view := watch.NewUpstreams(decode, cherrykeel.SystemClock(), zap.NewNop(), func() {}, func([]cherrykeel.KeyedRecord, int64) {})
 		view.SetHealth(func() time.Duration { return time.Hour })
 		view.Apply(watch.Update{Whole: true, Next: 6, Records: []cherrykeel.KeyedRecord{record("earlier", "10.0.0.1:1", 5)}})
 		view.Apply(watch.Update{Next: 8, Records: []cherrykeel.KeyedRecord{{Key: "earlier", Offset: 7}}})
--- a/watch/upstreams.go
+++ b/watch/upstreams.go
@@ -15,12 +15,17 @@
 // meanwhile; the platform promises that a live one is back within about two seconds.
 const returnTime = 2200 * time.Millisecond
 
+// coldAgain is by how much the end of an upstream's cold time has to move for it to have turned cold again. It moves by
+// the age of its entry too, which is read twice a second.
+const coldAgain = time.Second
+
 // maxInvalid bounds the keys of unreadable records that are remembered, so as to log each record once.
 const maxInvalid = 1024
 
 // Upstreams keeps the upstreams that the store lists.
 type Upstreams struct {
 	decode func(id string, value []byte) (cherrykeel.Upstream, error)
+	clock  cherrykeel.Clock
 	logger *zap.Logger
 	change func()
 	tell   func(records []cherrykeel.KeyedRecord, before int64)
@@ -62,9 +67,9 @@
 // that the upstream had time to come back. Change is called when it changed, and
 // tell with the records of changes that this host found itself and the offset of the change before them; a
 // gone upstream's record has no value.
-func NewUpstreams(decode func(string, []byte) (cherrykeel.Upstream, error), logger *zap.Logger, change func(), tell func(records []cherrykeel.KeyedRecord, before int64)) *Upstreams {
+func NewUpstreams(decode func(string, []byte) (cherrykeel.Upstream, error), clock cherrykeel.Clock, logger *zap.Logger, change func(), tell func(records []cherrykeel.KeyedRecord, before int64)) *Upstreams {
 	return &Upstreams{
-		decode: decode, logger: logger, change: change, tell: tell, offset: -1, toldBefore: -1,
+		decode: decode, clock: clock, logger: logger, change: change, tell: tell, offset: -1, toldBefore: -1,
 		entries: map[string]*entry{}, invalid: map[string]int64{}, wellFor: func() time.Duration { return 0 },
 	}
 }
--- a/watch/upstreams_test.go
+++ b/watch/upstreams_test.go
@@ -28,7 +28,7 @@
 		decode := func(id string, value []byte) (cherrykeel.Upstream, error) {
 			return cherrykeel.Upstream{ID: id, Address: string(value), Leaving: string(value) == "leaving"}, nil
 		}
-		view = watch.NewUpstreams(decode, zap.NewNop(), func() {},
+		view = watch.NewUpstreams(decode, cherrykeel.SystemClock(), zap.NewNop(), func() {},
 			func(records []cherrykeel.KeyedRecord, after int64) {
 				told = append(told, records...)
 				before = after
@@ -95,7 +95,7 @@
 			upstream.ID = id
 			return upstream, err
 		}
-		view = watch.NewUpstreams(decode, zap.NewNop(), func() {}, func([]cherrykeel.KeyedRecord, int64) {})
+		view = watch.NewUpstreams(decode, cherrykeel.SystemClock(), zap.NewNop(), func() {}, func([]cherrykeel.KeyedRecord, int64) {})
 		apply := func(value string, offset int64) {
 			view.Apply(watch.Update{Records: []cherrykeel.KeyedRecord{record("a", value, offset)}})
 		}
@@ -116,7 +116,7 @@
 				return cherrykeel.Upstream{}, errors.New("no upstream")
 			}
 			return cherrykeel.Upstream{ID: id}, nil
-		}, zap.NewNop(), func() {}, func([]cherrykeel.KeyedRecord, int64) {})
+		}, cherrykeel.SystemClock(), zap.NewNop(), func() {}, func([]cherrykeel.KeyedRecord, int64) {})
 		whole := []cherrykeel.KeyedRecord{record("a", "1", 1), record("b", "1", 2)}
 		view.Apply(watch.Update{Whole: true, Records: whole})
 		whole = []cherrykeel.KeyedRecord{record("a", "?", 3), record("b", "1", 2), record("c", "?", 4)}
