Trial: busy upstreams without keys are asked for their load and slowness before a request is sent

Cause: on a service that is asked for more than it can do, 61 hosts choose by counts that are older than a request's work, take the same upstreams for free and overrun them: one of 3 slots had 28 requests within 50 ms and reset them all.

--- a/flow/shared.go
+++ b/flow/shared.go
@@ -10,6 +10,8 @@
 const (
 	// jitterShare spreads equal choices of several hosts that know the same.
 	jitterShare = 0.15
+	// probedJitter is the same where upstreams are asked for their load.
+	probedJitter = 1
 	// ownZone is the part of the usual time by which an upstream in another zone has to be faster. The way
 	// there and back is 1 to 3 ms; the rest is for the bytes between zones, which have a price.
 	ownZone = 0.25
@@ -68,7 +70,7 @@
 	var bestCost float64
 	left := ticket.Deadline.Sub(now)
 	for _, member := range shared.members {
-		if !member.takes(now) || ticket.tried(member.upstream.ID) {
+		if !member.takes(now) || ticket.tried(member.upstream.ID) || ticket.hasAsked(member) {
 			continue
 		}
 		expected := member.expected(usual, now)
@@ -95,7 +97,7 @@
 }
 
 func (shared *shared) cost(member *member, expected, usual time.Duration, now cherrykeel.Instant) float64 {
-	cost := float64(expected) * (1 + jitterShare*shared.service.random())
+	cost := float64(expected) * (1 + shared.jitter()*shared.service.random())
 	cost += float64(failureCost) * member.failing(now)
 	if member.upstream.Zone != shared.zone {
 		cost += ownZone * float64(usual)
@@ -103,6 +105,15 @@
 	return cost
 }
 
+// jitter is how far equal choices of several hosts are spread. Where upstreams are asked before a request is sent, the
+// counts only have to find some that are worth asking.
+func (shared *shared) jitter() float64 {
+	if shared.service.slowness.told() {
+		return probedJitter
+	}
+	return jitterShare
+}
+
 func (shared *shared) ahead(ticket *Ticket) int {
 	ahead := shared.otherWaiting
 	for _, other := range shared.service.waiting {
--- /dev/null
+++ b/relay/probe.go
@@ -0,0 +1,56 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"cherrykeel"
+	"cherrykeel/conns"
+	"cherrykeel/flow"
+)
+
+const (
+	// probePatience is how long an answer is waited for: upstreams answer at once, and the way there and back takes 1 to 3 ms.
+	probePatience = 25 * time.Millisecond
+	// probeBytes bounds what is read of an answer's body.
+	probeBytes = 4 << 10
+)
+
+// probed asks the upstream of a place for its load, and while another one is expected to be faster, that one.
+func (trip *trip) probed(ctx context.Context, place *flow.Place) *flow.Place {
+	for trip.lane.wantsProbe(trip.ticket, place, trip.relay.clock.Now()) {
+		load := trip.probe(ctx, place.Upstream)
+		next := trip.lane.probed(trip.ticket, place, load, trip.relay.clock.Now())
+		if next == place {
+			return place
+		}
+		place = next
+	}
+	return place
+}
+
+// probe asks an upstream for its load; it tells none if it does not answer in time. What is no answer of the health path
+// belongs to another request, and its connection is not used again.
+func (trip *trip) probe(ctx context.Context, upstream cherrykeel.Upstream) cherrykeel.UpstreamLoad {
+	ctx, cancel := context.WithTimeout(ctx, probePatience)
+	defer cancel()
+	request := &http.Request{
+		Method: http.MethodGet, Host: upstream.Address, URL: &url.URL{Opaque: trip.lane.health()},
+		Header: http.Header{"User-Agent": {""}},
+	}
+	answer, _, err := trip.relay.pool.SendWith(ctx, upstream.Address, request, conns.Care{MaxIdle: usualIdle})
+	if err != nil {
+		return cherrykeel.UpstreamLoad{}
+	}
+	defer answer.Close()
+	reply := trip.relay.dialect.Reply(answer.Status, answer.Header)
+	_, err = io.Copy(io.Discard, io.LimitReader(answer, probeBytes))
+	if err != nil || reply.ID != "" || reply.Instance != upstream.ID {
+		answer.Spoil()
+		return cherrykeel.UpstreamLoad{}
+	}
+	return reply.Load
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -106,10 +106,11 @@
 	defer relay.mutex.Unlock()
 	for name, service := range routes.Services {
 		old, known := relay.lanes[name]
-		if known && old.keyed == service.Keyed {
-			continue
+		if !known || old.keyed != service.Keyed {
+			old = newLane(name, service.Keyed, relay.Zone, relay.Owner, relay.Bounds, relay.noteQueued)
+			relay.lanes[name] = old
 		}
-		relay.lanes[name] = newLane(name, service.Keyed, relay.Zone, relay.Owner, relay.Bounds, relay.noteQueued)
+		old.setHealth(service.HealthPath)
 	}
 	relay.matcher = matcher
 	relay.share()
--- a/relay/trip.go
+++ b/relay/trip.go
@@ -45,6 +45,8 @@
 	kept *keptAnswer
 	// inputs are what the last verdict of the scheduler rested on.
 	inputs flow.Inputs
+	// ticket is what the scheduler was last asked with.
+	ticket *flow.Ticket
 	// listed is the request as the list of those sees it that end upstreams.
 	listed *deny.Request
 }
@@ -132,7 +134,7 @@
 		if failure != nil {
 			return trip.instead(failure)
 		}
-		place := verdict.Place
+		place := trip.probed(ctx, verdict.Place)
 		trip.attempts++
 		trip.tried = append(trip.tried, place.Upstream.ID)
 		result := trip.attemptThere(ctx, place)
@@ -183,6 +185,7 @@
 		Deadline: trip.deadline,
 		Tried:    trip.tried,
 	}
+	trip.ticket = ticket
 	verdicts := trip.lane.offer(ticket, now)
 	timer := time.NewTimer(max(0, trip.deadline.Sub(now)))
 	defer timer.Stop()
