--- a/flow/owned.go
+++ b/flow/owned.go
@@ -15,10 +15,6 @@
 // when the counts are known, and a slot would stay free until the next ones, 160 ms later.
 const drawnAhead = 1
 
-// longWork is the work from which on hosts draw whatever their shares once the owner is at its limit: twice the age of the
-// counts with many hosts. Waiting for the next counts costs little of it, and what goes beyond the limit waits for long.
-const longWork = 300 * time.Millisecond
-
 // noOwnerPatience is the share of its time that a request waits for its key to get an owner.
 const noOwnerPatience = 0.5
 
@@ -132,8 +128,7 @@
 	own := float64(member.own + max(1, waiting))
 	all := own + float64(member.others+member.otherWaiting)
 	share := float64(member.limit()) * own / all
-	long := member.workTime(owned.service.usual(), now) >= longWork
-	if share >= leastShare && (!long || member.load() <= member.limit()) {
+	if share >= leastShare {
 		return float64(member.own) < share
 	}
 	return member.own == 0 && owned.drawn(member, max(1, waiting))
--- a/flow/shared.go
+++ b/flow/shared.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -10,11 +11,11 @@
 const (
 	// jitterShare spreads equal choices of several hosts that know the same.
 	jitterShare = 0.15
-	// probedJitter is the same where upstreams are asked for their load.
-	probedJitter = 1
 	// ownZone is the part of the usual time by which an upstream in another zone has to be faster. The way
 	// there and back is 1 to 3 ms; the rest is for the bytes between zones, which have a price.
 	ownZone = 0.25
+	// otherZone is by how much an upstream in another zone is drawn less often than one of the own zone.
+	otherZone = 8
 	// newcomerWithin spreads over time when the hosts of an availability zone try an upstream that has joined.
 	// With 18 hosts and a cold upstream that takes 0.46 s a request, that is some three requests at once.
 	newcomerWithin = 3 * time.Second
@@ -66,6 +67,10 @@
 // place returns the upstream that will answer first, failures counted as time.
 func (shared *shared) place(ticket *Ticket, now cherrykeel.Instant) *member {
 	usual := shared.service.usual()
+	price := shared.cost
+	if shared.service.probing(now) {
+		price = shared.drawn
+	}
 	var best *member
 	var bestCost float64
 	left := ticket.Deadline.Sub(now)
@@ -80,7 +85,7 @@
 		if shared.wantsTry(member, now) {
 			return member
 		}
-		cost := shared.cost(member, expected, usual, now)
+		cost := price(member, expected, usual, now)
 		if best == nil || cost < bestCost {
 			best = member
 			bestCost = cost
@@ -97,7 +102,7 @@
 }
 
 func (shared *shared) cost(member *member, expected, usual time.Duration, now cherrykeel.Instant) float64 {
-	cost := float64(expected) * (1 + shared.jitter()*shared.service.random())
+	cost := float64(expected) * (1 + jitterShare*shared.service.random())
 	cost += float64(failureCost) * member.failing(now)
 	if member.upstream.Zone != shared.zone {
 		cost += ownZone * float64(usual)
@@ -105,13 +110,15 @@
 	return cost
 }
 
-// jitter is how far equal choices of several hosts are spread. Where upstreams are asked before a request is sent, the
-// counts only have to find some that are worth asking.
-func (shared *shared) jitter() float64 {
-	if shared.service.slowness.told() {
-		return probedJitter
+// drawn is the cost by which an upstream is drawn that is worth asking for its load: each with a chance in proportion to
+// what it can do. By the counts alone, which are older than a request's work, all hosts take the same fast one for free:
+// one of 3 slots had 28 requests of some twenty hosts within 50 ms, and reset them all.
+func (shared *shared) drawn(member *member, expected, _ time.Duration, now cherrykeel.Instant) float64 {
+	cost := float64(expected) + float64(failureCost)*member.failing(now)
+	if member.upstream.Zone != shared.zone {
+		cost *= otherZone
 	}
-	return jitterShare
+	return -math.Log(1-shared.service.random()) * cost
 }
 
 func (shared *shared) ahead(ticket *Ticket) int {
--- a/relay/lane.go
+++ b/relay/lane.go
@@ -79,7 +79,7 @@
 	return lane.healthPath != "" && lane.service.WantsProbe(ticket, place, now)
 }
 
-func (lane *lane) probed(ticket *flow.Ticket, place *flow.Place, load cherrykeel.UpstreamLoad, now cherrykeel.Instant) *flow.Place {
+func (lane *lane) probed(ticket *flow.Ticket, place *flow.Place, load cherrykeel.UpstreamLoad, now cherrykeel.Instant) flow.Verdict {
 	lane.mutex.Lock()
 	defer lane.mutex.Unlock()
 	return lane.service.Probed(ticket, place, load, now)
--- a/relay/probe.go
+++ b/relay/probe.go
@@ -19,17 +19,17 @@
 	probeBytes = 4 << 10
 )
 
-// probed asks the upstream of a place for its load, and while another one is expected to be faster, that one.
-func (trip *trip) probed(ctx context.Context, place *flow.Place) *flow.Place {
-	for trip.lane.wantsProbe(trip.ticket, place, trip.relay.clock.Now()) {
-		load := trip.probe(ctx, place.Upstream)
-		next := trip.lane.probed(trip.ticket, place, load, trip.relay.clock.Now())
-		if next == place {
-			return place
+// probed asks the upstream of a verdict's place for its load, and the next one while the scheduler prefers another.
+func (trip *trip) probed(ctx context.Context, verdict flow.Verdict) (flow.Verdict, *cherrykeel.Failure) {
+	for trip.lane.wantsProbe(trip.ticket, verdict.Place, trip.relay.clock.Now()) {
+		load := trip.probe(ctx, verdict.Place.Upstream)
+		verdict = trip.lane.probed(trip.ticket, verdict.Place, load, trip.relay.clock.Now())
+		trip.inputs = verdict.Inputs
+		if verdict.Place == nil {
+			return verdict, trip.refuse(string(verdict.Reason), "no upstream that was asked can answer in time")
 		}
-		place = next
 	}
-	return place
+	return verdict, nil
 }
 
 // probe asks an upstream for its load; it tells none if it does not answer in time. What is no answer of the health path
--- a/relay/trip.go
+++ b/relay/trip.go
@@ -134,7 +134,11 @@
 		if failure != nil {
 			return trip.instead(failure)
 		}
-		place := trip.probed(ctx, verdict.Place)
+		verdict, failure = trip.probed(ctx, verdict)
+		if failure != nil {
+			return trip.instead(failure)
+		}
+		place := verdict.Place
 		trip.attempts++
 		trip.tried = append(trip.tried, place.Upstream.ID)
 		result := trip.attemptThere(ctx, place)
