--- a/flow/fleet_test.go
+++ b/flow/fleet_test.go
@@ -30,10 +30,6 @@
 	knowsWork bool
 	// ownQueue is how many requests an upstream keeps waiting; what is beyond it is rejected.
 	ownQueue int
-	// slowShare is the part of the time, in moments of slowEvery, in which an upstream's work takes slowTimes as long.
-	slowShare, slowTimes float64
-	// tells says that upstreams tell how slow they are, and that hosts ask them before they send a request.
-	tells bool
 }
 
 type rate struct {
@@ -77,37 +73,6 @@
 	speed   float64
 	running int
 	queue   []func(now time.Duration)
-	// slow draws whether a moment is a slow one.
-	slow func() bool
-	// moment is the number of the present moment, slowness that of it.
-	moment   time.Duration
-	slowness float64
-}
-
-// slowEvery is how long a moment of an upstream's machine lasts.
-const slowEvery = 400 * time.Millisecond
-
-// slownessAt is how many times as long as usual work takes there that begins now.
-func (server *server) slownessAt(now time.Duration, load crowd) float64 {
-	if load.slowShare == 0 {
-		return 1
-	}
-	if server.slowness == 0 || now/slowEvery != server.moment {
-		server.moment = now / slowEvery
-		server.slowness = 1
-		if server.slow() {
-			server.slowness = load.slowTimes
-		}
-	}
-	return server.slowness
-}
-
-func (server *server) told(now time.Duration, load crowd) cherrykeel.UpstreamLoad {
-	told := cherrykeel.UpstreamLoad{Known: true, Running: server.running, Waiting: len(server.queue), Slots: load.slots}
-	if load.tells {
-		told.Slowness = server.slownessAt(now, load)
-	}
-	return told
 }
 
 // playCrowd plays the load and returns what came of it.
@@ -121,7 +86,7 @@
 	var upstreams []cherrykeel.Upstream
 	for i, speed := range load.speeds {
 		id := fmt.Sprintf("u%d", i)
-		servers[id] = &server{speed: speed, slow: func() bool { return random.Float64() < load.slowShare }}
+		servers[id] = &server{speed: speed}
 		upstreams = append(upstreams, upstream(id, load.slots))
 	}
 	var find func(int) flow.Owner
@@ -144,7 +109,7 @@
 
 	begin := func(server *server, now time.Duration, finish func(now time.Duration)) {
 		server.running++
-		took := time.Duration(float64(load.work) / server.speed * server.slownessAt(now, load) * (0.5 + random.Float64()))
+		took := time.Duration(float64(load.work) / server.speed * (0.5 + random.Float64()))
 		after(now+took, func(end time.Duration) {
 			server.running--
 			if len(server.queue) > 0 {
@@ -161,10 +126,6 @@
 		left := first + load.deadline - now
 		ticket := &flow.Ticket{Key: hotKeyNumber, Arrived: at(now), Target: at(now + min(load.target, left)), Deadline: at(now + left)}
 		ticket.Wake = func(verdict flow.Verdict) {
-			for load.tells && verdict.Place != nil && host.WantsProbe(ticket, verdict.Place, verdict.Place.Begun) {
-				begun := verdict.Place.Begun
-				verdict = host.Probed(ticket, verdict.Place, servers[verdict.Place.Upstream.ID].told(time.Duration(begun), load), begun)
-			}
 			if verdict.Place == nil {
 				back := now + time.Duration((0.08+0.22*random.Float64())*float64(left))
 				if tries > 1 {
@@ -181,7 +142,8 @@
 				case end-first <= load.deadline:
 					late++
 				}
-				host.Leave(verdict.Place, flow.Answered, server.told(end, load), at(end))
+				told := cherrykeel.UpstreamLoad{Known: true, Running: server.running, Waiting: len(server.queue), Slots: load.slots}
+				host.Leave(verdict.Place, flow.Answered, told, at(end))
 			}
 			if server.running < load.slots {
 				begin(server, sent, finish)
--- a/flow/member.go
+++ b/flow/member.go
@@ -42,19 +42,13 @@
 	others int
 	// otherWaiting counts the other hosts' requests that wait for this upstream alone.
 	otherWaiting int
-	// slowness is that of all upstreams of the service, told what this one told last of its machine.
-	slowness *slowness
-	told     moment
-	// loadTold is when it was last asked for its load, unasked until when it is not asked since it gave no answer.
-	loadTold cherrykeel.Instant
-	unasked  cherrykeel.Instant
 	// sent counts what this host sends while it is cold.
 	sent cold.Window
 	// turn is what this host drew among the hosts that wait, since the last counts.
 	turn turn
 	// standing is about the queue of the requests for its keys.
 	standing standing
-	// work is the mean time of one request in a slot while its machine is as fast as usual; 0 while unknown.
+	// work is the mean time of one request in a slot; 0 while unknown.
 	work time.Duration
 	// failures is a decayed count, and so is answers.
 	failures float64
@@ -100,9 +94,9 @@
 
 // workTime is the expected time of one request in a slot.
 func (member *member) workTime(usual time.Duration, now cherrykeel.Instant) time.Duration {
-	work := usual
-	if member.work > 0 {
-		work = time.Duration(float64(member.work) * member.told.ahead(member.slowness.usual(), member.work, now))
+	work := member.work
+	if work == 0 {
+		work = usual
 	}
 	if now < member.upstream.ColdUntil {
 		work *= coldFactor
@@ -137,9 +131,9 @@
 // sent and what the upstream told with its answer: counts lag when many hosts send to one upstream at once,
 // and a time that was spent in its queue, taken for work, made a key's owner look three times slower than it
 // was, so that callers were refused that it could have served.
-func (member *member) learn(took time.Duration, load int, slowness float64) {
+func (member *member) learn(took time.Duration, load int) {
 	crowd := max(1, float64(load)/float64(member.upstream.Slots))
-	work := time.Duration(float64(took) / crowd / slowness)
+	work := time.Duration(float64(took) / crowd)
 	if member.work == 0 {
 		member.work = work
 		return
--- a/flow/service.go
+++ b/flow/service.go
@@ -12,11 +12,8 @@
 	discipline discipline
 	members    map[string]*member
 	waiting    []*Ticket
-	// keyed says that each key has one upstream.
-	keyed    bool
-	works    works
-	slowness *slowness
-	arrivals uint64
+	works      works
+	arrivals   uint64
 	// target is the time to the target that the last request had.
 	target time.Duration
 	random func() float64
@@ -24,11 +21,10 @@
 
 // New returns a scheduler for a service; owner is nil unless its keys are divided.
 func New(zone string, owner func(key int) Owner, random func() float64) *Service {
-	service := &Service{members: map[string]*member{}, random: random, slowness: &slowness{}}
+	service := &Service{members: map[string]*member{}, random: random}
 	all := &shared{service: service, zone: zone}
 	service.discipline = all
 	if owner != nil {
-		service.keyed = true
 		service.discipline = &owned{service: service, find: owner, keyless: all}
 	}
 	return service
@@ -41,7 +37,7 @@
 		old, known := service.members[upstream.ID]
 		if !known || old.upstream.Born != upstream.Born {
 			// Another life of an upstream knows nothing, and nothing that was learned is about it.
-			old = &member{decayed: now, slowness: service.slowness}
+			old = &member{decayed: now}
 			if service.answered() {
 				old.tryAt = now.Add(time.Duration(service.random() * float64(newcomerWithin)))
 			}
@@ -65,15 +61,13 @@
 
 // usual is the mean work time over the upstreams that have answered.
 func (service *Service) usual() time.Duration {
-	return time.Duration(float64(service.works.mean()) * service.slowness.usual())
+	return service.works.mean()
 }
 
 // SetOthers replaces what the other hosts say: requests at upstreams, and requests waiting.
 func (service *Service) SetOthers(running, waiting map[string]int, total int, now cherrykeel.Instant) {
 	for id, member := range service.members {
-		if member.loadTold == 0 || now.Sub(member.loadTold) > countsAge {
-			member.others = running[id]
-		}
+		member.others = running[id]
 		member.otherWaiting = waiting[id]
 		member.turn = turn{}
 	}
@@ -118,7 +112,7 @@
 	times := map[string]time.Duration{}
 	for id, member := range service.members {
 		if member.work > 0 {
-			times[id] = time.Duration(float64(member.work) * service.slowness.usual()).Round(time.Millisecond)
+			times[id] = member.work.Round(time.Millisecond)
 		}
 	}
 	return times
@@ -279,7 +273,7 @@
 	case Answered:
 		member.answers++
 		member.breaks = 0
-		service.learn(member, place, load, now)
+		service.learn(member, now.Sub(place.Begun), max(place.Load, load.Running+load.Waiting))
 	case Failed, Refused:
 		member.failures++
 	case Unreached:
@@ -294,14 +288,11 @@
 }
 
 // learn takes the time of an answer, unless its upstream has left meanwhile.
-func (service *Service) learn(member *member, place *Place, load cherrykeel.UpstreamLoad, now cherrykeel.Instant) {
+func (service *Service) learn(member *member, took time.Duration, load int) {
 	if service.members[member.upstream.ID] != member {
 		return
 	}
-	took := now.Sub(place.Begun)
-	slowness := service.slownessOver(took, place.told, load.Slowness)
-	service.noteSlowness(member, load, now)
 	service.works.remove(member.work)
-	member.learn(took, max(place.Load, load.Running+load.Waiting), slowness)
+	member.learn(took, load)
 	service.works.add(member.work)
 }
--- a/flow/shared.go
+++ b/flow/shared.go
@@ -1,7 +1,6 @@
 package flow
 
 import (
-	"math"
 	"sort"
 	"time"
 
@@ -14,8 +13,6 @@
 	// ownZone is the part of the usual time by which an upstream in another zone has to be faster. The way
 	// there and back is 1 to 3 ms; the rest is for the bytes between zones, which have a price.
 	ownZone = 0.25
-	// otherZone is by how much an upstream in another zone is drawn less often than one of the own zone.
-	otherZone = 8
 	// newcomerWithin spreads over time when the hosts of an availability zone try an upstream that has joined.
 	// With 18 hosts and a cold upstream that takes 0.46 s a request, that is some three requests at once.
 	newcomerWithin = 3 * time.Second
@@ -67,15 +64,11 @@
 // place returns the upstream that will answer first, failures counted as time.
 func (shared *shared) place(ticket *Ticket, now cherrykeel.Instant) *member {
 	usual := shared.service.usual()
-	price := shared.cost
-	if shared.service.probing(now) {
-		price = shared.drawn
-	}
 	var best *member
 	var bestCost float64
 	left := ticket.Deadline.Sub(now)
 	for _, member := range shared.members {
-		if !member.takes(now) || ticket.tried(member.upstream.ID) || ticket.hasAsked(member) {
+		if !member.takes(now) || ticket.tried(member.upstream.ID) {
 			continue
 		}
 		expected := member.expected(usual, now)
@@ -85,7 +78,7 @@
 		if shared.wantsTry(member, now) {
 			return member
 		}
-		cost := price(member, expected, usual, now)
+		cost := shared.cost(member, expected, usual, now)
 		if best == nil || cost < bestCost {
 			best = member
 			bestCost = cost
@@ -110,17 +103,6 @@
 	return cost
 }
 
-// drawn is the cost by which an upstream is drawn that is worth asking for its load: each with a chance in proportion to
-// what it can do. By the counts alone, which are older than a request's work, all hosts take the same fast one for free:
-// one of 3 slots had 28 requests of some twenty hosts within 50 ms, and reset them all.
-func (shared *shared) drawn(member *member, expected, _ time.Duration, now cherrykeel.Instant) float64 {
-	cost := float64(expected) + float64(failureCost)*member.failing(now)
-	if member.upstream.Zone != shared.zone {
-		cost *= otherZone
-	}
-	return -math.Log(1-shared.service.random()) * cost
-}
-
 func (shared *shared) ahead(ticket *Ticket) int {
 	ahead := shared.otherWaiting
 	for _, other := range shared.service.waiting {
--- a/flow/ticket.go
+++ b/flow/ticket.go
@@ -18,8 +18,6 @@
 	Tried []string
 	// Wake is called once, with the place or the refusal.
 	Wake func(verdict Verdict)
-	// asked are the upstreams that were asked for their load.
-	asked []*member
 	// order is the place among requests of the same priority.
 	order uint64
 }
@@ -72,8 +70,6 @@
 	Load   int
 	Begun  cherrykeel.Instant
 	member *member
-	// told is what the upstream told of its machine when it was asked before the request was sent.
-	told moment
 }
 
 // Ending says how a place was left.
@@ -108,15 +104,6 @@
 	return ticket.order < other.order
 }
 
-func (ticket *Ticket) hasAsked(member *member) bool {
-	for _, other := range ticket.asked {
-		if other == member {
-			return true
-		}
-	}
-	return false
-}
-
 func (ticket *Ticket) tried(id string) bool {
 	for _, other := range ticket.Tried {
 		if other == id {
--- a/relay/lane.go
+++ b/relay/lane.go
@@ -15,8 +15,6 @@
 	mutex   sync.Mutex
 	service *flow.Service
 	budget  *budget
-	// healthPath is where upstreams tell their load; empty if there is none.
-	healthPath string
 	// queued is called when a request begins to wait.
 	queued func()
 }
@@ -61,30 +59,6 @@
 	}
 }
 
-func (lane *lane) setHealth(path string) {
-	lane.mutex.Lock()
-	defer lane.mutex.Unlock()
-	lane.healthPath = path
-}
-
-func (lane *lane) health() string {
-	lane.mutex.Lock()
-	defer lane.mutex.Unlock()
-	return lane.healthPath
-}
-
-func (lane *lane) wantsProbe(ticket *flow.Ticket, place *flow.Place, now cherrykeel.Instant) bool {
-	lane.mutex.Lock()
-	defer lane.mutex.Unlock()
-	return lane.healthPath != "" && lane.service.WantsProbe(ticket, place, now)
-}
-
-func (lane *lane) probed(ticket *flow.Ticket, place *flow.Place, load cherrykeel.UpstreamLoad, now cherrykeel.Instant) flow.Verdict {
-	lane.mutex.Lock()
-	defer lane.mutex.Unlock()
-	return lane.service.Probed(ticket, place, load, now)
-}
-
 func (lane *lane) leave(place *flow.Place, ending flow.Ending, load cherrykeel.UpstreamLoad, now cherrykeel.Instant) {
 	lane.mutex.Lock()
 	defer lane.mutex.Unlock()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -106,11 +106,10 @@
 	defer relay.mutex.Unlock()
 	for name, service := range routes.Services {
 		old, known := relay.lanes[name]
-		if !known || old.keyed != service.Keyed {
-			old = newLane(name, service.Keyed, relay.Zone, relay.Owner, relay.Bounds, relay.noteQueued)
-			relay.lanes[name] = old
+		if known && old.keyed == service.Keyed {
+			continue
 		}
-		old.setHealth(service.HealthPath)
+		relay.lanes[name] = newLane(name, service.Keyed, relay.Zone, relay.Owner, relay.Bounds, relay.noteQueued)
 	}
 	relay.matcher = matcher
 	relay.share()
--- a/relay/trip.go
+++ b/relay/trip.go
@@ -45,8 +45,6 @@
 	kept *keptAnswer
 	// inputs are what the last verdict of the scheduler rested on.
 	inputs flow.Inputs
-	// ticket is what the scheduler was last asked with.
-	ticket *flow.Ticket
 	// listed is the request as the list of those sees it that end upstreams.
 	listed *deny.Request
 }
@@ -134,10 +132,6 @@
 		if failure != nil {
 			return trip.instead(failure)
 		}
-		verdict, failure = trip.probed(ctx, verdict)
-		if failure != nil {
-			return trip.instead(failure)
-		}
 		place := verdict.Place
 		trip.attempts++
 		trip.tried = append(trip.tried, place.Upstream.ID)
@@ -189,7 +183,6 @@
 		Deadline: trip.deadline,
 		Tried:    trip.tried,
 	}
-	trip.ticket = ticket
 	verdicts := trip.lane.offer(ticket, now)
 	timer := time.NewTimer(max(0, trip.deadline.Sub(now)))
 	defer timer.Stop()
