A cold upstream is as dear as a warm one to the hosts that have a part of it; gauges of what gets nothing or a part

Cause: the hosts that have a part of a cold upstream counted its work twice and left the part unused. Gauges: evacuated_zones, evacuated_upstreams, evacuated_running, cold_upstreams. Ruled out: leaving cold upstreams alone, which serves nobody when a service has no others. Parts lent by one host were not built: they need messages, and a fixed part already gives a cold upstream about what it can do.

--- a/entry/cold.go
+++ b/entry/cold.go
@@ -43,7 +43,7 @@
 	return names
 }
 
-// coldUpstreams counts the upstreams of whose requests this host may send only a part.
+// coldUpstreams counts the upstreams that get only so many requests a second, of which this host may send a part.
 func (host *Host) coldUpstreams() int {
 	now := host.clock.Now()
 	count := 0
--- a/entry/tend.go
+++ b/entry/tend.go
@@ -56,6 +56,7 @@
 			host.upstreams.Settle()
 			host.heard()
 			host.countUnreadable()
+			host.countUnused()
 			// A host that has fallen silent is forgotten without a message.
 			host.gather()
 		case <-drop.C:
@@ -83,6 +84,24 @@
 	return true
 }
 
+// countUnused shows how many upstreams get nothing, since their availability zone is evacuated, or only a part, since they
+// are cold, and how many of this host's requests are still at work in evacuated zones.
+func (host *Host) countUnused() {
+	evacuated := host.zones.Evacuated()
+	running := host.relay.Own().Running
+	closed, atWork := 0, 0
+	for _, upstream := range host.usableUpstreams() {
+		if upstream.ClosedAt != 0 {
+			closed++
+			atWork += running[upstream.ID]
+		}
+	}
+	host.scope.Gauge("evacuated_zones").Update(float64(len(evacuated)))
+	host.scope.Gauge("evacuated_upstreams").Update(float64(closed))
+	host.scope.Gauge("evacuated_running").Update(float64(atWork))
+	host.scope.Gauge("cold_upstreams").Update(float64(host.coldUpstreams()))
+}
+
 // countUnreadable shows how many records of other writers each topic has had.
 func (host *Host) countUnreadable() {
 	for name, topic := range map[string]*watch.Follower{
--- a/flow/shared.go
+++ b/flow/shared.go
@@ -95,6 +95,10 @@
 }
 
 func (shared *shared) cost(member *member, expected, usual time.Duration, now cherrykeel.Instant) float64 {
+	if member.coldBounded(now) {
+		// Few hosts may send it anything, and what they leave nobody else uses.
+		expected /= coldFactor
+	}
 	cost := float64(expected) * (1 + jitterShare*shared.service.random())
 	cost += float64(failureCost) * member.failing(now)
 	if member.upstream.Zone != shared.zone {
--- a/spans/plan_test.go
+++ b/spans/plan_test.go
@@ -317,3 +317,44 @@
 		Expect(found).To(BeFalse())
 	})
 })
+
+var _ = Describe("cold upstreams", func() {
+	candidates := []spans.Candidate{
+		{ID: "a", Capacity: 10}, {ID: "b", Capacity: 10}, {ID: "cold", Capacity: 5, Cold: true},
+	}
+	hot := func() *spans.Demand {
+		demand := spans.NewDemand(0)
+		for key := range 400 {
+			demand.Add(key, 1)
+		}
+		return demand
+	}
+
+	// Guards against keys that move to an upstream which a request too many ends.
+	It("are given no keys for balance, and none that are free", func() {
+		list := []spans.Owned{{First: 0, Last: 199, Owner: "a"}, {First: 200, Last: 399, Owner: "a"}, {First: 400, Last: cherrykeel.MaxKey, Owner: "b"}}
+		for _, move := range spans.Plan(list, candidates, hot(), 8) {
+			Expect(move.To).To(Equal("b"))
+		}
+		table := spans.Table{Services: map[string][]spans.Owned{service: {{First: 0, Last: cherrykeel.MaxKey, Owner: "gone"}}}}
+		next, changed := table.Next(service, spans.Facts{
+			Offset: 9, Candidates: candidates, Demand: hot(),
+			Lost: func(string) bool { return false }, Free: func(cherrykeel.KeySpan) bool { return true },
+			Settled: func(spans.Owned) bool { return true },
+		})
+		Expect(changed).To(BeTrue())
+		for _, owned := range next {
+			Expect(owned.Owner).NotTo(Equal("cold"))
+		}
+	})
+
+	It("are given keys if there are no others", func() {
+		table := spans.Table{Services: map[string][]spans.Owned{service: {{First: 0, Last: cherrykeel.MaxKey, Owner: "gone"}}}}
+		next, _ := table.Next(service, spans.Facts{
+			Offset: 9, Candidates: candidates[2:], Demand: hot(),
+			Lost: func(string) bool { return false }, Free: func(cherrykeel.KeySpan) bool { return true },
+			Settled: func(spans.Owned) bool { return true },
+		})
+		Expect(next[0].Owner).To(Equal("cold"))
+	})
+})
