--- a/relay/again.go
+++ b/relay/again.go
@@ -27,40 +27,40 @@
 )
 
 // again decides whether the request may be sent once more; if so the budget has paid.
-func (trip *trip) again(ctx context.Context, result result, now cherrykeel.Instant) bool {
-	if now >= trip.deadline {
+func (exchange *exchange) again(ctx context.Context, result result, now cherrykeel.Instant) bool {
+	if now >= exchange.deadline {
 		return false
 	}
-	if result.finding == uncertain && !trip.route.Repeatable {
+	if result.finding == uncertain && !exchange.route.Repeatable {
 		return false
 	}
-	if result.unanswered && trip.listed.Suspected() {
+	if result.unanswered && exchange.listed.Suspected() {
 		return false
 	}
-	if result.misdirected && trip.lane.keyed {
-		return trip.againElsewhere(ctx)
+	if result.misdirected && exchange.dispatcher.keyed {
+		return exchange.againElsewhere(ctx)
 	}
 	if result.finding == notSent {
 		// Nothing arrived anywhere, so neither the budget nor the count of upstreams is touched.
-		trip.attempts--
+		exchange.attempts--
 		return true
 	}
-	if trip.attempts >= trip.route.MaxAttempts || !trip.lane.spend(trip.relay.Hosts(), now) {
+	if exchange.attempts >= exchange.route.MaxAttempts || !exchange.dispatcher.spend(exchange.relay.Hosts(), now) {
 		return false
 	}
-	return !trip.hasOwner() || sleep(ctx, trip.ownerPause(now))
+	return !exchange.hasOwner() || sleep(ctx, exchange.ownerPause(now))
 }
 
 // lostWithKey reports whether an upstream has failed a request since its key was moved meanwhile: work that outlasts
 // the hold of its key is ended. What may run twice runs at the new owner then, if attempts and budget allow it; else
 // the caller gets the upstream's own answer.
-func (trip *trip) lostWithKey(result result, now cherrykeel.Instant) bool {
-	if result.status != http.StatusInternalServerError || !trip.route.Repeatable || !trip.hasOwner() {
+func (exchange *exchange) lostWithKey(result result, now cherrykeel.Instant) bool {
+	if result.status != http.StatusInternalServerError || !exchange.route.Repeatable || !exchange.hasOwner() {
 		return false
 	}
-	owner := trip.relay.Owner(trip.lane.name, trip.asked.Key)
-	moved := owner.ID != trip.inputs.Owner || owner.Moving
-	return moved && trip.attempts < trip.route.MaxAttempts && now < trip.deadline && trip.lane.spend(trip.relay.Hosts(), now)
+	owner := exchange.relay.Owner(exchange.dispatcher.name, exchange.asked.Key)
+	moved := owner.ID != exchange.inputs.Owner || owner.Moving
+	return moved && exchange.attempts < exchange.route.MaxAttempts && now < exchange.deadline && exchange.dispatcher.spend(exchange.relay.Hosts(), now)
 }
 
 // keptAnswer is an answer that the caller gets if nothing better comes.
@@ -70,55 +70,55 @@
 }
 
 // instead passes on the upstream's answer that is kept, if there is one, in place of a failure of the router's own.
-func (trip *trip) instead(failure *cherrykeel.Failure) *cherrykeel.Failure {
-	if trip.kept == nil || failure.Status == statusCallerGone {
+func (exchange *exchange) instead(failure *cherrykeel.Failure) *cherrykeel.Failure {
+	if exchange.kept == nil || failure.Status == statusCallerGone {
 		return failure
 	}
-	trip.pass(trip.kept.place, trip.kept.result)
+	exchange.pass(exchange.kept.place, exchange.kept.result)
 	return nil
 }
 
 // hasOwner reports whether one upstream alone may serve the request.
-func (trip *trip) hasOwner() bool {
-	return trip.lane.keyed && trip.asked.Key != cherrykeel.NoKey
+func (exchange *exchange) hasOwner() bool {
+	return exchange.dispatcher.keyed && exchange.asked.Key != cherrykeel.NoKey
 }
 
 // ownerPause is about the time in which an owner that has rejected a request gets a place free: sent again a
 // millisecond later, the request met the same full queue, and had no third try.
-func (trip *trip) ownerPause(now cherrykeel.Instant) time.Duration {
-	most := time.Duration(pauseShare * float64(trip.deadline.Sub(now)))
-	pause := time.Duration((0.5 + 0.5*rand.Float64()) * float64(trip.inputs.Work))
+func (exchange *exchange) ownerPause(now cherrykeel.Instant) time.Duration {
+	most := time.Duration(pauseShare * float64(exchange.deadline.Sub(now)))
+	pause := time.Duration((0.5 + 0.5*rand.Float64()) * float64(exchange.inputs.Work))
 	return min(max(leastOwnerPause, pause), most)
 }
 
 // againElsewhere waits for the key's new owner, and for the budget to pay: the request has surely not run, so there
 // is time while its caller waits.
-func (trip *trip) againElsewhere(ctx context.Context) bool {
-	trip.attempts--
-	trip.misdirected++
-	trip.tried = nil
-	trip.relay.Stale()
-	if trip.misdirected > maxMisdirected {
+func (exchange *exchange) againElsewhere(ctx context.Context) bool {
+	exchange.attempts--
+	exchange.misdirected++
+	exchange.tried = nil
+	exchange.relay.Stale()
+	if exchange.misdirected > maxMisdirected {
 		return false
 	}
 	pause := misdirectedPause
-	for range trip.misdirected - 1 {
+	for range exchange.misdirected - 1 {
 		pause *= misdirectedGrowth
 	}
-	return sleep(ctx, pause) && trip.awaitBudget(ctx)
+	return sleep(ctx, pause) && exchange.awaitBudget(ctx)
 }
 
 // awaitBudget waits until the budget pays for one more send, for a part of the time that is left.
-func (trip *trip) awaitBudget(ctx context.Context) bool {
-	now := trip.relay.clock.Now()
-	until := now.Add(time.Duration(pauseShare * float64(trip.deadline.Sub(now))))
-	for !trip.lane.spend(trip.relay.Hosts(), now) {
+func (exchange *exchange) awaitBudget(ctx context.Context) bool {
+	now := exchange.relay.clock.Now()
+	until := now.Add(time.Duration(pauseShare * float64(exchange.deadline.Sub(now))))
+	for !exchange.dispatcher.spend(exchange.relay.Hosts(), now) {
 		if now >= until || !sleep(ctx, budgetPace) {
 			return false
 		}
-		now = trip.relay.clock.Now()
+		now = exchange.relay.clock.Now()
 	}
-	return now < trip.deadline
+	return now < exchange.deadline
 }
 
 // sleep reports false if the context ended first.
--- a/relay/again_test.go
+++ b/relay/again_test.go
@@ -18,7 +18,7 @@
 
 var _ = Describe("a request that is sent once more", func() {
 	var (
-		one   *trip
+		one   *exchange
 		owner flow.Owner
 	)
 
@@ -27,13 +27,13 @@
 		bounds := func() cherrykeel.Bounds {
 			return cherrykeel.Bounds{RetryRatio: 0.2, RetrySlack: 56, RetryWindow: 10 * time.Second}
 		}
-		one = &trip{
+		one = &exchange{
 			relay: New(Settings{
 				Clock: stillClock{}, Hosts: func() int { return 8 }, Stale: func() {},
 				Owner: func(string, int) flow.Owner { return owner },
 			}),
 			route:    &dealt{Route: cherrykeel.Route{Repeatable: true, MaxAttempts: 2}},
-			lane:     &lane{name: "s", keyed: true, budget: newBudget(bounds)},
+			dispatcher:     &dispatcher{name: "s", keyed: true, budget: newBudget(bounds)},
 			asked:    cherrykeel.Asked{Key: 7},
 			inputs:   flow.Inputs{Owner: "a", Fence: 3, Work: 200 * time.Millisecond},
 			deadline: cherrykeel.Instant(time.Hour + 4*time.Second),
@@ -92,9 +92,9 @@
 	// owner's own answer, not a failure of the router's: what is ready is delivered.
 	It("is passed on in place of a failure of the router's own", func() {
 		writer := httptest.NewRecorder()
-		one := &trip{
+		one := &exchange{
 			relay:  New(Settings{Clock: stillClock{}, Scope: tally.NoopScope, Logger: zap.NewNop()}),
-			lane:   &lane{name: "s"},
+			dispatcher:   &dispatcher{name: "s"},
 			writer: writer,
 			kept: &keptAnswer{
 				place:  &flow.Place{Upstream: cherrykeel.Upstream{ID: "a"}},
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -23,131 +23,131 @@
 )
 
 // refuse says that the request has not run and when to come back, unless an attempt may have run.
-func (trip *trip) refuse(code, detail string) *cherrykeel.Failure {
-	if trip.mayHaveRun {
-		return trip.doubt()
+func (exchange *exchange) refuse(code, detail string) *cherrykeel.Failure {
+	if exchange.mayHaveRun {
+		return exchange.doubt()
 	}
 	failure := cherrykeel.Refuse(http.StatusServiceUnavailable, code, "%s", detail)
-	left := trip.deadline.Sub(trip.relay.clock.Now())
+	left := exchange.deadline.Sub(exchange.relay.clock.Now())
 	share := earliestReturn + rand.Float64()*(latestReturn-earliestReturn)
 	failure.RetryAfter = max(time.Millisecond, time.Duration(share*float64(left)))
 	return failure
 }
 
-func (trip *trip) doubt() *cherrykeel.Failure {
-	if trip.relay.clock.Now() >= trip.deadline {
-		return cherrykeel.Doubt(http.StatusGatewayTimeout, "upstream-timeout", "%s", trip.last)
+func (exchange *exchange) doubt() *cherrykeel.Failure {
+	if exchange.relay.clock.Now() >= exchange.deadline {
+		return cherrykeel.Doubt(http.StatusGatewayTimeout, "upstream-timeout", "%s", exchange.last)
 	}
-	return cherrykeel.Doubt(http.StatusBadGateway, "upstream-broke", "%s", trip.last)
+	return cherrykeel.Doubt(http.StatusBadGateway, "upstream-broke", "%s", exchange.last)
 }
 
-func (trip *trip) giveUp(cherrykeel.Instant) *cherrykeel.Failure {
-	return trip.refuse("not-run", trip.last)
+func (exchange *exchange) giveUp(cherrykeel.Instant) *cherrykeel.Failure {
+	return exchange.refuse("not-run", exchange.last)
 }
 
 // statusCallerGone is for the log; the caller does not read it.
 const statusCallerGone = 499
 
-func (trip *trip) callerGone() *cherrykeel.Failure {
+func (exchange *exchange) callerGone() *cherrykeel.Failure {
 	failure := cherrykeel.Refuse(statusCallerGone, "caller-gone", "the caller left")
-	if trip.mayHaveRun {
+	if exchange.mayHaveRun {
 		failure.Outcome = cherrykeel.OutcomeUnknown
 	}
 	return failure
 }
 
 // pass writes the upstream's answer.
-func (trip *trip) pass(place *flow.Place, result result) {
-	header := trip.writer.Header()
+func (exchange *exchange) pass(place *flow.Place, result result) {
+	header := exchange.writer.Header()
 	dropHopHeaders(result.header)
 	for name, values := range result.header {
 		header[name] = values
 	}
 	header.Del(cherrykeel.HeaderOutcome)
-	trip.writer.WriteHeader(result.status)
-	_, err := trip.writer.Write(result.body)
-	took := trip.relay.clock.Now().Sub(trip.arrived)
-	trip.relay.meter.served(trip.lane.name, result.status, took)
-	events.Log(trip.relay.Logger, events.RequestServed, append(trip.fields(),
+	exchange.writer.WriteHeader(result.status)
+	_, err := exchange.writer.Write(result.body)
+	took := exchange.relay.clock.Now().Sub(exchange.arrived)
+	exchange.relay.meter.served(exchange.dispatcher.name, result.status, took)
+	events.Log(exchange.relay.Logger, events.RequestServed, append(exchange.fields(),
 		zap.Int("Status", result.status), zap.String("Upstream", place.Upstream.ID), zap.Int("Load", place.Load),
-		zap.Int("Others", trip.inputs.Others), zap.Int64("Fence", trip.inputs.Fence), zap.Duration("Expected", trip.inputs.Wait),
-		zap.Int("Attempts", trip.attempts), zap.Duration("Waited", place.Begun.Sub(trip.arrived)), zap.Duration("Took", took), zap.Error(err))...)
+		zap.Int("Others", exchange.inputs.Others), zap.Int64("Fence", exchange.inputs.Fence), zap.Duration("Expected", exchange.inputs.Wait),
+		zap.Int("Attempts", exchange.attempts), zap.Duration("Waited", place.Begun.Sub(exchange.arrived)), zap.Duration("Took", took), zap.Error(err))...)
 }
 
 // fail writes an answer of the router's own.
-func (trip *trip) fail(failure *cherrykeel.Failure) {
-	took := trip.relay.clock.Now().Sub(trip.arrived)
+func (exchange *exchange) fail(failure *cherrykeel.Failure) {
+	took := exchange.relay.clock.Now().Sub(exchange.arrived)
 	service := ""
-	if trip.lane != nil {
-		service = trip.lane.name
+	if exchange.dispatcher != nil {
+		service = exchange.dispatcher.name
 	}
-	trip.relay.meter.failed(service, failure.Code, took)
+	exchange.relay.meter.failed(service, failure.Code, took)
 	event := events.RequestFailed
 	if failure.Status == statusCallerGone {
 		event = events.CallerGone
 	}
-	events.Log(trip.relay.Logger, event, append(trip.fields(),
+	events.Log(exchange.relay.Logger, event, append(exchange.fields(),
 		zap.Int("Status", failure.Status), zap.String("Code", failure.Code), zap.String("Outcome", string(failure.Outcome)),
-		zap.String("Detail", failure.Detail), zap.Int("Attempts", trip.attempts), zap.Strings("Tried", trip.tried),
-		zap.String("Owner", trip.inputs.Owner), zap.Bool("Moving", trip.inputs.Moving), zap.Int64("Fence", trip.inputs.Fence),
-		zap.Int("Load", trip.inputs.Load), zap.Int("Others", trip.inputs.Others), zap.Int("Ahead", trip.inputs.Ahead),
-		zap.Duration("Work", trip.inputs.Work), zap.Duration("Wait", trip.inputs.Wait),
+		zap.String("Detail", failure.Detail), zap.Int("Attempts", exchange.attempts), zap.Strings("Tried", exchange.tried),
+		zap.String("Owner", exchange.inputs.Owner), zap.Bool("Moving", exchange.inputs.Moving), zap.Int64("Fence", exchange.inputs.Fence),
+		zap.Int("Load", exchange.inputs.Load), zap.Int("Others", exchange.inputs.Others), zap.Int("Ahead", exchange.inputs.Ahead),
+		zap.Duration("Work", exchange.inputs.Work), zap.Duration("Wait", exchange.inputs.Wait),
 		zap.Duration("RetryAfter", failure.RetryAfter), zap.Duration("Took", took))...)
-	header := trip.writer.Header()
+	header := exchange.writer.Header()
 	header.Set(cherrykeel.HeaderOutcome, string(failure.Outcome))
-	trip.relay.dialect.Echo(header, trip.asked.ID)
+	exchange.relay.dialect.Echo(header, exchange.asked.ID)
 	if failure.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(failure.RetryAfter.Seconds(), 'f', 3, 64))
 	}
-	trip.writer.WriteHeader(failure.Status)
-	_, _ = io.WriteString(trip.writer, failure.Code+"\n")
+	exchange.writer.WriteHeader(failure.Status)
+	_, _ = io.WriteString(exchange.writer, failure.Code+"\n")
 }
 
-func (trip *trip) fields() []zap.Field {
-	fields := []zap.Field{zap.String("Request", trip.asked.ID), zap.Int64("Routes", trip.version)}
-	if trip.route != nil {
-		fields = append(fields, zap.String("Route", trip.route.Name), zap.Duration("Patience", trip.deadline.Sub(trip.arrived)))
+func (exchange *exchange) fields() []zap.Field {
+	fields := []zap.Field{zap.String("Request", exchange.asked.ID), zap.Int64("Routes", exchange.version)}
+	if exchange.route != nil {
+		fields = append(fields, zap.String("Route", exchange.route.Name), zap.Duration("Patience", exchange.deadline.Sub(exchange.arrived)))
 	}
-	if trip.lane != nil {
-		fields = append(fields, zap.String("Service", trip.lane.name))
+	if exchange.dispatcher != nil {
+		fields = append(fields, zap.String("Service", exchange.dispatcher.name))
 	}
-	if trip.asked.Key != cherrykeel.NoKey {
-		fields = append(fields, zap.Int("Key", trip.asked.Key))
+	if exchange.asked.Key != cherrykeel.NoKey {
+		fields = append(fields, zap.Int("Key", exchange.asked.Key))
 	}
-	if trip.listed == nil {
+	if exchange.listed == nil {
 		return fields
 	}
-	identity, identified := trip.listed.Identified()
+	identity, identified := exchange.listed.Identified()
 	if identified {
 		fields = append(fields, zap.Stringer("Identity", identity))
 	}
 	return fields
 }
 
-func (trip *trip) noteAttempt(place *flow.Place, result result) {
-	events.Log(trip.relay.Logger, events.AttemptEnded, append(trip.fields(),
+func (exchange *exchange) noteAttempt(place *flow.Place, result result) {
+	events.Log(exchange.relay.Logger, events.AttemptEnded, append(exchange.fields(),
 		zap.String("Upstream", place.Upstream.ID), zap.String("Address", place.Upstream.Address), zap.Int("Load", place.Load),
-		zap.Int("Attempt", trip.attempts), zap.Bool("MayHaveRun", result.finding == uncertain), zap.Int("Status", result.status),
-		zap.String("Detail", result.detail), zap.Duration("Took", trip.relay.clock.Now().Sub(place.Begun)))...)
+		zap.Int("Attempt", exchange.attempts), zap.Bool("MayHaveRun", result.finding == uncertain), zap.Int("Status", result.status),
+		zap.String("Detail", result.detail), zap.Duration("Took", exchange.relay.clock.Now().Sub(place.Begun)))...)
 }
 
 // noteUnreadableLoad logs that an upstream's load cannot be read: it is then as if it told none, which is silent.
-func (trip *trip) noteUnreadableLoad(upstream cherrykeel.Upstream, load cherrykeel.UpstreamLoad) {
+func (exchange *exchange) noteUnreadableLoad(upstream cherrykeel.Upstream, load cherrykeel.UpstreamLoad) {
 	if load.Unreadable == "" {
 		return
 	}
-	trip.relay.loadLines.Do(func() {
-		events.Log(trip.relay.Logger, events.LoadUnreadable, append(trip.fields(),
+	exchange.relay.loadLines.Do(func() {
+		events.Log(exchange.relay.Logger, events.LoadUnreadable, append(exchange.fields(),
 			zap.String("Upstream", upstream.ID), zap.String("Told", load.Unreadable))...)
 	})
 }
 
 // noteFault lets a panic be found by the request's id; who serves the connection contains it.
-func (trip *trip) noteFault() {
+func (exchange *exchange) noteFault() {
 	failure := recover()
 	if failure == nil {
 		return
 	}
-	events.Log(trip.relay.Logger, events.RequestPanicked, append(trip.fields(), zap.Any("Failure", failure))...)
+	events.Log(exchange.relay.Logger, events.RequestPanicked, append(exchange.fields(), zap.Any("Failure", failure))...)
 	panic(failure)
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -81,14 +81,14 @@
 }
 
 // outgoing returns the request as an upstream gets it: method, target and body as they came.
-func (trip *trip) outgoing(upstream cherrykeel.Upstream, left time.Duration) *http.Request {
-	incoming := trip.request
+func (exchange *exchange) outgoing(upstream cherrykeel.Upstream, left time.Duration) *http.Request {
+	incoming := exchange.request
 	header := incoming.Header.Clone()
 	dropHopHeaders(header)
 	if _, given := header["User-Agent"]; !given {
 		header["User-Agent"] = []string{""}
 	}
-	trip.relay.dialect.Direct(header, upstream, left)
+	exchange.relay.dialect.Direct(header, upstream, left)
 	path, query, hasQuery := strings.Cut(incoming.RequestURI, "?")
 	request := &http.Request{
 		Method: incoming.Method,
@@ -96,10 +96,10 @@
 		URL:    &url.URL{Opaque: path, RawQuery: query, ForceQuery: hasQuery && query == ""},
 		Header: header,
 	}
-	if len(trip.body) > 0 || mayHaveBody(incoming.Method) {
-		request.Body = io.NopCloser(bytes.NewReader(trip.body))
-		request.ContentLength = int64(len(trip.body))
-		if len(trip.body) == 0 {
+	if len(exchange.body) > 0 || mayHaveBody(incoming.Method) {
+		request.Body = io.NopCloser(bytes.NewReader(exchange.body))
+		request.ContentLength = int64(len(exchange.body))
+		if len(exchange.body) == 0 {
 			request.Body = http.NoBody
 		}
 	}
@@ -111,15 +111,15 @@
 }
 
 // attempt sends the request to one upstream and reads its whole answer.
-func (trip *trip) attempt(ctx context.Context, place *flow.Place) result {
-	left := trip.deadline.Sub(trip.relay.clock.Now())
+func (exchange *exchange) attempt(ctx context.Context, place *flow.Place) result {
+	left := exchange.deadline.Sub(exchange.relay.clock.Now())
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	care := conns.Care{MaxIdle: usualIdle}
-	if !trip.route.Repeatable {
+	if !exchange.route.Repeatable {
 		care = conns.Care{MaxIdle: freshWithin, Watch: watchNew}
 	}
-	answer, progress, err := trip.relay.pool.SendWith(ctx, place.Upstream.Address, trip.outgoing(place.Upstream, left), care)
+	answer, progress, err := exchange.relay.pool.SendWith(ctx, place.Upstream.Address, exchange.outgoing(place.Upstream, left), care)
 	if err != nil {
 		result := broken(progress, err)
 		result.unanswered = progress.Unanswered() && ctx.Err() == nil
@@ -127,22 +127,22 @@
 		return result
 	}
 	defer answer.Close()
-	reply := trip.relay.dialect.Reply(answer.Status, answer.Header)
-	trip.noteUnreadableLoad(place.Upstream, reply.Load)
+	reply := exchange.relay.dialect.Reply(answer.Status, answer.Header)
+	exchange.noteUnreadableLoad(place.Upstream, reply.Load)
 	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes+1))
 	result := result{status: answer.Status, header: answer.Header, body: body, load: reply.Load, misdirected: reply.Misdirected}
 	result.unanswered = err != nil && ctx.Err() == nil
 	result.reset = errors.Is(err, conns.ErrReset)
 	result.own = err == nil && (reply.Instance == "" || reply.Instance == place.Upstream.ID)
 	switch {
-	case reply.ID != "" && reply.ID != trip.asked.ID:
+	case reply.ID != "" && reply.ID != exchange.asked.ID:
 		result.finding = uncertain
 		result.detail = errForeign.Error()
 		result.own = false
 	case reply.Misdirected && reply.Instance != "" && reply.Instance != place.Upstream.ID:
 		result.finding = notRun
 		result.detail = "another upstream has the address"
-		trip.relay.Ended(place.Upstream.ID)
+		exchange.relay.Ended(place.Upstream.ID)
 	case reply.NotRun:
 		result.finding = notRun
 		result.detail = "the upstream did not run it: " + http.StatusText(answer.Status)
--- a/relay/denied.go
+++ b/relay/denied.go
@@ -9,21 +9,21 @@
 )
 
 // parts are what makes this request the same one when its caller sends it again.
-func (trip *trip) parts() poison.Parts {
+func (exchange *exchange) parts() poison.Parts {
 	return poison.Parts{
-		Method: trip.request.Method, Domain: trip.request.Host, Path: trip.request.RequestURI,
-		Caller: trip.request.RemoteAddr, Body: trip.body,
+		Method: exchange.request.Method, Domain: exchange.request.Host, Path: exchange.request.RequestURI,
+		Caller: exchange.request.RemoteAddr, Body: exchange.body,
 	}
 }
 
 // denied refuses a request under which upstreams have ended. It is not sent, so it surely does not run, and would not
 // for as long as that is remembered.
-func (trip *trip) denied() *cherrykeel.Failure {
-	left, refused := trip.listed.Refused()
+func (exchange *exchange) denied() *cherrykeel.Failure {
+	left, refused := exchange.listed.Refused()
 	if !refused {
 		return nil
 	}
-	failure := trip.refuse("ends-upstreams", "upstreams have ended under this request")
+	failure := exchange.refuse("ends-upstreams", "upstreams have ended under this request")
 	if failure.Outcome == cherrykeel.NotRun {
 		failure.RetryAfter = left
 	}
@@ -31,21 +31,21 @@
 }
 
 // tellOfUpstream says what an attempt showed of the upstream's process, and of the request.
-func (trip *trip) tellOfUpstream(place *flow.Place, result result, now cherrykeel.Instant) {
+func (exchange *exchange) tellOfUpstream(place *flow.Place, result result, now cherrykeel.Instant) {
 	life := poison.LifeOf(place.Upstream)
 	switch {
 	case result.unanswered, result.abandoned:
-		trip.listed.Broke(poison.Break{
-			Request: trip.asked.ID, Service: trip.lane.name, Life: life, Address: place.Upstream.Address, At: now,
+		exchange.listed.Broke(poison.Break{
+			Request: exchange.asked.ID, Service: exchange.dispatcher.name, Life: life, Address: place.Upstream.Address, At: now,
 			Reset: result.reset, Abandoned: result.abandoned,
 		})
 	case result.refused:
-		trip.relay.Denied.Unreachable(place.Upstream.Address)
+		exchange.relay.Denied.Unreachable(place.Upstream.Address)
 	case result.own:
-		trip.relay.Denied.Answered(life, place.Begun)
+		exchange.relay.Denied.Answered(life, place.Begun)
 	}
 	if result.served() {
-		trip.listed.Served()
+		exchange.listed.Served()
 	}
 }
 
--- a/relay/denied_test.go
+++ b/relay/denied_test.go
@@ -56,12 +56,12 @@
 		ask := func(path string) {
 			request := httptest.NewRequest(http.MethodGet, "http://h"+path, strings.NewReader(""))
 			writer := httptest.NewRecorder()
-			trip := &trip{relay: relay, request: request, writer: writer, arrived: relay.clock.Now(), asked: cherrykeel.Asked{ID: path, Key: 7}}
-			failure := trip.prepare()
+			exchange := &exchange{relay: relay, request: request, writer: writer, arrived: relay.clock.Now(), asked: cherrykeel.Asked{ID: path, Key: 7}}
+			failure := exchange.prepare()
 			if failure == nil {
-				failure = trip.run()
+				failure = exchange.run()
 			}
-			trip.fail(failure)
+			exchange.fail(failure)
 			results <- writer
 		}
 		go ask("/deadly")
@@ -81,10 +81,10 @@
 	// The first send of a request may have run, and then it turns out to end upstreams. That it is refused now does not
 	// make the first send undone, and a payment would be sent again by its caller.
 	It("is told that the outcome is unknown if a send may have run", func() {
-		trip := &trip{relay: relay, request: httptest.NewRequest(http.MethodGet, "http://h/deadly", nil), mayHaveRun: true, deadline: relay.clock.Now().Add(time.Minute)}
-		trip.listed = denied.Request(trip.parts())
-		condemn(trip.listed.Identity())
-		_, failure := trip.admit(context.Background())
+		exchange := &exchange{relay: relay, request: httptest.NewRequest(http.MethodGet, "http://h/deadly", nil), mayHaveRun: true, deadline: relay.clock.Now().Add(time.Minute)}
+		exchange.listed = denied.Request(exchange.parts())
+		condemn(exchange.listed.Identity())
+		_, failure := exchange.admit(context.Background())
 		Expect(failure.Outcome).To(Equal(cherrykeel.OutcomeUnknown))
 		Expect(failure.Status).To(Equal(http.StatusBadGateway))
 	})
--- a/relay/load_test.go
+++ b/relay/load_test.go
@@ -20,11 +20,11 @@
 		core, lines := observer.New(zapcore.DebugLevel)
 		relay := New(Settings{Clock: cherrykeel.SystemClock(), Dialect: silentDialect{}, Logger: zap.New(core), Scope: tally.NoopScope})
 		request := httptest.NewRequest(http.MethodGet, "http://h/", nil)
-		trip := &trip{relay: relay, request: request}
-		trip.noteUnreadableLoad(cherrykeel.Upstream{ID: "u"}, cherrykeel.UpstreamLoad{Known: true})
+		exchange := &exchange{relay: relay, request: request}
+		exchange.noteUnreadableLoad(cherrykeel.Upstream{ID: "u"}, cherrykeel.UpstreamLoad{Known: true})
 		Expect(lines.Len()).To(BeZero())
 		for range 3 {
-			trip.noteUnreadableLoad(cherrykeel.Upstream{ID: "u"}, cherrykeel.UpstreamLoad{Unreadable: "1,2,3,4,5"})
+			exchange.noteUnreadableLoad(cherrykeel.Upstream{ID: "u"}, cherrykeel.UpstreamLoad{Unreadable: "1,2,3,4,5"})
 		}
 		Expect(lines.Len()).To(Equal(1))
 		Expect(lines.All()[0].ContextMap()).To(HaveKeyWithValue("Told", "1,2,3,4,5"))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -53,7 +53,7 @@
 
 	mutex     sync.Mutex
 	matcher   *matcher
-	lanes     map[string]*lane
+	dispatchers     map[string]*dispatcher
 	upstreams []cherrykeel.Upstream
 	// endsAt is when the host's process ends, or 0.
 	endsAt atomic.Int64
@@ -79,7 +79,7 @@
 		clock:    settings.Clock,
 		pool:     settings.Pool,
 		meter:    newMeter(settings.Scope),
-		lanes:    map[string]*lane{},
+		dispatchers:    map[string]*dispatcher{},
 		queued:   make(chan struct{}, 1),
 
 		loadLines: &rate.Sometimes{First: 1, Interval: loadLineEvery},
@@ -105,11 +105,11 @@
 	relay.mutex.Lock()
 	defer relay.mutex.Unlock()
 	for name, service := range routes.Services {
-		old, known := relay.lanes[name]
+		old, known := relay.dispatchers[name]
 		if known && old.keyed == service.Keyed {
 			continue
 		}
-		relay.lanes[name] = newLane(name, service.Keyed, relay.Zone, relay.Owner, relay.Bounds, relay.noteQueued)
+		relay.dispatchers[name] = newDispatcher(name, service.Keyed, relay.Zone, relay.Owner, relay.Bounds, relay.noteQueued)
 	}
 	relay.matcher = matcher
 	relay.share()
@@ -152,19 +152,19 @@
 	return over
 }
 
-// share gives each lane its upstreams; Relay.mutex is held.
+// share gives each dispatcher its upstreams; Relay.mutex is held.
 func (relay *Relay) share() {
 	now := relay.clock.Now()
-	for name, lane := range relay.lanes {
+	for name, dispatcher := range relay.dispatchers {
 		var fit []cherrykeel.Upstream
 		for _, upstream := range relay.upstreams {
 			if upstream.Service == name && !upstream.Leaving {
 				fit = append(fit, upstream)
 			}
 		}
-		lane.mutex.Lock()
-		lane.service.SetUpstreams(fit, now)
-		lane.mutex.Unlock()
+		dispatcher.mutex.Lock()
+		dispatcher.service.SetUpstreams(fit, now)
+		dispatcher.mutex.Unlock()
 	}
 }
 
@@ -185,29 +185,29 @@
 // SetOthers takes the sums over the other hosts.
 func (relay *Relay) SetOthers(others Others) {
 	now := relay.clock.Now()
-	for _, lane := range relay.all() {
-		lane.mutex.Lock()
-		lane.service.SetOthers(others.Running, others.Waiting, others.Queued[lane.name], now)
-		lane.mutex.Unlock()
+	for _, dispatcher := range relay.all() {
+		dispatcher.mutex.Lock()
+		dispatcher.service.SetOthers(others.Running, others.Waiting, others.Queued[dispatcher.name], now)
+		dispatcher.mutex.Unlock()
 	}
 }
 
 // Own returns this host's requests at upstreams and waiting.
 func (relay *Relay) Own() Others {
 	own := NewOthers()
-	for _, lane := range relay.all() {
-		lane.mutex.Lock()
-		for id, count := range lane.service.Running() {
+	for _, dispatcher := range relay.all() {
+		dispatcher.mutex.Lock()
+		for id, count := range dispatcher.service.Running() {
 			own.Running[id] = count
 		}
-		waiting, queued := lane.service.Waiting()
-		own.Busy = own.Busy || queued > 0 || lane.service.Full()
-		lane.mutex.Unlock()
+		waiting, queued := dispatcher.service.Waiting()
+		own.Busy = own.Busy || queued > 0 || dispatcher.service.Full()
+		dispatcher.mutex.Unlock()
 		for id, count := range waiting {
 			own.Waiting[id] = count
 		}
 		if queued > 0 {
-			own.Queued[lane.name] = queued
+			own.Queued[dispatcher.name] = queued
 		}
 	}
 	return own
@@ -216,8 +216,8 @@
 // Services returns the names of the services that routes lead to.
 func (relay *Relay) Services() []string {
 	var names []string
-	for _, lane := range relay.all() {
-		names = append(names, lane.name)
+	for _, dispatcher := range relay.all() {
+		names = append(names, dispatcher.name)
 	}
 	return names
 }
@@ -226,37 +226,37 @@
 func (relay *Relay) Dispatch() bool {
 	now := relay.clock.Now()
 	queued := false
-	for _, lane := range relay.all() {
-		queued = lane.dispatch(now) || queued
+	for _, dispatcher := range relay.all() {
+		queued = dispatcher.dispatch(now) || queued
 	}
 	return queued
 }
 
 // WorkTimes returns the mean time that a request of a service takes at each upstream that has answered.
 func (relay *Relay) WorkTimes(service string) map[string]time.Duration {
-	lane := relay.lane(service)
-	if lane == nil {
+	dispatcher := relay.dispatcher(service)
+	if dispatcher == nil {
 		return nil
 	}
-	lane.mutex.Lock()
-	defer lane.mutex.Unlock()
-	return lane.service.WorkTimes()
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	return dispatcher.service.WorkTimes()
 }
 
-func (relay *Relay) all() []*lane {
+func (relay *Relay) all() []*dispatcher {
 	relay.mutex.Lock()
 	defer relay.mutex.Unlock()
-	all := make([]*lane, 0, len(relay.lanes))
-	for _, lane := range relay.lanes {
-		all = append(all, lane)
+	all := make([]*dispatcher, 0, len(relay.dispatchers))
+	for _, dispatcher := range relay.dispatchers {
+		all = append(all, dispatcher)
 	}
 	return all
 }
 
-func (relay *Relay) lane(service string) *lane {
+func (relay *Relay) dispatcher(service string) *dispatcher {
 	relay.mutex.Lock()
 	defer relay.mutex.Unlock()
-	return relay.lanes[service]
+	return relay.dispatchers[service]
 }
 
 func (relay *Relay) match(request *http.Request) (*dealt, int64, bool) {
--- a/share/sight.go
+++ b/share/liveness.go
@@ -32,25 +32,25 @@
 	delete(spoken.at, name)
 }
 
-// sight shows the plan what this host knows of the others; Mesh.mutex is held.
-type sight struct {
+// liveness shows the plan what this host knows of the others; Mesh.mutex is held.
+type liveness struct {
 	mesh *Mesh
 	now  cherrykeel.Instant
 }
 
 // Silent implements topo.View. A host that has not been heard stays silent until it is: it would else
 // be chosen again each second.
-func (sight *sight) Silent(name string) bool {
-	spoken := &sight.mesh.spoken
+func (liveness *liveness) Silent(name string) bool {
+	spoken := &liveness.mesh.spoken
 	since, expected := spoken.expected[name]
-	return expected && sight.now.Sub(since) > staleAfter && sight.now.Sub(spoken.at[name]) > staleAfter
+	return expected && liveness.now.Sub(since) > staleAfter && liveness.now.Sub(spoken.at[name]) > staleAfter
 }
 
 // Storeless implements topo.View.
-func (sight *sight) Storeless(name string) bool {
-	if name == sight.mesh.self.Name {
-		return sight.mesh.storeless
+func (liveness *liveness) Storeless(name string) bool {
+	if name == liveness.mesh.self.Name {
+		return liveness.mesh.storeless
 	}
-	heard, known := sight.mesh.heard[name]
+	heard, known := liveness.mesh.heard[name]
 	return known && !heard.Report.StoreWell
 }
--- a/share/mesh.go
+++ b/share/mesh.go
@@ -152,7 +152,7 @@
 func (mesh *Mesh) replan() {
 	now := mesh.clock.Now()
 	before := mesh.plan
-	mesh.plan = mesh.fleet.Plan(&sight{mesh: mesh, now: now})
+	mesh.plan = mesh.fleet.Plan(&liveness{mesh: mesh, now: now})
 	if !mesh.watches(before) && mesh.watches(mesh.plan) {
 		mesh.watchingSince = now
 	}
