A host that starts knows what cold upstreams bear before it sends them anything

Cause: the operator's topic gave a host its evacuated zones first and its routes after them. The upstreams were passed on in between, without the services' slow start, and not again: whoever had read the upstreams before the settings bounded no cold upstream until the next change. Change: routes are taken first, and each new version passes the upstreams on again. Besides, names: the host's followers of the store's topics stand in one struct, the upstreams in force in another. Ruled out: taking the zones first and passing on nothing without routes, which leaves the upstreams out if only the zones change.

--- a/entry/announce.go
+++ b/entry/announce.go
@@ -36,7 +36,7 @@
 				wait = min(2*wait, longestAnnouncePause)
 			} else {
 				wait = announcePause
-				host.hostsTopic.Told([]cherrykeel.KeyedRecord{{Key: host.self.Name, Value: value, Offset: offset}})
+				host.topics.hosts.Told([]cherrykeel.KeyedRecord{{Key: host.self.Name, Value: value, Offset: offset}})
 				host.mesh.Tell(topicHosts, []cherrykeel.KeyedRecord{{Key: host.self.Name, Value: value, Offset: offset}}, share.NoChange)
 			}
 		}
--- a/entry/cold.go
+++ b/entry/cold.go
@@ -31,7 +31,7 @@
 
 // knownHosts names the hosts that share what cold upstreams bear; none while this host does not know them.
 func (host *Host) knownHosts() []string {
-	if !host.hostsTopic.Known() {
+	if !host.topics.hosts.Known() {
 		return nil
 	}
 	host.mutex.Lock()
@@ -47,7 +47,7 @@
 func (host *Host) coldUpstreams() int {
 	now := host.clock.Now()
 	count := 0
-	for _, upstream := range host.usableUpstreams() {
+	for _, upstream := range host.usable.current() {
 		if upstream.ColdBounded && now < upstream.ColdUntil {
 			count++
 		}
--- a/entry/denied.go
+++ b/entry/denied.go
@@ -101,7 +101,7 @@
 // knowsDenied reports whether this host has read which requests end upstreams. It does not wait for that for ever:
 // one partition of the store may be away while the others are not, and nobody would be served.
 func (host *Host) knowsDenied() bool {
-	return host.hostsTopic.Known() || host.clock.Now().Sub(host.started) > deniedPatience
+	return host.topics.hosts.Known() || host.clock.Now().Sub(host.started) > deniedPatience
 }
 
 // forgetDenied drops what is too old, at one host from the store too, and shows how much is left.
@@ -150,11 +150,11 @@
 		return false
 	}
 	written := []cherrykeel.KeyedRecord{{Key: key, Value: value, Offset: offset}}
-	unread := host.hostsTopic.Next() < offset
-	host.hostsTopic.Told(written)
+	unread := host.topics.hosts.Next() < offset
+	host.topics.hosts.Told(written)
 	if unread {
 		// Another host may have written of the same request at the same moment.
-		host.hostsTopic.Nudge()
+		host.topics.hosts.Nudge()
 	}
 	host.mesh.Tell(topicHosts, written, share.NoChange)
 	return true
--- a/entry/duty.go
+++ b/entry/duty.go
@@ -51,12 +51,12 @@
 
 func (host *Host) settingsSchedule() watch.Schedule {
 	bound := host.currentBounds().InForce
-	return host.schedule(host.operatorTopic, topicSettings, bound, watch.Schedule{Wait: part(bound, settingsWait)})
+	return host.schedule(host.topics.operator, topicSettings, bound, watch.Schedule{Wait: part(bound, settingsWait)})
 }
 
 func (host *Host) upstreamsSchedule() watch.Schedule {
 	bound := host.currentBounds().Drain
-	return host.schedule(host.upstreamsTopic, topicUpstreams, bound, watch.Schedule{Pace: part(bound, upstreamsPace)})
+	return host.schedule(host.topics.upstreams, topicUpstreams, bound, watch.Schedule{Pace: part(bound, upstreamsPace)})
 }
 
 // schedule returns the first host's schedule to that one, and lets the others read when what they know is
@@ -105,7 +105,7 @@
 // dropSilent takes away the records of hosts that have been silent for long; one host does so for all.
 // More than half of the hosts may be lost for good, and without this no keeper would be confirmed again.
 func (host *Host) dropSilent(ctx context.Context, uptime time.Duration) {
-	if host.rank() > 0 || host.upstreamsTopic.WellFor() < goneAfter/2 || host.stopping.Load() {
+	if host.rank() > 0 || host.topics.upstreams.WellFor() < goneAfter/2 || host.stopping.Load() {
 		return
 	}
 	patience := goneAfter
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -73,8 +73,8 @@
 			ages[name] = age.Round(time.Millisecond)
 		}
 	}
-	note(topicSettings, host.operatorTopic, bounds.InForce)
-	note(topicUpstreams, host.upstreamsTopic, bounds.Drain)
+	note(topicSettings, host.topics.operator, bounds.InForce)
+	note(topicUpstreams, host.topics.upstreams, bounds.Drain)
 	return ages
 }
 
@@ -83,7 +83,7 @@
 func (host *Host) chainUpstreams(told share.Told) {
 	host.mutex.Lock()
 	defer host.mutex.Unlock()
-	if told.Before > max(host.upstreamsChained, host.upstreamsTopic.Next()-1) {
+	if told.Before > max(host.upstreamsChained, host.topics.upstreams.Next()-1) {
 		return
 	}
 	for _, record := range told.Records {
@@ -100,21 +100,21 @@
 	chained := host.upstreamsChained
 	host.mutex.Unlock()
 	return map[string]int64{
-		topicSettings:  host.operatorTopic.Next() - 1,
-		topicUpstreams: max(chained, host.upstreamsTopic.Next()-1),
-		topicHosts:     host.hostsTopic.Next() - 1,
-		topicSpans:     host.spansTopic.Next() - 1,
+		topicSettings:  host.topics.operator.Next() - 1,
+		topicUpstreams: max(chained, host.topics.upstreams.Next()-1),
+		topicHosts:     host.topics.hosts.Next() - 1,
+		topicSpans:     host.topics.spans.Next() - 1,
 	}
 }
 
 // storeWell is how long the store has served this host; 0 while any topic cannot be read.
 func (host *Host) storeWell() time.Duration {
-	for _, topic := range []*watch.Follower{host.operatorTopic, host.hostsTopic, host.spansTopic} {
+	for _, topic := range []*watch.Follower{host.topics.operator, host.topics.hosts, host.topics.spans} {
 		if topic.Lost() {
 			return 0
 		}
 	}
-	return host.upstreamsTopic.WellFor()
+	return host.topics.upstreams.WellFor()
 }
 
 // heardPace is how often reports are looked through at the most. Watchers and the keeper get two a second from each
@@ -144,7 +144,7 @@
 func (host *Host) misdirected() {
 	version := host.spans.Version()
 	if host.overdue(misdirectedTable, version, version+1, host.clock.Now()) {
-		host.spansTopic.Nudge()
+		host.topics.spans.Nudge()
 	}
 }
 
@@ -162,13 +162,13 @@
 func (host *Host) nudge(topic string) {
 	switch topic {
 	case topicSettings:
-		host.operatorTopic.Nudge()
+		host.topics.operator.Nudge()
 	case topicUpstreams:
-		host.upstreamsTopic.Nudge()
+		host.topics.upstreams.Nudge()
 	case topicHosts:
-		host.hostsTopic.Nudge()
+		host.topics.hosts.Nudge()
 	case topicSpans:
-		host.spansTopic.Nudge()
+		host.topics.spans.Nudge()
 	}
 }
 
@@ -176,12 +176,12 @@
 func (host *Host) told(told share.Told) {
 	switch told.Topic {
 	case topicSettings:
-		host.operatorTopic.Told(told.Records)
+		host.topics.operator.Told(told.Records)
 	case topicUpstreams:
-		host.upstreamsTopic.Told(told.Records)
+		host.topics.upstreams.Told(told.Records)
 		host.chainUpstreams(told)
 	case topicHosts:
-		host.hostsTopic.Told(told.Records)
+		host.topics.hosts.Told(told.Records)
 	case topicSpans:
 		host.toldSpans(told)
 	case topicDenied:
@@ -207,7 +207,7 @@
 		if !host.spans.Patch(change, follows) {
 			continue
 		}
-		host.spansTopic.Told([]cherrykeel.KeyedRecord{{Key: record.Key, Offset: record.Offset}})
+		host.topics.spans.Told([]cherrykeel.KeyedRecord{{Key: record.Key, Offset: record.Offset}})
 	}
 }
 
--- a/entry/host.go
+++ b/entry/host.go
@@ -76,16 +76,11 @@
 	routes    *watch.Routes
 	zones     *watch.Zones
 	upstreams *watch.Upstreams
-	// usable has the upstreams as they were last passed on.
-	usable      atomic.Pointer[[]cherrykeel.Upstream]
-	usableMutex sync.Mutex
-	peers       *watch.Peers
-	spans       *watch.Spans
+	usable    usable
+	peers     *watch.Peers
+	spans     *watch.Spans
 
-	operatorTopic  *watch.Follower
-	upstreamsTopic *watch.Follower
-	hostsTopic     *watch.Follower
-	spansTopic     *watch.Follower
+	topics topics
 
 	listener *drain.Listener
 	// accepted is closed when no further connection will be.
@@ -107,6 +102,18 @@
 	behind map[string]*behind
 }
 
+// topics are those of the platform's store that a host follows.
+type topics struct {
+	operator  *watch.Follower
+	upstreams *watch.Follower
+	hosts     *watch.Follower
+	spans     *watch.Follower
+}
+
+func (topics *topics) all() []*watch.Follower {
+	return []*watch.Follower{topics.operator, topics.upstreams, topics.hosts, topics.spans}
+}
+
 // Option changes a Host under construction.
 type Option func(*Host)
 
@@ -190,17 +197,17 @@
 	})
 	host.server = caller.New(host.relay, caller.WithLimits(host.limits), caller.WithLogger(host.logger),
 		caller.WithMemory(int64(bodyShare*float64(host.settings.MemoryBytes))))
-	host.routes = watch.NewRoutes(host.platform.RoutesKey, host.platform.DecodeRoutes, host.logger, host.relay.SetRoutes, host.tellOne(topicSettings))
+	host.routes = watch.NewRoutes(host.platform.RoutesKey, host.platform.DecodeRoutes, host.logger, host.takeRoutes, host.tellOne(topicSettings))
 	host.zones = watch.NewZones(host.platform.EvacuationPrefix, host.clock, host.logger, host.putUpstreamsInForce, host.tellOne(topicSettings))
 	host.upstreams = watch.NewUpstreams(host.platform.DecodeUpstream, host.clock, host.logger,
 		host.putUpstreamsInForce, host.tellUpstreams)
 	host.peers = watch.NewPeers(host.clock, host.logger, host.takePeers, host.tellOne(topicHosts))
-	host.operatorTopic = host.follow(topicSettings, host.platform.Operator, host.applyOperator, host.settingsSchedule)
-	host.upstreamsTopic = host.follow(topicUpstreams, host.platform.Upstreams, host.upstreams.Apply, host.upstreamsSchedule)
-	host.hostsTopic = host.follow(topicHosts, host.platform.Hosts, host.applyHosts, host.tableSchedule)
-	host.spansTopic = host.follow(topicSpans, host.platform.Spans, host.spans.Apply, host.tableSchedule)
+	host.topics.operator = host.follow(topicSettings, host.platform.Operator, host.applyOperator, host.settingsSchedule)
+	host.topics.upstreams = host.follow(topicUpstreams, host.platform.Upstreams, host.upstreams.Apply, host.upstreamsSchedule)
+	host.topics.hosts = host.follow(topicHosts, host.platform.Hosts, host.applyHosts, host.tableSchedule)
+	host.topics.spans = host.follow(topicSpans, host.platform.Spans, host.spans.Apply, host.tableSchedule)
 	host.spans.SetLongestHold(func() time.Duration { return host.currentBounds().MaxHold })
-	host.upstreams.SetHealth(host.upstreamsTopic.WellFor)
+	host.upstreams.SetHealth(host.topics.upstreams.WellFor)
 	host.keeper = grants.New(host.self, host.clock, host.logger, host.platform.Spans, watch.SpansKey, &ownTable{host: host},
 		&world{host: host}, host.mesh, host.platform.Granter, host.currentBounds, grants.WithMetrics(host.scope))
 }
@@ -262,7 +269,7 @@
 		zap.String("Callers", host.settings.Callers), zap.String("Inner", host.self.Inner), zap.Any("Bounds", host.settings.Bounds))
 	running, halt := context.WithCancel(context.Background())
 	defer halt()
-	for _, topic := range []*watch.Follower{host.operatorTopic, host.upstreamsTopic, host.hostsTopic, host.spansTopic} {
+	for _, topic := range host.topics.all() {
 		go topic.Run(running)
 	}
 	go host.mesh.Run(running)
--- a/entry/tend.go
+++ b/entry/tend.go
@@ -76,7 +76,7 @@
 // noteReady makes the host ready once it knows routes, evacuated zones, upstreams and the requests to refuse, and reports whether it is.
 func (host *Host) noteReady() bool {
 	_, known := host.routes.Current()
-	if !known || !host.zones.Known() || !host.upstreamsTopic.Known() || !host.knowsDenied() {
+	if !known || !host.zones.Known() || !host.topics.upstreams.Known() || !host.knowsDenied() {
 		return false
 	}
 	host.ready.Store(true)
@@ -90,7 +90,7 @@
 	evacuated := host.zones.Evacuated()
 	running := host.relay.Own().Running
 	closed, atWork := 0, 0
-	for _, upstream := range host.usableUpstreams() {
+	for _, upstream := range host.usable.current() {
 		if upstream.ClosedAt != 0 {
 			closed++
 			atWork += running[upstream.ID]
@@ -105,7 +105,7 @@
 // countUnreadable shows how many records of other writers each topic has had.
 func (host *Host) countUnreadable() {
 	for name, topic := range map[string]*watch.Follower{
-		topicSettings: host.operatorTopic, topicUpstreams: host.upstreamsTopic, topicHosts: host.hostsTopic, topicSpans: host.spansTopic,
+		topicSettings: host.topics.operator, topicUpstreams: host.topics.upstreams, topicHosts: host.topics.hosts, topicSpans: host.topics.spans,
 	} {
 		count := topic.Unreadable()
 		if name == topicUpstreams {
--- a/entry/usable.go
+++ b/entry/usable.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"cherrykeel"
@@ -16,11 +18,28 @@
 	longAgo = time.Hour
 )
 
+// usable has the upstreams as they were last passed on.
+type usable struct {
+	// mutex makes those who pass them on follow each other.
+	mutex sync.Mutex
+	list  atomic.Pointer[[]cherrykeel.Upstream]
+}
+
+// current returns the upstreams that were last passed on; the list is not to be changed.
+func (usable *usable) current() []cherrykeel.Upstream {
+	list := usable.list.Load()
+	if list == nil {
+		return nil
+	}
+	return *list
+}
+
 // putUpstreamsInForce passes on the upstreams that are not gone, with what the operator's orders mean for them. A host
-// that does not know the orders yet passes on none: it would send requests into a zone that is evacuated. Calls follow each other, so that the last one knows all changes.
+// that does not know the orders yet passes on none: it would send requests into a zone that is evacuated. Calls follow
+// each other, so that the last one knows all changes.
 func (host *Host) putUpstreamsInForce() {
-	host.usableMutex.Lock()
-	defer host.usableMutex.Unlock()
+	host.usable.mutex.Lock()
+	defer host.usable.mutex.Unlock()
 	if !host.zones.Known() {
 		return
 	}
@@ -33,19 +52,10 @@
 	}
 	names := newShortNames(usable)
 	host.names.Store(&names)
-	host.usable.Store(&usable)
+	host.usable.list.Store(&usable)
 	host.relay.SetUpstreams(usable)
 }
 
-// usableUpstreams returns what was last passed on.
-func (host *Host) usableUpstreams() []cherrykeel.Upstream {
-	usable := host.usable.Load()
-	if usable == nil {
-		return nil
-	}
-	return *usable
-}
-
 // closedAt is when the upstream gets nothing more, or 0. Any other upstream can take the requests of a service without
 // keys at once; those for a key need its next owner.
 func (host *Host) closedAt(upstream cherrykeel.Upstream) cherrykeel.Instant {
@@ -66,6 +76,12 @@
 
 // applyOperator takes what the operator's topic brought.
 func (host *Host) applyOperator(update watch.Update) {
-	host.zones.Apply(update)
 	host.routes.Apply(update)
+	host.zones.Apply(update)
+}
+
+// takeRoutes puts routes in force; they say which services have keys, and what a cold upstream bears.
+func (host *Host) takeRoutes(routes cherrykeel.RouteSet) {
+	host.relay.SetRoutes(routes)
+	host.putUpstreamsInForce()
 }
--- a/entry/world.go
+++ b/entry/world.go
@@ -31,7 +31,7 @@
 
 // Upstreams implements grants.World.
 func (world *world) Upstreams() []cherrykeel.Upstream {
-	return world.host.usableUpstreams()
+	return world.host.usable.current()
 }
 
 // Replaced implements grants.World.
@@ -46,12 +46,12 @@
 
 // Reread implements grants.World.
 func (world *world) Reread() {
-	world.host.spansTopic.Nudge()
+	world.host.topics.spans.Nudge()
 }
 
 // StoreWell implements grants.World.
 func (world *world) StoreWell() time.Duration {
-	if !world.host.spansTopic.Known() {
+	if !world.host.topics.spans.Known() {
 		return 0
 	}
 	return world.host.storeWell()
@@ -87,7 +87,7 @@
 func (table *ownTable) Wrote(value []byte, offset int64) {
 	record := cherrykeel.KeyedRecord{Key: watch.SpansKey, Value: value, Offset: offset}
 	before, _, _ := table.host.spans.Current()
-	table.host.spansTopic.Told([]cherrykeel.KeyedRecord{record})
+	table.host.topics.spans.Told([]cherrykeel.KeyedRecord{record})
 	after, _, _ := table.host.spans.Current()
 	if after.Version == offset {
 		table.host.tellSpans(after.Change(before), before.Version)
