--- a/entry/tend.go
+++ b/entry/tend.go
@@ -73,7 +73,8 @@
 	}
 }
 
-// noteReady makes the host ready once it knows routes, evacuated zones, upstreams and the requests to refuse, and reports whether it is.
+// noteReady makes the host ready once it knows routes, evacuated zones, upstreams and the requests to refuse, and reports
+// whether it is.
 func (host *Host) noteReady() bool {
 	_, known := host.routes.Current()
 	if !known || !host.zones.Known() || !host.topics.upstreams.Known() || !host.knowsDenied() {
--- a/entry/usable.go
+++ b/entry/usable.go
@@ -11,8 +11,8 @@
 
 const (
 	// handoverShare is the part of the bound on evacuations in which keys are still served by their owners in an
-	// evacuated availability zone, until the keeper has given them on. Half of the bound is for all that is sent, and a
-	// host may learn of the order a fifth of it late.
+	// evacuated availability zone, until the keeper has given them on. Hosts learn of the order within another part of
+	// the bound, and half of it is left for one that learns late.
 	handoverShare = 0.3
 	// longAgo is before any order that a host which has just started could find.
 	longAgo = time.Hour
@@ -44,16 +44,16 @@
 		return
 	}
 	listed := host.upstreams.Current()
-	usable := make([]cherrykeel.Upstream, len(listed))
+	list := make([]cherrykeel.Upstream, len(listed))
 	for i, upstream := range listed {
 		upstream.ClosedAt = host.closedAt(upstream)
 		host.noteCold(&upstream)
-		usable[i] = upstream
+		list[i] = upstream
 	}
-	names := newShortNames(usable)
+	names := newShortNames(list)
 	host.names.Store(&names)
-	host.usable.list.Store(&usable)
-	host.relay.SetUpstreams(usable)
+	host.usable.list.Store(&list)
+	host.relay.SetUpstreams(list)
 }
 
 // closedAt is when the upstream gets nothing more, or 0. Any other upstream can take the requests of a service without
--- a/flow/owned.go
+++ b/flow/owned.go
@@ -98,6 +98,7 @@
 	if !known || owner.Moving || !member.reachable(now) || !owned.hasTurn(member, now) {
 		return nil
 	}
+	// What the owner would answer after the deadline is work lost there, while others wait for it.
 	if ticket.outlasts(member.expected(owned.service.usual(), now), now) {
 		return nil
 	}
@@ -115,8 +116,10 @@
 // host has a share of the owner's room, by what it has running and waiting. Without shares whoever gets an
 // answer sends the next request at once, so that a host without a running one waits until its requests are
 // given up, and several hosts that see the same free slot all send. In the played load of 150 requests a second
-// for 158 that an owner can do, 96% are answered within their target in place of 92%. A cold owner gets no more than its slots take: work of its keys is
-// long, so that this bounds what it gets a second, and any host may have the next request for a key.
+// for 158 that an owner can do, 96% are answered within their target in place of 92%.
+//
+// A cold owner gets no more than its slots take: any host may have the next request for a key, so that none has a part of
+// what it bears, and the work of keys is long enough for its slots to bound that.
 func (owned *owned) hasTurn(member *member, now cherrykeel.Instant) bool {
 	if member.coldBounded(now) && member.load() >= member.upstream.Slots {
 		return false
