--- a/relay/again_test.go
+++ b/relay/again_test.go
@@ -32,12 +32,12 @@
 				Clock: stillClock{}, Hosts: func() int { return 8 }, Stale: func() {},
 				Owner: func(string, int) flow.Owner { return owner },
 			}),
-			route:    &dealt{Route: cherrykeel.Route{Repeatable: true, MaxAttempts: 2}},
-			dispatcher:     &dispatcher{name: "s", keyed: true, budget: newBudget(bounds)},
-			asked:    cherrykeel.Asked{Key: 7},
-			inputs:   flow.Inputs{Owner: "a", Fence: 3, Work: 200 * time.Millisecond},
-			deadline: cherrykeel.Instant(time.Hour + 4*time.Second),
-			attempts: 1,
+			route:      &dealt{Route: cherrykeel.Route{Repeatable: true, MaxAttempts: 2}},
+			dispatcher: &dispatcher{name: "s", keyed: true, budget: newBudget(bounds)},
+			asked:      cherrykeel.Asked{Key: 7},
+			inputs:     flow.Inputs{Owner: "a", Fence: 3, Work: 200 * time.Millisecond},
+			deadline:   cherrykeel.Instant(time.Hour + 4*time.Second),
+			attempts:   1,
 		}
 	})
 
@@ -93,9 +93,9 @@
 	It("is passed on in place of a failure of the router's own", func() {
 		writer := httptest.NewRecorder()
 		one := &exchange{
-			relay:  New(Settings{Clock: stillClock{}, Scope: tally.NoopScope, Logger: zap.NewNop()}),
-			dispatcher:   &dispatcher{name: "s"},
-			writer: writer,
+			relay:      New(Settings{Clock: stillClock{}, Scope: tally.NoopScope, Logger: zap.NewNop()}),
+			dispatcher: &dispatcher{name: "s"},
+			writer:     writer,
 			kept: &keptAnswer{
 				place:  &flow.Place{Upstream: cherrykeel.Upstream{ID: "a"}},
 				result: result{finding: answered, status: http.StatusInternalServerError, header: http.Header{"X": {"1"}}, body: []byte("broken")},
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -24,16 +24,16 @@
 
 // exchange is one request on its way.
 type exchange struct {
-	relay    *Relay
-	request  *http.Request
-	writer   http.ResponseWriter
-	body     []byte
-	asked    cherrykeel.Asked
-	route    *dealt
-	version  int64
-	dispatcher     *dispatcher
-	arrived  cherrykeel.Instant
-	deadline cherrykeel.Instant
+	relay      *Relay
+	request    *http.Request
+	writer     http.ResponseWriter
+	body       []byte
+	asked      cherrykeel.Asked
+	route      *dealt
+	version    int64
+	dispatcher *dispatcher
+	arrived    cherrykeel.Instant
+	deadline   cherrykeel.Instant
 	// attempts counts sends that may have reached an upstream, misdirected those refused for the key.
 	attempts    int
 	misdirected int
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -51,10 +51,10 @@
 	pool    *conns.Pool
 	meter   *meter
 
-	mutex     sync.Mutex
-	matcher   *matcher
-	dispatchers     map[string]*dispatcher
-	upstreams []cherrykeel.Upstream
+	mutex       sync.Mutex
+	matcher     *matcher
+	dispatchers map[string]*dispatcher
+	upstreams   []cherrykeel.Upstream
 	// endsAt is when the host's process ends, or 0.
 	endsAt atomic.Int64
 	queued chan struct{}
@@ -74,13 +74,13 @@
 		settings.Denied = deny.New(deny.Settings{Clock: settings.Clock, Logger: settings.Logger})
 	}
 	return &Relay{
-		Settings: settings,
-		dialect:  settings.Dialect,
-		clock:    settings.Clock,
-		pool:     settings.Pool,
-		meter:    newMeter(settings.Scope),
-		dispatchers:    map[string]*dispatcher{},
-		queued:   make(chan struct{}, 1),
+		Settings:    settings,
+		dialect:     settings.Dialect,
+		clock:       settings.Clock,
+		pool:        settings.Pool,
+		meter:       newMeter(settings.Scope),
+		dispatchers: map[string]*dispatcher{},
+		queued:      make(chan struct{}, 1),
 
 		loadLines: &rate.Sometimes{First: 1, Interval: loadLineEvery},
 	}
