--- a/caller/conn.go
+++ b/caller/conn.go
@@ -52,13 +52,18 @@
 	busy bool
 	// idleSince is when the last answer was written.
 	idleSince time.Time
-	// closing says that no further request will be taken.
+	// closing says that no further request will be taken; closed is when that was decided.
 	closing bool
+	closed  time.Time
 	written *sync.Cond
+	// opened is when the connection was accepted, answered how many answers were written to it.
+	opened   time.Time
+	answered int
 }
 
 func newConn(server *Server, socket net.Conn) *conn {
-	conn := &conn{server: server, socket: socket, answers: make(chan *answer, pipelineDepth), idleSince: time.Now()}
+	now := time.Now()
+	conn := &conn{server: server, socket: socket, answers: make(chan *answer, pipelineDepth), idleSince: now, opened: now}
 	conn.written = sync.NewCond(&conn.mutex)
 	conn.ctx, conn.cancel = context.WithCancel(context.Background())
 	conn.pump = newPump(socket, conn.gone)
@@ -101,7 +106,11 @@
 
 // readOne reads a request and hands it to the handler; it reports whether another may follow.
 func (conn *conn) readOne() bool {
-	if !conn.await() || !conn.begin() {
+	if !conn.await() {
+		return false
+	}
+	if !conn.begin() {
+		conn.noteCrossed()
 		return false
 	}
 	limits := conn.server.limits()
@@ -219,6 +228,25 @@
 	return true
 }
 
+// close takes no further request from now on; conn.mutex is held.
+func (conn *conn) close() {
+	if !conn.closing {
+		conn.closed = time.Now()
+	}
+	conn.closing = true
+}
+
+// noteCrossed logs that a request came too late to be taken: its caller has to send it again.
+func (conn *conn) noteCrossed() {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	now := time.Now()
+	events.Log(conn.server.logger, events.RequestCrossed,
+		zap.String("Caller", conn.socket.RemoteAddr().String()),
+		zap.Duration("Opened", now.Sub(conn.opened)), zap.Duration("Closed", now.Sub(conn.closed)),
+		zap.Int("Answered", conn.answered), zap.Int("Open", conn.open))
+}
+
 // alongside reports whether the request may run beside others of its connection.
 func alongside(request *http.Request) bool {
 	return request.Method == http.MethodGet || request.Method == http.MethodHead
--- a/caller/write.go
+++ b/caller/write.go
@@ -23,6 +23,7 @@
 	_, err := conn.socket.Write(answer.encode())
 	conn.mutex.Lock()
 	conn.open--
+	conn.answered++
 	conn.idleSince = time.Now()
 	conn.written.Broadcast()
 	conn.mutex.Unlock()
@@ -38,7 +39,7 @@
 		answer.last = true
 	}
 	if answer.last {
-		conn.closing = true
+		conn.close()
 	}
 }
 
@@ -46,7 +47,7 @@
 func (conn *conn) stop() {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	conn.closing = true
+	conn.close()
 	conn.written.Broadcast()
 }
 
@@ -55,7 +56,7 @@
 	conn.mutex.Lock()
 	idle := conn.open == 0 && !conn.busy && !conn.closing
 	if idle {
-		conn.closing = true
+		conn.close()
 	}
 	conn.mutex.Unlock()
 	if idle {
--- a/events/events.go
+++ b/events/events.go
@@ -75,6 +75,7 @@
 	RequestCleared  = define(510, zap.InfoLevel, "request is refused no longer, since an upstream has served it")
 	RequestPanicked = define(511, zap.ErrorLevel, "this program panicked under a request")
 	LoadUnreadable  = define(512, zap.WarnLevel, "load that an upstream tells cannot be read")
+	RequestCrossed  = define(513, zap.WarnLevel, "request came on a connection that had been closed, and was given up")
 )
 
 // The events of an entry host on the platform.
@@ -101,6 +102,7 @@
 	PeerDropped     = define(619, zap.WarnLevel, "record of a silent host was dropped")
 	ZoneEvacuated   = define(621, zap.WarnLevel, "availability zone is evacuated")
 	ZoneTakenBack   = define(622, zap.InfoLevel, "availability zone is taken back")
+	EntryClosed     = define(623, zap.InfoLevel, "entry host takes no more connections")
 	LinesDropped    = define(618, zap.WarnLevel, "log lines were dropped, since they could not be written fast enough")
 )
 
