A stopping host takes a connection to rest only if every byte that came belongs to a request that was read

Cause: closeIdle went by what the connection's reading goroutine had begun. A request lies in the socket, in the pump or in the buffer before that; on a host that is short of processor time, and on a connection accepted just before the listener closed, it lies there for as long as the host is busy. The connection was ended under it and its caller saw the end without an answer, so that it cannot know whether the request ran.

Change: the pump counts each byte in the step that takes it from the socket, and a connection is idle if no answer is owed, no counted byte is outside a request that was read whole, and the socket has nothing to read. The same decides whether a connection ends by the idle limit, whether an answer is its connection's last, and whether a read's time is up: all of them went by what goroutines had seen. The look at a socket stands once, in sock, for listeners and connections.

Ruled out: a longer pause between the last request and the close only moves the moment; a half-close that goes on reading cannot answer what it reads.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -48,8 +48,8 @@
 	mutex sync.Mutex
 	// open counts requests that were read and whose answers are not written.
 	open int
-	// busy says that a request is being read.
-	busy bool
+	// taken counts the bytes of the requests that were read whole.
+	taken int64
 	// idleSince is when the last answer was written.
 	idleSince time.Time
 	// closing says that no further request will be taken; closed is when that was decided.
@@ -135,9 +135,12 @@
 func (conn *conn) await() bool {
 	for {
 		left := conn.idleLeft()
-		if left <= 0 {
+		if left <= 0 && conn.endIdle() {
 			return false
 		}
+		if left <= 0 {
+			left = conn.server.limits().HeaderTimeout
+		}
 		conn.pump.setDeadline(time.Now().Add(left))
 		_, err := conn.reader.Peek(1)
 		if err == nil {
@@ -197,22 +200,18 @@
 	}
 }
 
-// begin notes that a request is being read; it reports false if the connection takes none any more.
+// begin reports whether the connection still takes requests.
 func (conn *conn) begin() bool {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	if conn.closing {
-		return false
-	}
-	conn.busy = true
-	return true
+	return !conn.closing
 }
 
 // admit counts a request that was read whole.
 func (conn *conn) admit(request *http.Request) bool {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	conn.busy = false
+	conn.taken = conn.pump.handed - int64(conn.reader.Buffered())
 	if conn.closing {
 		return false
 	}
@@ -317,7 +316,6 @@
 	}
 	conn.server.refused(conn, err, answer.status)
 	conn.mutex.Lock()
-	conn.busy = false
 	conn.open++
 	conn.mutex.Unlock()
 	answer.finish()
--- a/caller/write.go
+++ b/caller/write.go
@@ -35,7 +35,7 @@
 func (conn *conn) decideLast(answer *answer) {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	if conn.server.stopping() && conn.open == 1 && !conn.busy {
+	if conn.server.stopping() && conn.open == 1 && !conn.pump.unread(conn.taken) {
 		answer.last = true
 	}
 	if answer.last {
@@ -51,18 +51,25 @@
 	conn.written.Broadcast()
 }
 
-// closeIdle ends the connection if no request is being read, waits, or runs.
+// closeIdle ends the connection if it is idle.
 func (conn *conn) closeIdle() {
+	if conn.endIdle() {
+		conn.closeWrite()
+		time.AfterFunc(lingerTimeout, func() { _ = conn.socket.Close() })
+	}
+}
+
+// endIdle takes no further request if no answer is owed and no byte has come that belongs to no request yet. What the
+// reading goroutine has begun says too little: on a busy host a request that came long ago waits for it, and its caller
+// saw the connection end without an answer.
+func (conn *conn) endIdle() bool {
 	conn.mutex.Lock()
-	idle := conn.open == 0 && !conn.busy && !conn.closing
+	defer conn.mutex.Unlock()
+	idle := conn.open == 0 && !conn.closing && !conn.pump.unread(conn.taken)
 	if idle {
 		conn.close()
 	}
-	conn.mutex.Unlock()
-	if idle {
-		conn.closeWrite()
-		time.AfterFunc(lingerTimeout, func() { _ = conn.socket.Close() })
-	}
+	return idle
 }
 
 func (conn *conn) closeWrite() {
--- a/drain/listener.go
+++ b/drain/listener.go
@@ -7,7 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
+
+	"cherrykeel/sock"
 )
 
 // Listener is a TCP listener whose close resets as few callers as the system allows: connections that are
@@ -33,7 +34,7 @@
 // Accept returns the next connection, or net.ErrClosed when a stopped listener has none left.
 func (listener *Listener) Accept() (net.Conn, error) {
 	for {
-		if listener.stopping.Load() && !listener.pending() {
+		if listener.stopping.Load() && !sock.Readable(listener.TCPListener) {
 			_ = listener.Close()
 			return nil, net.ErrClosed
 		}
@@ -54,20 +55,6 @@
 	_ = listener.SetDeadline(time.Now())
 }
 
-// pending reports whether a connection waits to be accepted.
-func (listener *Listener) pending() bool {
-	raw, err := listener.SyscallConn()
-	if err != nil {
-		return false
-	}
-	ready := 0
-	err = raw.Control(func(descriptor uintptr) {
-		polled := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}
-		ready, _ = unix.Poll(polled, 0)
-	})
-	return err == nil && ready > 0
-}
-
 func isTimeout(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
--- /dev/null
+++ b/sock/readable.go
@@ -0,0 +1,22 @@
+package sock
+
+import (
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// Readable reports whether the socket has something to read, or to accept, at this moment: bytes, a connection, its
+// end or an error. It does not wait, and reports false for a socket that is closed.
+func Readable(socket syscall.Conn) bool {
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ready := 0
+	err = raw.Control(func(descriptor uintptr) {
+		polled := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}
+		ready, _ = unix.Poll(polled, 0)
+	})
+	return err == nil && ready > 0
+}
