A connection that is closed as idle is read no further, so that a crossing request counts as not read

A request that crossed the close was taken from the socket and given up: on a link with a queue the caller sees the close late, and what it sent was read, so that it may not send it again if it is not repeatable.

Change: the decision that a connection is idle and the end of reading are one step; the socket is closed at once. There is no answer on its way that a reset could overtake: the last one was written long before. Connections that end with an answer go on being read, as before.

Before: the spec "leaves in the socket what comes after the close" fails on the code with the event alone (event 513 is logged); after: it passes. Event 513 now tells only of requests behind a connection's last answer.

--- a/caller/idle_test.go
+++ b/caller/idle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"runtime"
@@ -9,6 +10,11 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"cherrykeel/caller"
+	"cherrykeel/events"
 )
 
 // busyHost lets the goroutines of the process run one at a time, as on a host that is short of processor time: what
@@ -58,6 +64,20 @@
 		}
 	})
 
+	// Guards against a host that reads a request after it has decided that it takes no more on that connection.
+	It("leaves in the socket what comes after the close", func() {
+		core, logged := observer.New(zap.DebugLevel)
+		server, connect := serve(echo, caller.WithLogger(zap.New(core)))
+		socket := connect()
+		Eventually(server.Open, generous).Should(Equal(1))
+		server.CloseIdle()
+		_, err := bufio.NewReader(socket).ReadByte()
+		Expect(err).To(Equal(io.EOF))
+		_, _ = io.WriteString(socket, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		Eventually(server.Open, generous).Should(BeZero())
+		Expect(logged.FilterMessage(events.RequestCrossed.Text).All()).To(BeEmpty())
+	})
+
 	// Guards against the first request of a connection being given up, since it was accepted just before the close.
 	It("answers the first request of a connection that it has just accepted", func() {
 		busyHost()
--- a/caller/pump.go
+++ b/caller/pump.go
@@ -31,6 +31,8 @@
 	// mutex is held while bytes go from the socket to received: each byte that has come is in one of them.
 	mutex    sync.Mutex
 	received int64
+	// shut says that nothing more is taken from the socket.
+	shut bool
 	// ended is closed once the socket gives nothing more.
 	ended chan struct{}
 	// stopped lets the reading goroutine end when nobody takes its chunks any more.
@@ -110,6 +112,9 @@
 func (pump *pump) receive(descriptor int, buffer []byte) (int, error) {
 	pump.mutex.Lock()
 	defer pump.mutex.Unlock()
+	if pump.shut {
+		return 0, net.ErrClosed
+	}
 	count, err := unix.Read(descriptor, buffer)
 	for errors.Is(err, unix.EINTR) {
 		count, err = unix.Read(descriptor, buffer)
@@ -123,6 +128,23 @@
 func (pump *pump) unread(counted int64) bool {
 	pump.mutex.Lock()
 	defer pump.mutex.Unlock()
+	return pump.holdsMore(counted)
+}
+
+// shutUnlessUnread takes nothing more from the socket from now on, unless more bytes have come than those counted; it
+// reports whether it did.
+func (pump *pump) shutUnlessUnread(counted int64) bool {
+	pump.mutex.Lock()
+	defer pump.mutex.Unlock()
+	if pump.holdsMore(counted) {
+		return false
+	}
+	pump.shut = true
+	return true
+}
+
+// holdsMore is unread while pump.mutex is held.
+func (pump *pump) holdsMore(counted int64) bool {
 	if pump.received > counted {
 		return true
 	}
--- a/caller/write.go
+++ b/caller/write.go
@@ -54,18 +54,18 @@
 // closeIdle ends the connection if it is idle.
 func (conn *conn) closeIdle() {
 	if conn.endIdle() {
-		conn.closeWrite()
-		time.AfterFunc(lingerTimeout, func() { _ = conn.socket.Close() })
+		_ = conn.socket.Close()
 	}
 }
 
-// endIdle takes no further request if no answer is owed and no byte has come that belongs to no request yet. What the
-// reading goroutine has begun says too little: on a busy host a request that came long ago waits for it, and its caller
-// saw the connection end without an answer.
+// endIdle takes nothing more from the connection if no answer is owed and no byte has come that belongs to no request
+// yet. What the reading goroutine has begun says too little: on a busy host a request that came long ago waits for it.
+// A request that crosses the close stays in the socket: its caller is told by the reset that nobody has read it, and a
+// host that read on, to be polite, took requests that it could not answer any more.
 func (conn *conn) endIdle() bool {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	idle := conn.open == 0 && !conn.closing && !conn.pump.unread(conn.taken)
+	idle := conn.open == 0 && !conn.closing && conn.pump.shutUnlessUnread(conn.taken)
 	if idle {
 		conn.close()
 	}
--- a/events/events.go
+++ b/events/events.go
@@ -75,7 +75,7 @@
 	RequestCleared  = define(510, zap.InfoLevel, "request is refused no longer, since an upstream has served it")
 	RequestPanicked = define(511, zap.ErrorLevel, "this program panicked under a request")
 	LoadUnreadable  = define(512, zap.WarnLevel, "load that an upstream tells cannot be read")
-	RequestCrossed  = define(513, zap.WarnLevel, "request came on a connection that had been closed, and was given up")
+	RequestCrossed  = define(513, zap.InfoLevel, "request came behind its connection's end, and was not taken")
 )
 
 // The events of an entry host on the platform.
