On a plain log too a stopping host closes no connection on which a request lies unread

Cause: net/http closes what it takes for idle as soon as keep-alive is off or Shutdown begins; a request that lies in the socket, or that the connection's goroutine has read and not begun, is reset. The same cause as in caller's connections.

Change: drain knows of each byte that has come on its connections (sock.Intake, which caller's pump uses too), closes the idle ones itself if nothing on them is unread, and calls Shutdown when none is left.

--- a/caller/doc.go
+++ b/caller/doc.go
@@ -3,5 +3,5 @@
 // connection while its requests wait or run, works on pipelined requests at
 // once, and answers them in order.
 //
-// Lock order: Server.mutex before conn.mutex before pump.mutex; memory.mutex is taken alone.
+// Lock order: Server.mutex before conn.mutex; memory.mutex is taken alone.
 package caller
--- a/caller/write.go
+++ b/caller/write.go
@@ -35,7 +35,7 @@
 func (conn *conn) decideLast(answer *answer) {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	if conn.server.stopping() && conn.open == 1 && !conn.pump.unread(conn.taken) {
+	if conn.server.stopping() && conn.open == 1 && !conn.pump.intake.Unread(conn.taken) {
 		answer.last = true
 	}
 	if answer.last {
@@ -65,7 +65,7 @@
 func (conn *conn) endIdle() bool {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	idle := conn.open == 0 && !conn.closing && conn.pump.shutUnlessUnread(conn.taken)
+	idle := conn.open == 0 && !conn.closing && conn.pump.intake.ShutUnlessUnread(conn.taken)
 	if idle {
 		conn.close()
 	}
--- /dev/null
+++ b/drain/conn.go
@@ -0,0 +1,32 @@
+package drain
+
+import (
+	"net"
+
+	"cherrykeel/sock"
+)
+
+// conn is an accepted connection whose unread bytes are known.
+type conn struct {
+	net.Conn
+	intake *sock.Intake
+}
+
+// Read implements net.Conn.
+func (conn *conn) Read(buffer []byte) (int, error) {
+	return conn.intake.Read(buffer)
+}
+
+// watched hands out a listener's connections as ones whose unread bytes are known.
+type watched struct {
+	net.Listener
+}
+
+// Accept implements net.Listener.
+func (watched watched) Accept() (net.Conn, error) {
+	socket, err := watched.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: socket, intake: sock.NewIntake(socket)}, nil
+}
--- a/drain/server.go
+++ b/drain/server.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,62 +21,75 @@
 
 // Server is an HTTP server whose stop answers what it has accepted.
 //
-// net/http's Shutdown alone drops each request whose head it reads after the shutdown began: a connection
-// accepted just before ends without a byte, and its caller cannot tell whether the request ran. So the
-// listener is closed first, and Shutdown waits for the connections that have a request or may bring one.
+// net/http's Shutdown alone drops each request whose head it reads after the shutdown began, and each that lies unread on
+// a connection it takes for idle; the caller cannot tell whether the request ran. So the listener is closed first, a
+// connection is closed as idle only if nothing on it is unread, and Shutdown comes when none is left.
 type Server struct {
 	server   *http.Server
 	listener *Listener
 	accepted chan struct{}
+	stopping atomic.Bool
 
 	mutex sync.Mutex
-	open  map[net.Conn]openConn
+	open  map[*conn]openConn
 }
 
 type openConn struct {
 	since time.Time
-	used  bool
+	state http.ConnState
+	// taken counts the bytes that had been read when the connection became idle.
+	taken int64
 }
 
-// New returns a server that takes over the given one's ConnState hook and the listener.
+// New returns a server that takes over the given one's ConnState hook and handler, and the listener.
 func New(server *http.Server, listener *Listener) *Server {
-	drained := &Server{server: server, listener: listener, accepted: make(chan struct{}), open: map[net.Conn]openConn{}}
+	drained := &Server{server: server, listener: listener, accepted: make(chan struct{}), open: map[*conn]openConn{}}
 	server.ConnState = drained.note
+	server.Handler = &parting{handler: server.Handler, stopping: &drained.stopping}
 	return drained
 }
 
 // Serve accepts connections until Stop, which makes it return nil, or until accepting fails.
 func (server *Server) Serve() error {
 	defer close(server.accepted)
-	err := server.server.Serve(server.listener)
+	err := server.server.Serve(watched{Listener: server.listener})
 	if errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return errors.WithStack(err)
 }
 
-func (server *Server) note(conn net.Conn, state http.ConnState) {
+func (server *Server) note(accepted net.Conn, state http.ConnState) {
+	conn, ok := accepted.(*conn)
+	if !ok {
+		return
+	}
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	switch state {
-	case http.StateNew:
-		server.open[conn] = openConn{since: time.Now()}
-	case http.StateActive:
-		server.open[conn] = openConn{since: time.Now(), used: true}
-	case http.StateIdle, http.StateHijacked, http.StateClosed:
+	case http.StateNew, http.StateActive:
+		server.open[conn] = openConn{since: time.Now(), state: state}
+	case http.StateIdle:
+		server.open[conn] = openConn{since: time.Now(), state: state, taken: conn.intake.Received()}
+	case http.StateHijacked, http.StateClosed:
 		delete(server.open, conn)
 	}
 }
 
+// Part lets each connection end with its next answer; requests go on being taken.
+func (server *Server) Part() {
+	server.stopping.Store(true)
+}
+
 // Stop takes no more connections and returns when the accepted ones have been answered; those that are
 // left when the context ends are cut, and its error is returned.
 func (server *Server) Stop(ctx context.Context) error {
+	server.Part()
 	server.listener.Stop()
 	<-server.accepted
-	server.server.SetKeepAlivesEnabled(false)
 	ticker := time.NewTicker(pollEvery)
 	defer ticker.Stop()
-	for server.awaited(time.Now()) > 0 && ctx.Err() == nil {
+	for server.closeIdle(time.Now()) > 0 && ctx.Err() == nil {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -88,13 +102,18 @@
 	return errors.WithStack(err)
 }
 
-// awaited counts the connections with a request, and those young enough to bring their first one.
-func (server *Server) awaited(now time.Time) int {
+// closeIdle closes the connections that are idle, and counts those with a request and those young enough to bring their
+// first one.
+func (server *Server) closeIdle(now time.Time) int {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	count := 0
-	for _, conn := range server.open {
-		if conn.used || now.Sub(conn.since) < unusedPatience {
+	for conn, open := range server.open {
+		switch {
+		case open.state == http.StateIdle && conn.intake.ShutUnlessUnread(open.taken):
+			_ = conn.Close()
+			delete(server.open, conn)
+		case open.state != http.StateNew || conn.intake.Unread(0) || now.Sub(open.since) < unusedPatience:
 			count++
 		}
 	}
--- a/drain/server_test.go
+++ b/drain/server_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"runtime"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -44,7 +46,7 @@
 		})
 		server = drain.New(&http.Server{Handler: handler}, listener)
 		failed = make(chan error, 1)
-		go func() { failed <- server.Serve() }()
+		go func(server *drain.Server, failed chan<- error) { failed <- server.Serve() }(server, failed)
 		stopped = make(chan error, 1)
 	})
 
@@ -96,6 +98,27 @@
 		Eventually(stopped, "10s").Should(Receive(BeNil()))
 	})
 
+	// Guards against a request that has come on a kept connection and is given up, since the server has not looked at it.
+	It("answers a request that has come on a kept connection before the stop", func() {
+		before := runtime.GOMAXPROCS(1)
+		DeferCleanup(func() { runtime.GOMAXPROCS(before) })
+		kept := dial()
+		reader := bufio.NewReader(kept)
+		send(kept, "/")
+		first, err := http.ReadResponse(reader, nil)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.ReadAll(first.Body)
+		Expect(err).NotTo(HaveOccurred())
+		for range 100 {
+			runtime.Gosched()
+		}
+		send(kept, "/")
+		Expect(server.Stop(context.Background())).To(Succeed())
+		second, err := http.ReadResponse(reader, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(second.Close).To(BeTrue())
+	})
+
 	It("cuts what is left when its time ends", func() {
 		conn := dial()
 		send(conn, "/slow")
@@ -109,6 +132,30 @@
 	})
 })
 
+var _ = Describe("a server that lets its connections part", func() {
+	// Guards against a connection that stays open behind the answer to a request that ran when the stop began, and is
+	// closed under its caller's next request.
+	DescribeTable("tells callers to leave with each answer it writes", func(write func(http.ResponseWriter)) {
+		listener, err := drain.Listen("127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		inner := &http.Server{}
+		var server *drain.Server
+		inner.Handler = http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+			server.Part()
+			write(writer)
+		})
+		server = drain.New(inner, listener)
+		recorder := httptest.NewRecorder()
+		inner.Handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/", nil))
+		Expect(recorder.Header().Get("Connection")).To(Equal("close"))
+	},
+		Entry("with a status", func(writer http.ResponseWriter) { writer.WriteHeader(http.StatusOK) }),
+		Entry("with a body only", func(writer http.ResponseWriter) { _, _ = writer.Write([]byte("x")) }),
+		Entry("with nothing", func(http.ResponseWriter) {}),
+	)
+})
+
 var _ = Describe("a listener that stops", func() {
 	// Callers connect faster than the host accepts. It is told to stop while some connections are complete
 	// but not accepted; their callers have sent already. A plain close resets them, and they learn nothing.
--- a/host/serve.go
+++ b/host/serve.go
@@ -39,46 +39,15 @@
 	)
 }
 
-// counted tracks requests in flight, and asks callers to leave once the host is stopping.
+// counted tracks requests in flight.
 func (host *Host) counted(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		host.requests.count.Add(1)
 		defer host.requests.count.Add(-1)
-		next.ServeHTTP(&partingWriter{ResponseWriter: writer, host: host}, request)
+		next.ServeHTTP(writer, request)
 	})
 }
 
-// partingWriter tells a keep-alive caller of a stopping host with its answer, so that its next request goes
-// to another host. It looks when the answer is written: a request that was running when the stop began
-// would else leave its connection open, to be closed under the caller's next request.
-type partingWriter struct {
-	http.ResponseWriter
-	host  *Host
-	begun bool
-}
-
-// WriteHeader implements http.ResponseWriter.
-func (writer *partingWriter) WriteHeader(status int) {
-	if !writer.begun && writer.host.stopping.Load() {
-		writer.Header().Set("Connection", "close")
-	}
-	writer.begun = true
-	writer.ResponseWriter.WriteHeader(status)
-}
-
-// Write implements http.ResponseWriter.
-func (writer *partingWriter) Write(data []byte) (int, error) {
-	if !writer.begun {
-		writer.WriteHeader(http.StatusOK)
-	}
-	return writer.ResponseWriter.Write(data)
-}
-
-// Unwrap lets http.ResponseController reach the writer below.
-func (writer *partingWriter) Unwrap() http.ResponseWriter {
-	return writer.ResponseWriter
-}
-
 // serve answers callers and operators; the channel gives the error of a server that fails.
 func (host *Host) serve() chan error {
 	quiet, _ := zap.NewStdLogAt(host.logger, zap.DebugLevel)
@@ -106,6 +75,7 @@
 // balancer notices, the keeper's roles are handed over, and the requests in flight end.
 func (host *Host) stop() {
 	host.stopping.Store(true)
+	host.front.Part()
 	events.Log(host.logger, events.HostStopping)
 	limit := time.Now().Add(host.config.StopTimeout.Duration)
 	ctx, cancel := context.WithDeadline(context.Background(), limit)
--- /dev/null
+++ b/sock/intake.go
@@ -0,0 +1,127 @@
+package sock
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+// Intake reads a connection and counts each byte in the step that takes it from the socket, so that one can tell at any
+// moment whether something has come that nobody has looked at yet.
+type Intake struct {
+	conn net.Conn
+	// raw is nil if the connection is not a socket; its bytes are counted just after they were read.
+	raw    syscall.RawConn
+	source syscall.Conn
+
+	mutex    sync.Mutex
+	received int64
+	shut     bool
+}
+
+// NewIntake returns the intake of a connection, which nobody else may read.
+func NewIntake(conn net.Conn) *Intake {
+	intake := &Intake{conn: conn}
+	source, ok := conn.(syscall.Conn)
+	if !ok {
+		return intake
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
+		return intake
+	}
+	intake.raw = raw
+	intake.source = source
+	return intake
+}
+
+// Read implements io.Reader; its errors are those of the connection, and net.ErrClosed once it is shut.
+func (intake *Intake) Read(buffer []byte) (int, error) {
+	if intake.raw == nil {
+		count, err := intake.conn.Read(buffer)
+		intake.mutex.Lock()
+		defer intake.mutex.Unlock()
+		intake.received += int64(count)
+		return count, err
+	}
+	count := 0
+	var failure error
+	err := intake.raw.Read(func(descriptor uintptr) bool {
+		count, failure = intake.take(int(descriptor), buffer)
+		return !errors.Is(failure, unix.EAGAIN)
+	})
+	switch {
+	case err != nil:
+		return 0, intake.readError(err)
+	case failure != nil:
+		return 0, intake.readError(failure)
+	case count == 0 && len(buffer) > 0:
+		return 0, io.EOF
+	default:
+		return count, nil
+	}
+}
+
+func (intake *Intake) take(descriptor int, buffer []byte) (int, error) {
+	intake.mutex.Lock()
+	defer intake.mutex.Unlock()
+	if intake.shut {
+		return 0, net.ErrClosed
+	}
+	count, err := unix.Read(descriptor, buffer)
+	for errors.Is(err, unix.EINTR) {
+		count, err = unix.Read(descriptor, buffer)
+	}
+	count = max(count, 0)
+	intake.received += int64(count)
+	return count, err
+}
+
+// readError gives an error the form that net gives errors of reads, which net/http tells apart.
+func (intake *Intake) readError(err error) error {
+	var operation *net.OpError
+	if errors.As(err, &operation) {
+		err = operation.Err
+	}
+	var number syscall.Errno
+	if errors.As(err, &number) {
+		err = os.NewSyscallError("read", number)
+	}
+	return &net.OpError{Op: "read", Net: intake.conn.LocalAddr().Network(), Source: intake.conn.LocalAddr(), Addr: intake.conn.RemoteAddr(), Err: err}
+}
+
+// Received returns how many bytes were read.
+func (intake *Intake) Received() int64 {
+	intake.mutex.Lock()
+	defer intake.mutex.Unlock()
+	return intake.received
+}
+
+// Unread reports whether more bytes have come than the counted ones, read or not.
+func (intake *Intake) Unread(counted int64) bool {
+	intake.mutex.Lock()
+	defer intake.mutex.Unlock()
+	return intake.holdsMore(counted)
+}
+
+// ShutUnlessUnread reads nothing more from now on, unless more bytes have come than the counted ones; it reports whether
+// it did. What comes later stays in the socket, so that its sender learns by the reset that nobody has read it.
+func (intake *Intake) ShutUnlessUnread(counted int64) bool {
+	intake.mutex.Lock()
+	defer intake.mutex.Unlock()
+	if intake.holdsMore(counted) {
+		return false
+	}
+	intake.shut = true
+	return true
+}
+
+// holdsMore is Unread while Intake.mutex is held.
+func (intake *Intake) holdsMore(counted int64) bool {
+	return intake.received > counted || intake.source != nil && Readable(intake.source)
+}
