A goroutine that logs after the log was closed no longer ends the process with a panic

Cause: closing the log closed the channel of its lines; a host's goroutines (messages of other hosts, topics) go on until the process ends, and one that logged in between met the closed channel.

Change: the channel is never closed; Close says that the writer is to end and writes what waits.

Before: the spec "takes lines after its close" panics; after: it passes, with -race.

--- a/events/sink.go
+++ b/events/sink.go
@@ -17,18 +17,19 @@
 type Sink struct {
 	lines   chan []byte
 	dropped atomic.Int64
+	ending  chan struct{}
 	done    chan struct{}
 	output  io.Writer
 }
 
 // NewSink returns a sink that writes to output until Close.
 func NewSink(output io.Writer) *Sink {
-	sink := &Sink{lines: make(chan []byte, sinkLines), done: make(chan struct{}), output: output}
+	sink := &Sink{lines: make(chan []byte, sinkLines), ending: make(chan struct{}), done: make(chan struct{}), output: output}
 	go sink.run()
 	return sink
 }
 
-// Write implements io.Writer; it never waits and never fails.
+// Write implements io.Writer; it never waits and never fails. After Close it writes nothing.
 func (sink *Sink) Write(line []byte) (int, error) {
 	select {
 	case sink.lines <- append([]byte(nil), line...):
@@ -43,9 +44,10 @@
 	return nil
 }
 
-// Close writes what waits.
+// Close writes what waits. Goroutines that outlive it may go on logging: lines is never closed, since a line written
+// then would end the process.
 func (sink *Sink) Close() {
-	close(sink.lines)
+	close(sink.ending)
 	<-sink.done
 }
 
@@ -56,16 +58,37 @@
 
 func (sink *Sink) run() {
 	defer close(sink.done)
-	for line := range sink.lines {
-		// Nothing is left to tell when the output itself fails.
-		_, _ = sink.output.Write(line)
-		dropped := sink.dropped.Swap(0)
-		if dropped > 0 {
-			_, _ = fmt.Fprintf(sink.output, "{\"Level\":\"warn\",\"Text\":%q,\"Event\":%d,\"Lines\":%d}\n", LinesDropped.Text, LinesDropped.Number, dropped)
+	for {
+		select {
+		case line := <-sink.lines:
+			sink.put(line)
+		case <-sink.ending:
+			sink.putRest()
+			return
 		}
 	}
 }
 
+func (sink *Sink) putRest() {
+	for {
+		select {
+		case line := <-sink.lines:
+			sink.put(line)
+		default:
+			return
+		}
+	}
+}
+
+func (sink *Sink) put(line []byte) {
+	// Nothing is left to tell when the output itself fails.
+	_, _ = sink.output.Write(line)
+	dropped := sink.dropped.Swap(0)
+	if dropped > 0 {
+		_, _ = fmt.Fprintf(sink.output, "{\"Level\":\"warn\",\"Text\":%q,\"Event\":%d,\"Lines\":%d}\n", LinesDropped.Text, LinesDropped.Number, dropped)
+	}
+}
+
 // NewLogger returns a logger of JSON lines in Pascal case.
 func NewLogger(output zapcore.WriteSyncer, level zapcore.Level) *zap.Logger {
 	config := zap.NewProductionEncoderConfig()
--- a/events/sink_test.go
+++ b/events/sink_test.go
@@ -51,6 +51,17 @@
 		Expect(strings.Count(output.buffer.String(), "\n")).To(BeNumerically("<", 4200))
 	})
 
+	// Guards against a process that ends with a panic, since a goroutine logs after the log was closed.
+	It("takes lines after its close, and writes none of them", func() {
+		output := &stalledOutput{release: make(chan struct{})}
+		close(output.release)
+		sink := events.NewSink(output)
+		logger := events.NewLogger(sink, zapcore.InfoLevel)
+		sink.Close()
+		Expect(func() { events.Log(logger, events.RequestServed) }).NotTo(Panic())
+		Expect(output.buffer.String()).To(BeEmpty())
+	})
+
 	It("writes one JSON line with the event's number and an error's text, not its stack", func() {
 		var buffer bytes.Buffer
 		logger := events.NewLogger(zapcore.AddSync(&buffer), zapcore.InfoLevel)
