An idle connection stays open until its last answer has arrived

Cause: a connection is closed at once when it is idle, and it counted as idle when the last answer had been written, not when it had arrived. The caller's next request is answered with a reset then, which takes the rest of the answer with it.

Change: an idle connection on which written bytes are not confirmed is left for the next look. Two specs more: a request that waits for its connection's goroutine (fails if bytes that were read are not counted, which no spec showed), and the reset that a caller sees behind the close.

--- a/caller/idle_test.go
+++ b/caller/idle_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -13,8 +14,10 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"cherrykeel"
 	"cherrykeel/caller"
 	"cherrykeel/events"
+	"cherrykeel/sock"
 )
 
 // busyHost lets the goroutines of the process run one at a time, as on a host that is short of processor time: what
@@ -64,6 +67,51 @@
 		}
 	})
 
+	// Guards against an answer on its way to a slow caller that the reset for its next request overtakes.
+	It("does not take a connection to rest whose last answer has not arrived", func() {
+		const size = 128 << 10
+		server, connect := serve(func(writer http.ResponseWriter, _ *http.Request) { _, _ = writer.Write(make([]byte, size)) })
+		slow := connect()
+		Expect(slow.(*net.TCPConn).SetReadBuffer(4 << 10)).To(Succeed())
+		ask(slow)
+		reader := bufio.NewReader(slow)
+		first, err := http.ReadResponse(reader, nil)
+		Expect(err).NotTo(HaveOccurred())
+		server.Stop()
+		for range mostSteps {
+			server.CloseIdle()
+			time.Sleep(time.Millisecond)
+		}
+		ask(slow)
+		Expect(slow.(*net.TCPConn).SetReadBuffer(1 << 20)).To(Succeed())
+		body, err := io.ReadAll(first.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(HaveLen(size))
+		status, _, _ := answer(reader)
+		Expect(status).To(Equal(http.StatusOK))
+	})
+
+	// Guards against a request that the connection's goroutine has got and not begun.
+	It("answers a request that waits for the connection's goroutine", func() {
+		held := make(chan struct{})
+		var looks atomic.Int32
+		server, connect := serve(echo, caller.WithLimits(func() cherrykeel.CallerLimits {
+			if looks.Add(1) == 1 {
+				<-held
+			}
+			return caller.DefaultLimits()
+		}))
+		socket := connect()
+		Eventually(looks.Load, generous).Should(BeNumerically(">", 0))
+		ask(socket)
+		Eventually(func() bool { return sock.Unsent(socket.(*net.TCPConn)) }, generous).Should(BeFalse())
+		time.Sleep(time.Millisecond)
+		server.Stop()
+		server.CloseIdle()
+		close(held)
+		expectAnswer(socket)
+	})
+
 	// Guards against a host that reads a request after it has decided that it takes no more on that connection.
 	It("leaves in the socket what comes after the close", func() {
 		core, logged := observer.New(zap.DebugLevel)
@@ -75,6 +123,10 @@
 		Expect(err).To(Equal(io.EOF))
 		_, _ = io.WriteString(socket, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 		Eventually(server.Open, generous).Should(BeZero())
+		Eventually(func() error {
+			_, err := io.WriteString(socket, "x")
+			return err
+		}, generous).Should(HaveOccurred())
 		Expect(logged.FilterMessage(events.RequestCrossed.Text).All()).To(BeEmpty())
 	})
 
--- a/caller/write.go
+++ b/caller/write.go
@@ -58,14 +58,17 @@
 	}
 }
 
-// endIdle takes nothing more from the connection if no answer is owed and no byte has come that belongs to no request
-// yet. What the reading goroutine has begun says too little: on a busy host a request that came long ago waits for it.
-// A request that crosses the close stays in the socket: its caller is told by the reset that nobody has read it, and a
-// host that read on, to be polite, took requests that it could not answer any more.
+// endIdle takes nothing more from the connection if no answer is owed or on its way, and no byte has come that belongs to
+// no request yet. What the reading goroutine has begun says too little: on a busy host a request that came long ago waits
+// for it. A request that crosses the close stays in the socket: its caller is told by the reset that nobody has read it,
+// and a host that read on, to be polite, took requests that it could not answer any more.
 func (conn *conn) endIdle() bool {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	idle := conn.open == 0 && !conn.closing && conn.pump.intake.ShutUnlessUnread(conn.taken)
+	if conn.open > 0 || conn.closing || conn.pump.intake.Unsent() {
+		return false
+	}
+	idle := conn.pump.intake.ShutUnlessUnread(conn.taken)
 	if idle {
 		conn.close()
 	}
--- a/sock/doc.go
+++ b/sock/doc.go
@@ -1,4 +1,4 @@
 // Package sock asks sockets what the net package does not tell: whether something has come that is still unread.
 //
-// Lock order: Intake.mutex is taken alone.
+// Lock order: Intake.mutex is taken last.
 package sock
--- a/sock/intake.go
+++ b/sock/intake.go
@@ -109,6 +109,11 @@
 	return intake.holdsMore(counted)
 }
 
+// Unsent reports whether bytes that were written to the connection have not arrived yet.
+func (intake *Intake) Unsent() bool {
+	return intake.source != nil && Unsent(intake.source)
+}
+
 // ShutUnlessUnread reads nothing more from now on, unless more bytes have come than the counted ones; it reports whether
 // it did. What comes later stays in the socket, so that its sender learns by the reset that nobody has read it.
 func (intake *Intake) ShutUnlessUnread(counted int64) bool {
--- a/sock/readable.go
+++ b/sock/readable.go
@@ -20,3 +20,16 @@
 	})
 	return err == nil && ready > 0
 }
+
+// Unsent reports whether bytes that were written to the socket have not arrived yet: its peer has not confirmed them.
+func Unsent(socket syscall.Conn) bool {
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	count := 0
+	err = raw.Control(func(descriptor uintptr) {
+		count, _ = unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ)
+	})
+	return err == nil && count > 0
+}
