--- a/drain/conn.go
+++ b/drain/conn.go
@@ -17,6 +17,15 @@
 	return conn.intake.Read(buffer)
 }
 
+// CloseWrite lets net/http end a connection whose request it has not read to its end.
+func (conn *conn) CloseWrite() error {
+	half, ok := conn.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return nil
+	}
+	return half.CloseWrite()
+}
+
 // watched hands out a listener's connections as ones whose unread bytes are known.
 type watched struct {
 	net.Listener
--- a/drain/server_test.go
+++ b/drain/server_test.go
@@ -132,6 +132,24 @@
 	})
 })
 
+var _ = Describe("a connection of a server", func() {
+	// Guards against callers that wait half a second for the end of a connection whose request was refused unread.
+	It("can be half-closed", func() {
+		inner, err := drain.Listen("127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(inner.Close)
+		near, err := net.Dial("tcp", inner.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(near.Close)
+		far, err := drain.Watched(inner).Accept()
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(far.Close)
+		Expect(far.(interface{ CloseWrite() error }).CloseWrite()).To(Succeed())
+		_, err = io.ReadAll(near)
+		Expect(err).NotTo(HaveOccurred())
+	})
+})
+
 var _ = Describe("a server that lets its connections part", func() {
 	// Guards against a connection that stays open behind the answer to a request that ran when the stop began, and is
 	// closed under its caller's next request.
