A new connection that was reset is not taken to stand because this host was busy

Cause: a request that must not be lost is sent on a new connection only after a watch of 3 ms in which nothing comes. The watch's end was believed; on a host that was short of processor time the reset lay in the socket by then. The request was sent, and its caller got "may have run". The same class as the stopping host's idle connections: what our goroutines have seen was taken for what has come.

Change: after the watch the socket is asked.

--- a/conns/conn.go
+++ b/conns/conn.go
@@ -49,12 +49,13 @@
 	return time.Since(conn.since)
 }
 
-// stands reports whether a new connection is still open and silent after a while.
+// stands reports whether a new connection is still open and silent after a while. On a busy host the while can be over
+// before this goroutine sees what came within it, so the socket is asked once more.
 func (conn *conn) stands(watch time.Duration) bool {
 	_ = conn.socket.SetReadDeadline(time.Now().Add(watch))
 	_, err := conn.reader.Peek(1)
 	_ = conn.socket.SetReadDeadline(time.Time{})
-	return errors.Is(err, os.ErrDeadlineExceeded)
+	return errors.Is(err, os.ErrDeadlineExceeded) && conn.silent()
 }
 
 // silent reports whether an idle connection is still open and has nothing to read.
