Hosts that start at the same moment know each other at once

Cause: a host reads the list of hosts and writes its own record to it; two that do so at the same moment read before either has written, and neither is known to the other, so that neither tells the other anything and reports of unknown hosts were thrown away. The keeper looked again after 2 s, others after 30 s. A keeper's moves did not reach the other host meanwhile; its requests for moved keys met 421 three times and were refused (503, not run).

In the trace of one both hosts start within 5 ms and each announces itself only; the keeper sees the other 2.02 s later, and in between gives 0 to 32765 on, which the other learns in no way.

Change: a host whose own record came behind others that it does not know reads them, and one that is reported to by a host or a life that it does not know reads the list, each after 250 ms, if nobody has told it by then.

--- a/entry/announce.go
+++ b/entry/announce.go
@@ -27,6 +27,7 @@
 		return
 	}
 	wait := announcePause
+	written := int64(-1)
 	for ctx.Err() == nil {
 		life, _ := host.peerLife(host.self.Name)
 		if life != host.self.Life && !host.stopping.Load() {
@@ -36,14 +37,24 @@
 				wait = min(2*wait, longestAnnouncePause)
 			} else {
 				wait = announcePause
+				written = offset
 				host.topics.hosts.Told([]cherrykeel.KeyedRecord{{Key: host.self.Name, Value: value, Offset: offset}})
 				host.mesh.Tell(topicHosts, []cherrykeel.KeyedRecord{{Key: host.self.Name, Value: value, Offset: offset}}, share.NoChange)
 			}
 		}
+		host.readBefore(written)
 		pause(ctx, wait)
 	}
 }
 
+// readBefore reads the hosts' records if there are any before this host's own that it does not know. Hosts that start at
+// the same moment have read them before any had written its own, and nobody else may be there to tell them.
+func (host *Host) readBefore(written int64) {
+	if host.overdue(ownRecord, host.topics.hosts.Next()-1, written, host.clock.Now()) {
+		host.topics.hosts.Nudge()
+	}
+}
+
 func pause(ctx context.Context, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -24,6 +24,12 @@
 // misdirectedTable names, beside the topics, a table that misdirected requests let this host expect.
 const misdirectedTable = "misdirected"
 
+// unknownHost names, beside the topics, the list of hosts with one that reports and is not known.
+const unknownHost = "unknown host"
+
+// ownRecord names, beside the topics, the list of hosts up to this host's own record.
+const ownRecord = "own record"
+
 // state is what the host tells of itself.
 type state struct {
 	host *Host
@@ -136,6 +142,14 @@
 			host.nudge(topic)
 		}
 	}
+	hosts := known[topicHosts]
+	lacking := hosts
+	if host.mesh.HeardUnknown() {
+		lacking++
+	}
+	if host.overdue(unknownHost, hosts, lacking, now) {
+		host.nudge(topicHosts)
+	}
 }
 
 // misdirected takes it that an upstream did not hold a key that the table gives to it: the next table may be on its
--- a/share/mesh.go
+++ b/share/mesh.go
@@ -73,6 +73,8 @@
 	asked    map[string][]int
 	sequence uint64
 	keeper   string
+	// unknown says that a host has reported that is not among the peers.
+	unknown bool
 	// storeless says that the store does not serve this host.
 	storeless bool
 	fleet     *topo.Fleet
--- a/share/take.go
+++ b/share/take.go
@@ -82,6 +82,7 @@
 	defer mesh.mutex.Unlock()
 	peer, known := mesh.peers[report.Host]
 	if !known || peer.Life != report.Life {
+		mesh.unknown = true
 		return false
 	}
 	old, heard := mesh.heard[report.Host]
@@ -98,6 +99,16 @@
 	return true
 }
 
+// HeardUnknown reports whether a host that is not among the peers, or an unknown life of one, has reported since the last
+// call.
+func (mesh *Mesh) HeardUnknown() bool {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	heard := mesh.unknown
+	mesh.unknown = false
+	return heard
+}
+
 // noteLoad keeps a load of a known host's present life.
 func (mesh *Mesh) noteLoad(load Load) bool {
 	mesh.mutex.Lock()
