--- a/caller/conn.go
+++ b/caller/conn.go
@@ -48,17 +48,22 @@
 	mutex sync.Mutex
 	// open counts requests that were read and whose answers are not written.
 	open int
-	// busy says that a request is being read.
-	busy bool
+	// taken counts the bytes of the requests that were read whole.
+	taken int64
 	// idleSince is when the last answer was written.
 	idleSince time.Time
-	// closing says that no further request will be taken.
+	// closing says that no further request will be taken; closed is when that was decided.
 	closing bool
+	closed  time.Time
 	written *sync.Cond
+	// opened is when the connection was accepted, answered how many answers were written to it.
+	opened   time.Time
+	answered int
 }
 
 func newConn(server *Server, socket net.Conn) *conn {
-	conn := &conn{server: server, socket: socket, answers: make(chan *answer, pipelineDepth), idleSince: time.Now()}
+	now := time.Now()
+	conn := &conn{server: server, socket: socket, answers: make(chan *answer, pipelineDepth), idleSince: now, opened: now}
 	conn.written = sync.NewCond(&conn.mutex)
 	conn.ctx, conn.cancel = context.WithCancel(context.Background())
 	conn.pump = newPump(socket, conn.gone)
@@ -101,7 +106,11 @@
 
 // readOne reads a request and hands it to the handler; it reports whether another may follow.
 func (conn *conn) readOne() bool {
-	if !conn.await() || !conn.begin() {
+	if !conn.await() {
+		return false
+	}
+	if !conn.begin() {
+		conn.noteCrossed()
 		return false
 	}
 	limits := conn.server.limits()
@@ -126,9 +135,12 @@
 func (conn *conn) await() bool {
 	for {
 		left := conn.idleLeft()
-		if left <= 0 {
+		if left <= 0 && conn.endIdle() {
 			return false
 		}
+		if left <= 0 {
+			left = conn.server.limits().HeaderTimeout
+		}
 		conn.pump.setDeadline(time.Now().Add(left))
 		_, err := conn.reader.Peek(1)
 		if err == nil {
@@ -188,22 +200,18 @@
 	}
 }
 
-// begin notes that a request is being read; it reports false if the connection takes none any more.
+// begin reports whether the connection still takes requests.
 func (conn *conn) begin() bool {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	if conn.closing {
-		return false
-	}
-	conn.busy = true
-	return true
+	return !conn.closing
 }
 
 // admit counts a request that was read whole.
 func (conn *conn) admit(request *http.Request) bool {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	conn.busy = false
+	conn.taken = conn.pump.handed - int64(conn.reader.Buffered())
 	if conn.closing {
 		return false
 	}
@@ -219,6 +227,25 @@
 	return true
 }
 
+// close takes no further request from now on; conn.mutex is held.
+func (conn *conn) close() {
+	if !conn.closing {
+		conn.closed = time.Now()
+	}
+	conn.closing = true
+}
+
+// noteCrossed logs that a request came too late to be taken: its caller has to send it again.
+func (conn *conn) noteCrossed() {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	now := time.Now()
+	events.Log(conn.server.logger, events.RequestCrossed,
+		zap.String("Caller", conn.socket.RemoteAddr().String()),
+		zap.Duration("Opened", now.Sub(conn.opened)), zap.Duration("Closed", now.Sub(conn.closed)),
+		zap.Int("Answered", conn.answered), zap.Int("Open", conn.open))
+}
+
 // alongside reports whether the request may run beside others of its connection.
 func alongside(request *http.Request) bool {
 	return request.Method == http.MethodGet || request.Method == http.MethodHead
@@ -289,7 +316,6 @@
 	}
 	conn.server.refused(conn, err, answer.status)
 	conn.mutex.Lock()
-	conn.busy = false
 	conn.open++
 	conn.mutex.Unlock()
 	answer.finish()
--- a/caller/pump.go
+++ b/caller/pump.go
@@ -5,6 +5,8 @@
 	"net"
 	"os"
 	"time"
+
+	"cherrykeel/sock"
 )
 
 const (
@@ -16,28 +18,28 @@
 
 // pump reads a socket all the time, so that a caller that leaves is noticed while its request runs.
 type pump struct {
+	intake *sock.Intake
 	chunks chan []byte
 	rest   []byte
-	// ended is closed once the socket gives nothing more.
-	ended chan struct{}
+	// handed counts the bytes that Read has returned; the reading goroutine alone uses it.
+	handed int64
 	// stopped lets the reading goroutine end when nobody takes its chunks any more.
 	stopped  chan struct{}
 	deadline time.Time
 }
 
 func newPump(socket net.Conn, onEnd func()) *pump {
-	pump := &pump{chunks: make(chan []byte, aheadChunks), ended: make(chan struct{}), stopped: make(chan struct{})}
-	go pump.run(socket, onEnd)
+	pump := &pump{intake: sock.NewIntake(socket), chunks: make(chan []byte, aheadChunks), stopped: make(chan struct{})}
+	go pump.run(onEnd)
 	return pump
 }
 
-func (pump *pump) run(socket net.Conn, onEnd func()) {
+func (pump *pump) run(onEnd func()) {
 	defer close(pump.chunks)
 	defer onEnd()
-	defer close(pump.ended)
 	buffer := make([]byte, chunkBytes)
 	for {
-		count, err := socket.Read(buffer)
+		count, err := pump.intake.Read(buffer)
 		if count > 0 {
 			chunk := append([]byte(nil), buffer[:count]...)
 			select {
@@ -67,6 +69,7 @@
 	}
 	count := copy(buffer, pump.rest)
 	pump.rest = pump.rest[count:]
+	pump.handed += int64(count)
 	return count, nil
 }
 
@@ -79,12 +82,21 @@
 	}
 	select {
 	case chunk, open := <-pump.chunks:
-		if !open {
-			return io.EOF
-		}
-		pump.rest = chunk
-		return nil
+		return pump.take(chunk, open)
 	case <-late:
+	}
+	// On a busy host the time can be up before this goroutine sees what came within it.
+	if !pump.intake.Unread(pump.handed) {
 		return os.ErrDeadlineExceeded
 	}
+	chunk, open := <-pump.chunks
+	return pump.take(chunk, open)
+}
+
+func (pump *pump) take(chunk []byte, open bool) error {
+	if !open {
+		return io.EOF
+	}
+	pump.rest = chunk
+	return nil
 }
--- a/caller/write.go
+++ b/caller/write.go
@@ -23,6 +23,7 @@
 	_, err := conn.socket.Write(answer.encode())
 	conn.mutex.Lock()
 	conn.open--
+	conn.answered++
 	conn.idleSince = time.Now()
 	conn.written.Broadcast()
 	conn.mutex.Unlock()
@@ -34,11 +35,11 @@
 func (conn *conn) decideLast(answer *answer) {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	if conn.server.stopping() && conn.open == 1 && !conn.busy {
+	if conn.server.stopping() && conn.open == 1 && !conn.pump.intake.Unread(conn.taken) {
 		answer.last = true
 	}
 	if answer.last {
-		conn.closing = true
+		conn.close()
 	}
 }
 
@@ -46,22 +47,32 @@
 func (conn *conn) stop() {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	conn.closing = true
+	conn.close()
 	conn.written.Broadcast()
 }
 
-// closeIdle ends the connection if no request is being read, waits, or runs.
+// closeIdle ends the connection if it is idle.
 func (conn *conn) closeIdle() {
+	if conn.endIdle() {
+		_ = conn.socket.Close()
+	}
+}
+
+// endIdle takes nothing more from the connection if no answer is owed or on its way, and no byte has come that belongs to
+// no request yet. What the reading goroutine has begun says too little: on a busy host a request that came long ago waits
+// for it. A request that crosses the close stays in the socket: its caller is told by the reset that nobody has read it,
+// and a host that read on, to be polite, took requests that it could not answer any more.
+func (conn *conn) endIdle() bool {
 	conn.mutex.Lock()
-	idle := conn.open == 0 && !conn.busy && !conn.closing
-	if idle {
-		conn.closing = true
+	defer conn.mutex.Unlock()
+	if conn.open > 0 || conn.closing || conn.pump.intake.Unsent() {
+		return false
 	}
-	conn.mutex.Unlock()
+	idle := conn.pump.intake.ShutUnlessUnread(conn.taken)
 	if idle {
-		conn.closeWrite()
-		time.AfterFunc(lingerTimeout, func() { _ = conn.socket.Close() })
+		conn.close()
 	}
+	return idle
 }
 
 func (conn *conn) closeWrite() {
--- /dev/null
+++ b/drain/conn.go
@@ -0,0 +1,50 @@
+package drain
+
+import (
+	"net"
+	"sync/atomic"
+
+	"cherrykeel/sock"
+)
+
+// conn is an accepted connection whose unread bytes are known.
+type conn struct {
+	net.Conn
+	intake *sock.Intake
+	// awaited says that a read has begun since the connection became idle: net/http has begun all that it had read.
+	awaited atomic.Bool
+}
+
+// Read implements net.Conn.
+func (conn *conn) Read(buffer []byte) (int, error) {
+	conn.awaited.Store(true)
+	return conn.intake.Read(buffer)
+}
+
+// CloseWrite lets net/http end a connection whose request it has not read to its end.
+func (conn *conn) CloseWrite() error {
+	half, ok := conn.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return nil
+	}
+	return half.CloseWrite()
+}
+
+// idle reports whether the connection rests and nothing has come since; nothing is read any more then.
+func (conn *conn) idle(taken int64) bool {
+	return conn.awaited.Load() && !conn.intake.Unsent() && conn.intake.ShutUnlessUnread(taken)
+}
+
+// watched hands out a listener's connections as ones whose unread bytes are known.
+type watched struct {
+	net.Listener
+}
+
+// Accept implements net.Listener.
+func (watched watched) Accept() (net.Conn, error) {
+	socket, err := watched.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: socket, intake: sock.NewIntake(socket)}, nil
+}
--- /dev/null
+++ b/sock/doc.go
@@ -0,0 +1,4 @@
+// Package sock asks sockets what the net package does not tell: whether something has come that is still unread.
+//
+// Lock order: Intake.mutex is taken last.
+package sock
