--- /dev/null
+++ b/caller/read.go
@@ -0,0 +1,146 @@
+package caller
+
+import (
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"cherrykeel/events"
+)
+
+const (
+	// bodyTimeout bounds the reading of one body; callers wait seconds at most, so a slower body serves nobody.
+	bodyTimeout = 20 * time.Second
+	// idleGrace is how much longer than the operator's limit a connection may be idle. Callers use one for
+	// up to four fifths of the limit; a request of the last moment may wait for the processor here.
+	idleGrace = time.Second
+)
+
+func (conn *conn) readAll() {
+	defer close(conn.answers)
+	defer func() {
+		failure := recover()
+		if failure != nil {
+			conn.panicked(failure)
+		}
+	}()
+	for conn.readOne() {
+	}
+}
+
+// readOne reads a request and hands it to the handler; it reports whether another may follow.
+func (conn *conn) readOne() bool {
+	if !conn.await() {
+		return false
+	}
+	if !conn.begin() {
+		conn.noteCrossed()
+		return false
+	}
+	limits := conn.server.limits()
+	conn.pump.setDeadline(time.Now().Add(limits.HeaderTimeout))
+	head, err := readHead(conn.reader, limits.HeaderBytes)
+	if err != nil {
+		return conn.refuse(err)
+	}
+	request, length, err := parseHead(head)
+	if err != nil {
+		return conn.refuse(err)
+	}
+	body, err := conn.readBody(request, length)
+	if err != nil {
+		return conn.refuse(err)
+	}
+	return conn.dispatch(request, body)
+}
+
+// await waits for the first byte of a request; false if there will be none, or the connection has been idle
+// for too long. It is idle from its last answer on, and by the limit that is in force when its time is up.
+func (conn *conn) await() bool {
+	for {
+		left := conn.idleLeft()
+		if left <= 0 && conn.endIdle() {
+			return false
+		}
+		if left <= 0 {
+			left = conn.server.limits().HeaderTimeout
+		}
+		conn.pump.setDeadline(time.Now().Add(left))
+		_, err := conn.reader.Peek(1)
+		if err == nil {
+			return true
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return false
+		}
+	}
+}
+
+// idleLeft returns for how long the connection may still wait for a request.
+func (conn *conn) idleLeft() time.Duration {
+	allowed := conn.server.limits().IdleTimeout + idleGrace
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	if conn.open > 0 {
+		return allowed
+	}
+	return allowed - time.Since(conn.idleSince)
+}
+
+func (conn *conn) readBody(request *http.Request, length int64) (body, error) {
+	limits := conn.server.limits()
+	if length > limits.BodyBytes {
+		return body{}, errors.WithStack(ErrBodyTooLarge)
+	}
+	if request.Header.Get("Expect") != "" && length != 0 {
+		conn.proceed()
+	}
+	conn.pump.setDeadline(time.Now().Add(bodyTimeout))
+	reader := bodyReader{reader: conn.reader, memory: conn.server.memory, limit: limits.BodyBytes}
+	return reader.read(length)
+}
+
+// proceed asks for a body that the caller holds back, once the answers before it are written. An answer counts as
+// unwritten for a moment after its bytes have gone out; a caller that sends its next request at once was never asked
+// for the body then, and got a timeout in place of its answer.
+func (conn *conn) proceed() {
+	if conn.awaitAnswers() {
+		_, _ = conn.socket.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	}
+}
+
+// awaitAnswers waits until all answers are written; it reports false if no further request is taken.
+func (conn *conn) awaitAnswers() bool {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	conn.awaitWritten()
+	return !conn.closing && conn.ctx.Err() == nil
+}
+
+// awaitWritten waits until all answers are written or the connection ends; conn.mutex is held.
+func (conn *conn) awaitWritten() {
+	for conn.open > 0 && conn.ctx.Err() == nil && !conn.closing {
+		conn.written.Wait()
+	}
+}
+
+// begin reports whether the connection still takes requests.
+func (conn *conn) begin() bool {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	return !conn.closing
+}
+
+// noteCrossed logs that a request came too late to be taken: its caller has to send it again.
+func (conn *conn) noteCrossed() {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	now := time.Now()
+	events.Log(conn.server.logger, events.RequestCrossed,
+		zap.String("Caller", conn.socket.RemoteAddr().String()),
+		zap.Duration("Opened", now.Sub(conn.openedAt)), zap.Duration("Closed", now.Sub(conn.closedAt)),
+		zap.Int("Answered", conn.answered), zap.Int("Open", conn.open))
+}
--- a/caller/write.go
+++ b/caller/write.go
@@ -39,7 +39,7 @@
 		answer.last = true
 	}
 	if answer.last {
-		conn.close()
+		conn.takeNoMore()
 	}
 }
 
@@ -47,7 +47,7 @@
 func (conn *conn) stop() {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	conn.close()
+	conn.takeNoMore()
 	conn.written.Broadcast()
 }
 
@@ -70,7 +70,7 @@
 	}
 	idle := conn.pump.intake.ShutUnlessUnread(conn.taken)
 	if idle {
-		conn.close()
+		conn.takeNoMore()
 	}
 	return idle
 }
