Event 508 names a request's caller and body apart, as digests

Cause: the log of requests at upstreams' ends had one digest over caller and body, so that it did not tell what of a request differs from send to send. Change: Caller and Body, digests of the address and of the body, beside the Identity; no content. Ruled out: target apart: the Identity begins with it.

--- a/deny/request.go
+++ b/deny/request.go
@@ -63,5 +63,6 @@
 // Broke takes it that the request was sent to an upstream and got no answer from it. Of the break all is to be filled in but the identity; its Request is the id of this attempt of the caller, for logs.
 func (request *Request) Broke(found poison.Break) {
 	found.Identity = request.Identity()
+	found.Digests = request.parts.Digests()
 	request.list.broke(found)
 }
--- a/deny/witness.go
+++ b/deny/witness.go
@@ -79,7 +79,8 @@
 	}
 	list.mutex.Unlock()
 	events.Log(list.Logger, events.RequestAtEnd,
-		zap.String("Request", found.Request), zap.Stringer("Identity", found.Identity), zap.String("Service", found.Service),
+		zap.String("Request", found.Request), zap.Stringer("Identity", found.Identity),
+		zap.String("Caller", found.Digests.Caller), zap.String("Body", found.Digests.Body), zap.String("Service", found.Service),
 		zap.String("Upstream", found.Life.Upstream), zap.Int64("Born", found.Life.Born),
 		zap.String("Evidence", string(evidence)), zap.Duration("After", now.Sub(found.At)), zap.Int("Ends", len(record.Standing())))
 	if news {
--- a/poison/identity.go
+++ b/poison/identity.go
@@ -17,6 +17,8 @@
 	targetBytes   = 8
 	digestBytes   = 16
 	identityBytes = targetBytes + digestBytes
+	// shortBytes is enough to tell a log's callers and bodies apart.
+	shortBytes = 8
 )
 
 // ErrIdentity means that a text is no identity.
@@ -67,6 +69,23 @@
 	return identity
 }
 
+// Digests tell two parts of a request apart in logs, without their content.
+type Digests struct {
+	// Caller is of the caller's address, Body of the body.
+	Caller string
+	Body   string
+}
+
+// Digests returns the digests of a request's parts.
+func (parts *Parts) Digests() Digests {
+	return Digests{Caller: shortDigest([]byte(callerOf(parts.Caller))), Body: shortDigest(parts.Body)}
+}
+
+func shortDigest(part []byte) string {
+	sum := sha256.Sum256(part)
+	return hex.EncodeToString(sum[:shortBytes])
+}
+
 // add adds a part with its length before it, so that none can pass for the end of another.
 func add(digest hash.Hash, part string) {
 	var length [8]byte
--- a/poison/identity_test.go
+++ b/poison/identity_test.go
@@ -30,6 +30,16 @@
 		Entry("where a part ends elsewhere", func(parts *poison.Parts) { parts.Domain, parts.Path = "h.example/", "a/b?c" }),
 	)
 
+	// Logs tell by them what of a request differs from send to send.
+	It("has digests of its caller and its body apart", func() {
+		other := request
+		other.Caller = "10.0.0.2:4000"
+		Expect(other.Digests().Caller).NotTo(Equal(request.Digests().Caller))
+		Expect(other.Digests().Body).To(Equal(request.Digests().Body))
+		other.Body = []byte("xz")
+		Expect(other.Digests().Body).NotTo(Equal(request.Digests().Body))
+	})
+
 	It("is read back from its text, and from no other", func() {
 		identity := poison.Identify(request)
 		Expect(poison.ParseIdentity(identity.String())).To(Equal(identity))
--- a/poison/witness.go
+++ b/poison/witness.go
@@ -35,6 +35,7 @@
 // Break is a request that was sent and got no answer: its connection ended, or this host gave it up.
 type Break struct {
 	Identity Identity
+	Digests  Digests
 	// Request is the ID of this attempt of the caller, for logs.
 	Request string
 	Service string
