--- a/deny/list_test.go
+++ b/deny/list_test.go
@@ -150,6 +150,26 @@
 		}
 	})
 
+	// Guards against an address that stands for a caller: the same request comes from another machine each time.
+	It("refuses what came from another address at each end, and another body there it does not", func() {
+		again := func(address int) poison.Parts {
+			other := parts
+			other.Caller = fmt.Sprintf("10.0.1.%d:5", address)
+			return other
+		}
+		for number := range poison.DeadlyEnds {
+			scene.list.Request(again(number)).Broke(scene.broke())
+			scene.list.Ended(scene.life())
+			scene.upstream++
+		}
+		_, found := scene.list.Request(again(9)).Refused()
+		Expect(found).To(BeTrue())
+		innocent := again(9)
+		innocent.Body = []byte("y")
+		_, found = scene.list.Request(innocent).Refused()
+		Expect(found).To(BeFalse())
+	})
+
 	It("takes all back once an upstream has served the request, and tells that", func() {
 		for range poison.DeadlyEnds {
 			scene.end()
