A request is refused to all callers only for ends that came of one send after another

Cause (found by reading): copies of a page that many ask for are at work at each upstream. When all upstreams end together, the page stands at three ends at once, no answer can come since, and it would be refused to all for an hour. Change: an end says when the last copy of the request was sent that was at work there; a refusal to all takes three ends, each with a copy sent after the end before. For one caller's mark it is as before, since copies at work together end three upstreams within a second. Ruled out: ends a second apart (a request that comes every 100 ms would end thirty upstreams).

--- a/edge/denied.go
+++ b/edge/denied.go
@@ -32,7 +32,7 @@
 	case result.unanswered, result.abandoned:
 		listed.Broke(poison.Break{
 			Request: exchange.ID, Service: exchange.Service.Path, Life: life, Address: server.Address,
-			At: forward.clock.Now(), Reset: result.reset, Abandoned: result.abandoned,
+			Begun: place.begun, At: forward.clock.Now(), Reset: result.reset, Abandoned: result.abandoned,
 		})
 	case result.refused:
 		forward.denied.Unreachable(server.Address)
--- a/poison/callers.go
+++ b/poison/callers.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 )
@@ -15,6 +16,8 @@
 func (end *End) merge(told End) bool {
 	news := told.Withdrawn && !end.Withdrawn
 	end.Withdrawn = end.Withdrawn || told.Withdrawn
+	news = news || told.Begun > end.Begun
+	end.Begun = max(end.Begun, told.Begun)
 	for mark, answered := range told.Callers {
 		news = end.note(mark, answered) || news
 	}
@@ -64,6 +67,21 @@
 	return most
 }
 
+// trials counts the ends that came of one send after another. Copies that were at work together may have ended together
+// by something else: all upstreams lose power, and each page that many ask for stands at three ends, with no answer since. An end whose host has not said when the request was sent counts.
+func trials(ends []End) int {
+	inOrder := slices.SortedFunc(slices.Values(ends), func(one, other End) int { return cmp.Compare(one.At, other.At) })
+	count := 0
+	last := int64(0)
+	for _, end := range inOrder {
+		if end.Begun == 0 || end.Begun >= last {
+			count++
+			last = end.At
+		}
+	}
+	return count
+}
+
 // ofOne reports whether one caller's request was at work at each of some ends.
 func ofOne(ends []End) bool {
 	for mark := range ends[0].Callers {
--- a/poison/callers_test.go
+++ b/poison/callers_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"cherrykeel"
 	"cherrykeel/poison"
 )
 
@@ -89,6 +91,25 @@
 		Expect(table.Refused(identity(2), "z")).To(BeFalse())
 	})
 
+	// Guards against a page denied to all after a loss of power: copies of it were at work at each upstream, and no answer
+	// can come since. Once copies sent after that end upstreams too, it is refused.
+	It("is not refused to all for copies that were at work together", func() {
+		sent := func(upstream string, begun, at int, mark poison.Mark) {
+			found := ended(1, upstream, mark)
+			found.Begun = cherrykeel.Instant(time.Duration(begun) * time.Millisecond)
+			found.At = cherrykeel.Instant(time.Duration(at) * time.Millisecond)
+			table.Ended(found, noon+int64(at))
+		}
+		for number, upstream := range []string{"a", "b", "c", "d", "e"} {
+			sent(upstream, number, 100+number, poison.Mark(upstream))
+		}
+		Expect(table.Refused(identity(1), "z")).To(BeFalse())
+		sent("f", 200, 210, "f")
+		Expect(table.Refused(identity(1), "z")).To(BeFalse())
+		sent("g", 220, 230, "g")
+		Expect(table.Refused(identity(1), "z")).To(BeTrue())
+	})
+
 	// Guards against a flood of addresses that pushes out what is known, or that grows without a bound.
 	It("keeps a bounded record of a flood of addresses", func() {
 		for _, upstream := range []string{"a", "b", "c"} {
--- a/poison/fleet_test.go
+++ b/poison/fleet_test.go
@@ -174,6 +174,7 @@
 				record := poison.Record{Identity: identity(rapid.IntRange(0, 2).Draw(t, "request")), Service: "s"}
 				record.Ends = []poison.End{{
 					Life: poison.Life{Upstream: fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "upstream"))}, At: noon,
+					Begun:     noon - int64(rapid.IntRange(0, 3).Draw(t, "begun")),
 					Withdrawn: rapid.IntRange(0, 4).Draw(t, "withdrawn") == 0,
 					Callers:   rapid.MapOfN(rapid.Custom(anyMark), rapid.Bool(), 0, 12).Draw(t, "callers"),
 				}}
--- a/poison/record.go
+++ b/poison/record.go
@@ -27,6 +27,8 @@
 	Life
 	// At is in Unix milliseconds on the clock of the host that saw it.
 	At int64
+	// Begun is when the last copy of the request was sent that was at work there, in Unix milliseconds; 0 if not told.
+	Begun int64 `json:",omitempty"`
 	// Withdrawn says that an upstream has answered the request since, whoever sent it. The end counts for no caller
 	// then but those whose own request was at work.
 	Withdrawn bool `json:",omitempty"`
--- a/poison/table.go
+++ b/poison/table.go
@@ -37,7 +37,7 @@
 
 // Ended takes an end that this host has seen, and returns the request's record if it is news.
 func (table *Table) Ended(found Break, at int64) (Record, bool) {
-	end := End{Life: found.Life, At: at}
+	end := End{Life: found.Life, At: at, Begun: at - found.At.Sub(found.Begun).Milliseconds()}
 	for _, mark := range found.Marks {
 		end.note(mark, false)
 	}
--- a/poison/witness.go
+++ b/poison/witness.go
@@ -42,7 +42,9 @@
 	Service string
 	Life    Life
 	Address string
-	At      cherrykeel.Instant
+	// Begun is when the request was sent, At when its connection ended.
+	Begun cherrykeel.Instant
+	At    cherrykeel.Instant
 	// Reset says that the connection was reset, not closed, and Abandoned that this host has closed it.
 	Reset     bool
 	Abandoned bool
--- a/relay/denied.go
+++ b/relay/denied.go
@@ -34,7 +34,8 @@
 	switch {
 	case result.unanswered, result.abandoned:
 		exchange.listed.Broke(poison.Break{
-			Request: exchange.asked.ID, Service: exchange.dispatcher.name, Life: life, Address: place.Upstream.Address, At: now,
+			Request: exchange.asked.ID, Service: exchange.dispatcher.name, Life: life, Address: place.Upstream.Address,
+			Begun: place.Begun, At: now,
 			Reset: result.reset, Abandoned: result.abandoned,
 		})
 	case result.refused:
