--- /dev/null
+++ b/poison/callers.go
@@ -0,0 +1,93 @@
+package poison
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// stands reports whether the end counts for a caller.
+func (end *End) stands(mark Mark) bool {
+	answered, known := end.Callers[mark]
+	return known && !answered
+}
+
+// merge takes what another host says of the same end, and reports whether that is news.
+func (end *End) merge(told End) bool {
+	news := told.Withdrawn && !end.Withdrawn
+	end.Withdrawn = end.Withdrawn || told.Withdrawn
+	news = news || told.Begun > end.Begun
+	end.Begun = max(end.Begun, told.Begun)
+	for mark, answered := range told.Callers {
+		news = end.note(mark, answered) || news
+	}
+	return news
+}
+
+// note takes a caller's mark, and reports whether that is news. Of too many the smallest digests are kept, so that all
+// hosts keep the same ones in whatever order they hear of them.
+func (end *End) note(mark Mark, answered bool) bool {
+	before, known := end.Callers[mark]
+	if known && (before || !answered) {
+		return false
+	}
+	if !known && len(end.Callers) >= maxMarks {
+		last := slices.Max(slices.Collect(maps.Keys(end.Callers)))
+		if mark > last {
+			return false
+		}
+		delete(end.Callers, last)
+	}
+	if end.Callers == nil {
+		end.Callers = map[Mark]bool{}
+	}
+	end.Callers[mark] = answered
+	return true
+}
+
+// standingOf returns the ends that count for each caller that is known.
+func (record *Record) standingOf() map[Mark][]End {
+	standing := map[Mark][]End{}
+	for _, end := range record.Ends {
+		for mark := range end.Callers {
+			if end.stands(mark) {
+				standing[mark] = append(standing[mark], end)
+			}
+		}
+	}
+	return standing
+}
+
+// strength is at how many ends the request stands, for all callers or for the one that stands at the most.
+func (record *Record) strength() int {
+	most := len(record.Standing())
+	for _, ends := range record.standingOf() {
+		most = max(most, len(ends))
+	}
+	return most
+}
+
+// trials counts the ends that came of one send after another. Copies that were at work together may have ended together
+// by something else: all upstreams lose power, and each page that many ask for stands at three ends, with no answer since. An end whose host has not said when the request was sent counts.
+func trials(ends []End) int {
+	inOrder := slices.SortedFunc(slices.Values(ends), func(one, other End) int { return cmp.Compare(one.At, other.At) })
+	count := 0
+	last := int64(0)
+	for _, end := range inOrder {
+		if end.Begun == 0 || end.Begun >= last {
+			count++
+			last = end.At
+		}
+	}
+	return count
+}
+
+// ofOne reports whether one caller's request was at work at each of some ends.
+func ofOne(ends []End) bool {
+	for mark := range ends[0].Callers {
+		if !slices.ContainsFunc(ends, func(end End) bool { return !end.stands(mark) }) {
+			return true
+		}
+	}
+	return false
+}
--- a/poison/identity.go
+++ b/poison/identity.go
@@ -17,13 +17,15 @@
 	targetBytes   = 8
 	digestBytes   = 16
 	identityBytes = targetBytes + digestBytes
+	// markBytes tell the callers of one request apart.
+	markBytes = 8
 )
 
 // ErrIdentity means that a text is no identity.
 var ErrIdentity = errors.New("not the identity of a request")
 
-// Identity tells requests apart that a caller sends again with another request ID. It is a digest, so that neither
-// memory nor logs hold what a caller sent.
+// Identity tells requests apart that are sent again with another request ID, by the same caller or by others. It is a
+// digest, so that neither memory nor logs hold what was sent.
 type Identity [identityBytes]byte
 
 // Target is the part of an identity that says what is asked for, whoever asks and whatever the body is.
@@ -37,6 +39,8 @@
 	Path   string
 	// Caller is the caller's address, with or without a port.
 	Caller string
+	// Credentials are what the caller shows of who it is; empty if nothing.
+	Credentials string
 	// Body is whole; how it came in parts says nothing.
 	Body []byte
 }
@@ -53,10 +57,10 @@
 	return target
 }
 
-// Identify returns the identity of a request.
+// Identify returns the identity of a request. A caller's address is no part of it: one request may come from many.
 func Identify(parts Parts) Identity {
 	digest := sha256.New()
-	for _, part := range []string{parts.Method, parts.Domain, parts.Path, callerOf(parts.Caller)} {
+	for _, part := range []string{parts.Method, parts.Domain, parts.Path} {
 		add(digest, part)
 	}
 	_, _ = digest.Write(parts.Body)
@@ -67,6 +71,28 @@
 	return identity
 }
 
+// Mark is a digest of one thing that tells a caller from others: its address, or its credentials.
+type Mark string
+
+const (
+	addressMark     = "a"
+	credentialsMark = "c"
+)
+
+// Marks returns what tells the request's caller from others that send the same.
+func (parts *Parts) Marks() []Mark {
+	marks := []Mark{markOf(callerOf(parts.Caller), addressMark)}
+	if parts.Credentials != "" {
+		marks = append(marks, markOf(parts.Credentials, credentialsMark))
+	}
+	return marks
+}
+
+func markOf(text, kind string) Mark {
+	sum := sha256.Sum256([]byte(text))
+	return Mark(hex.EncodeToString(sum[:markBytes]) + kind)
+}
+
 // add adds a part with its length before it, so that none can pass for the end of another.
 func add(digest hash.Hash, part string) {
 	var length [8]byte
--- a/poison/table.go
+++ b/poison/table.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -10,11 +11,14 @@
 	// DeadlyEnds is how many ends of upstreams a request stands at before it is refused. Fewer would refuse what merely
 	// was at work beside others; each one more costs an upstream with all that runs there.
 	DeadlyEnds = 3
+	// deadlyTrials is how many of these have to come of one send after another before a request is refused to all.
+	deadlyTrials = 2
 	// remembered is for how long after its last end a request is known. Refused for that long, it may end three more
 	// upstreams an hour; a caller that is refused wrongly is denied no longer.
 	remembered = time.Hour
 	// maxSuspects and maxRefused bound what is kept, apart from each other: however many requests stand at one end or
-	// two, they push out none that is refused. A record takes some 300 bytes.
+	// two, they push out none that is refused. A record takes some 600 bytes
+	// at one end, and 24 KB with all the ends and marks there is room for.
 	maxSuspects = 512
 	maxRefused  = 1024
 )
@@ -22,7 +26,7 @@
 // Table keeps which requests were at work when upstreams ended, as all hosts together have seen it.
 type Table struct {
 	records map[Identity]*Record
-	refused map[Identity]bool
+	refused map[Identity]denial
 	// targets counts the records by what their requests ask for.
 	targets map[Target]int
 	// own are the requests of which this host has seen something itself.
@@ -31,12 +35,15 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{records: map[Identity]*Record{}, refused: map[Identity]bool{}, targets: map[Target]int{}, own: map[Identity]bool{}}
+	return &Table{records: map[Identity]*Record{}, refused: map[Identity]denial{}, targets: map[Target]int{}, own: map[Identity]bool{}}
 }
 
 // Ended takes an end that this host has seen, and returns the request's record if it is news.
 func (table *Table) Ended(found Break, at int64) (Record, bool) {
-	end := End{Life: found.Life, At: at}
+	end := End{Life: found.Life, At: at, Begun: at - found.At.Sub(found.Begun).Milliseconds()}
+	for _, mark := range found.Marks {
+		end.note(mark, false)
+	}
 	record, news := table.Merge(Record{Identity: found.Identity, Service: found.Service, Ends: []End{end}}, at)
 	_, kept := table.records[found.Identity]
 	if news && kept {
@@ -75,11 +82,11 @@
 	return record.clone(), true
 }
 
-// Answered takes it that an upstream has run a request to its end: those that have ended others did not by it. It
-// returns the request's record if it is news.
-func (table *Table) Answered(identity Identity) (Record, bool) {
+// Answered takes it that an upstream has run a caller's request to its end: those that have ended others did not by
+// what all callers send alike, nor by this one's. It returns the request's record if it is news.
+func (table *Table) Answered(identity Identity, marks ...Mark) (Record, bool) {
 	record, known := table.records[identity]
-	if !known || !record.withdraw() {
+	if !known || !record.withdraw(marks) {
 		return Record{}, false
 	}
 	table.own[identity] = true
@@ -87,9 +94,14 @@
 	return record.clone(), true
 }
 
-// Refused reports whether a request is not to be sent to any upstream.
-func (table *Table) Refused(identity Identity) bool {
-	return table.refused[identity]
+// Refused reports whether a caller's request is not to be sent to any upstream.
+func (table *Table) Refused(identity Identity, marks ...Mark) bool {
+	return table.refused[identity].holds(marks)
+}
+
+// Extent returns for whom a request is refused.
+func (table *Table) Extent(identity Identity) Extent {
+	return table.refused[identity].extent()
 }
 
 // Concerns reports whether anything is known of a request that asks for a target: if not, its whole identity need not
@@ -98,10 +110,15 @@
 	return table.targets[target] > 0
 }
 
-// Suspected reports whether a request stands at any end.
-func (table *Table) Suspected(identity Identity) bool {
+// Suspected reports whether a caller's request stands at any end.
+func (table *Table) Suspected(identity Identity, marks ...Mark) bool {
 	record, known := table.records[identity]
-	return known && len(record.Standing()) > 0
+	if !known {
+		return false
+	}
+	return slices.ContainsFunc(record.Ends, func(end End) bool {
+		return !end.Withdrawn || slices.ContainsFunc(marks, end.stands)
+	})
 }
 
 // Find returns what is known of a request.
@@ -160,49 +177,6 @@
 	return time.Duration(now-at)*time.Millisecond > remembered
 }
 
-// judge finds the requests to refuse. All that ran on an upstream ends with it, and on a busy service some request may
-// stand beside another at several ends. Of those at an end, only the ones that stand at the most ends are held to
-// have caused it. What is refused stays so while it stands at as many ends: it cannot end more, and others can.
-func (table *Table) judge() {
-	beside := map[Life][]witnessed{}
-	for _, record := range table.records {
-		standing := record.Standing()
-		for _, end := range standing {
-			beside[end.Life] = append(beside[end.Life], witnessed{end: end, ends: len(standing)})
-		}
-	}
-	before := table.refused
-	table.refused = map[Identity]bool{}
-	for identity, record := range table.records {
-		standing := record.Standing()
-		caused := 0
-		for _, end := range standing {
-			if len(standing) >= mostEnds(beside[end.Life], end) {
-				caused++
-			}
-		}
-		if caused >= DeadlyEnds || before[identity] && len(standing) >= DeadlyEnds {
-			table.refused[identity] = true
-		}
-	}
-}
-
-// witnessed is an end at which a request stood that stands at so many ends in all.
-type witnessed struct {
-	end  End
-	ends int
-}
-
-func mostEnds(all []witnessed, end End) int {
-	most := 0
-	for _, other := range all {
-		if other.end.same(end) {
-			most = max(most, other.ends)
-		}
-	}
-	return most
-}
-
 // bound drops the requests that say least while there are too many.
 func (table *Table) bound() {
 	for len(table.records)-len(table.refused) > maxSuspects {
@@ -217,7 +191,8 @@
 func (table *Table) drop(refused bool) {
 	var least *Record
 	for identity, record := range table.records {
-		if table.refused[identity] == refused && (least == nil || record.less(least)) {
+		_, found := table.refused[identity]
+		if found == refused && (least == nil || record.less(least)) {
 			least = record
 		}
 	}
@@ -238,7 +213,7 @@
 // less reports whether a record says less than another; equal ones have an order too, the same at each host.
 func (record *Record) less(other *Record) bool {
 	return cmp.Or(
-		cmp.Compare(len(record.Standing()), len(other.Standing())),
+		cmp.Compare(record.strength(), other.strength()),
 		cmp.Compare(record.newest(), other.newest()),
 		bytes.Compare(record.Identity[:], other.Identity[:]),
 	) < 0
--- a/poison/witness.go
+++ b/poison/witness.go
@@ -35,12 +35,16 @@
 // Break is a request that was sent and got no answer: its connection ended, or this host gave it up.
 type Break struct {
 	Identity Identity
+	// Marks are the caller's.
+	Marks []Mark
 	// Request is the ID of this attempt of the caller, for logs.
 	Request string
 	Service string
 	Life    Life
 	Address string
-	At      cherrykeel.Instant
+	// Begun is when the request was sent, At when its connection ended.
+	Begun cherrykeel.Instant
+	At    cherrykeel.Instant
 	// Reset says that the connection was reset, not closed, and Abandoned that this host has closed it.
 	Reset     bool
 	Abandoned bool
