A view's newest offset and the telling of its records stand once

Zones and Routes each kept the offset of their newest change and told the records that their host had read. Both now have it from one embedded type; nothing else changes.

--- a/watch/routes.go
+++ b/watch/routes.go
@@ -1,8 +1,6 @@
 package watch
 
 import (
-	"sync"
-
 	"go.uber.org/zap"
 
 	"cherrykeel"
@@ -15,25 +13,16 @@
 	decode func(value []byte) (cherrykeel.RouteSet, error)
 	logger *zap.Logger
 	change func(routes cherrykeel.RouteSet)
-	tell   func(record cherrykeel.KeyedRecord)
 
-	mutex  sync.Mutex
+	newest
 	routes cherrykeel.RouteSet
 	known  bool
-	offset int64
 }
 
 // NewRoutes returns a view of the routes under a key; change is called with each newer version, and tell
 // with its record if this host read it itself.
 func NewRoutes(key string, decode func([]byte) (cherrykeel.RouteSet, error), logger *zap.Logger, change func(cherrykeel.RouteSet), tell func(cherrykeel.KeyedRecord)) *Routes {
-	return &Routes{key: key, decode: decode, logger: logger, change: change, tell: tell, offset: -1}
-}
-
-// Offset returns where the newest routes stand, or -1.
-func (routes *Routes) Offset() int64 {
-	routes.mutex.Lock()
-	defer routes.mutex.Unlock()
-	return routes.offset
+	return &Routes{key: key, decode: decode, logger: logger, change: change, newest: newNewest(tell)}
 }
 
 // Apply takes what the topic brought.
@@ -47,8 +36,8 @@
 			events.Log(routes.logger, events.RecordInvalid, zap.String("Key", record.Key), zap.Int64("Offset", record.Offset), zap.Error(err))
 			continue
 		}
-		if routes.take(decoded, record.Offset) && !update.Told {
-			routes.tell(record)
+		if routes.take(decoded, record.Offset) {
+			routes.tellRead(update, record)
 		}
 	}
 }
@@ -60,7 +49,7 @@
 		routes.routes = decoded
 		routes.known = true
 	}
-	routes.offset = max(routes.offset, offset)
+	routes.pass(offset)
 	routes.mutex.Unlock()
 	if !newer {
 		return false
--- a/watch/zones.go
+++ b/watch/zones.go
@@ -2,7 +2,6 @@
 
 import (
 	"strings"
-	"sync"
 
 	"go.uber.org/zap"
 
@@ -17,12 +16,10 @@
 	clock  cherrykeel.Clock
 	logger *zap.Logger
 	change func()
-	tell   func(record cherrykeel.KeyedRecord)
 
-	mutex  sync.Mutex
-	zones  map[string]ZoneState
-	offset int64
-	known  bool
+	newest
+	zones map[string]ZoneState
+	known bool
 }
 
 // ZoneState is what the operator last ordered for an availability zone.
@@ -38,7 +35,7 @@
 // NewZones returns a view that knows nothing; change is called when a zone was evacuated or taken back, and when the
 // topic has been read for the first time, and tell with each order that this host has read itself.
 func NewZones(prefix string, clock cherrykeel.Clock, logger *zap.Logger, change func(), tell func(cherrykeel.KeyedRecord)) *Zones {
-	return &Zones{prefix: prefix, clock: clock, logger: logger, change: change, tell: tell, zones: map[string]ZoneState{}, offset: -1}
+	return &Zones{prefix: prefix, clock: clock, logger: logger, change: change, newest: newNewest(tell), zones: map[string]ZoneState{}}
 }
 
 // Known reports whether this host has read the topic itself: until then a zone may be evacuated without its knowledge.
@@ -48,13 +45,6 @@
 	return zones.known
 }
 
-// Offset returns where the newest order stands, or -1.
-func (zones *Zones) Offset() int64 {
-	zones.mutex.Lock()
-	defer zones.mutex.Unlock()
-	return zones.offset
-}
-
 // State returns the last order for a zone; false if none is known.
 func (zones *Zones) State(zone string) (ZoneState, bool) {
 	zones.mutex.Lock()
@@ -92,12 +82,7 @@
 	if first || len(news) > 0 {
 		zones.change()
 	}
-	if update.Told {
-		return
-	}
-	for _, order := range news {
-		zones.tell(order)
-	}
+	zones.tellRead(update, news...)
 }
 
 // orders returns the records about zones. The newest records of all keys lack those that were dropped, also when what
@@ -132,7 +117,7 @@
 	if known && order.Offset <= before.Offset {
 		return false
 	}
-	zones.offset = max(zones.offset, order.Offset)
+	zones.pass(order.Offset)
 	if known && before.Evacuated == evacuated {
 		before.Offset = order.Offset
 		zones.zones[zone] = before
