An upstream says itself whether it is cold and bounded

The condition was written out in the scheduler, the keeper's candidates and the gauge of cold upstreams. It is a method of the upstream now.

--- a/entry/cold.go
+++ b/entry/cold.go
@@ -48,7 +48,7 @@
 	now := host.clock.Now()
 	count := 0
 	for _, upstream := range host.usable.current() {
-		if upstream.ColdBounded && now < upstream.ColdUntil {
+		if upstream.BoundedAt(now) {
 			count++
 		}
 	}
--- a/flow/member.go
+++ b/flow/member.go
@@ -79,14 +79,9 @@
 	return now >= member.pausedUntil && !member.closed(now)
 }
 
-// coldBounded reports whether it is cold and bears only so many requests a second.
-func (member *member) coldBounded(now cherrykeel.Instant) bool {
-	return member.upstream.ColdBounded && now < member.upstream.ColdUntil
-}
-
 // takes reports whether a request may go there now.
 func (member *member) takes(now cherrykeel.Instant) bool {
-	if member.coldBounded(now) && !member.sent.Allows(member.upstream.ColdPart, now) {
+	if member.upstream.BoundedAt(now) && !member.sent.Allows(member.upstream.ColdPart, now) {
 		return false
 	}
 	return member.reachable(now) && member.load() < member.limit()
--- a/flow/service.go
+++ b/flow/service.go
@@ -258,7 +258,7 @@
 func (member *member) take(now cherrykeel.Instant) *Place {
 	member.own++
 	member.tryAt = 0
-	if member.coldBounded(now) {
+	if member.upstream.BoundedAt(now) {
 		member.sent.Note(now)
 	}
 	return &Place{Upstream: member.upstream, Load: member.load(), Begun: now, member: member}
--- a/flow/shared.go
+++ b/flow/shared.go
@@ -95,7 +95,7 @@
 }
 
 func (shared *shared) cost(member *member, expected, usual time.Duration, now cherrykeel.Instant) float64 {
-	if member.coldBounded(now) {
+	if member.upstream.BoundedAt(now) {
 		// Few hosts may send it anything, and what they leave nobody else uses.
 		expected /= coldFactor
 	}
@@ -125,7 +125,7 @@
 	}
 	rate := 0.0
 	for _, member := range shared.members {
-		if member.reachable(now) && !member.coldBounded(now) {
+		if member.reachable(now) && !member.upstream.BoundedAt(now) {
 			rate += float64(member.upstream.Slots) / float64(member.workTime(usual, now))
 		}
 	}
--- a/grants/change.go
+++ b/grants/change.go
@@ -140,7 +140,7 @@
 		if upstream.Service != service || upstream.Leaving || upstream.ClosedAt != 0 || keeper.lost(upstream.ID, now) {
 			continue
 		}
-		candidates = append(candidates, spans.Candidate{ID: upstream.ID, Address: upstream.Address, Born: upstream.Born, Capacity: keeper.capacity(upstream, mean, now), Cold: upstream.ColdBounded && now < upstream.ColdUntil})
+		candidates = append(candidates, spans.Candidate{ID: upstream.ID, Address: upstream.Address, Born: upstream.Born, Capacity: keeper.capacity(upstream, mean, now), Cold: upstream.BoundedAt(now)})
 	}
 	return candidates
 }
--- a/routes.go
+++ b/routes.go
@@ -85,3 +85,8 @@
 	ColdBounded bool
 	ColdPart    int
 }
+
+// BoundedAt reports whether the upstream is cold at a moment and bears only so many requests a second.
+func (upstream *Upstream) BoundedAt(now Instant) bool {
+	return upstream.ColdBounded && now < upstream.ColdUntil
+}
