Few groups of hosts tell each other their counts each 80 ms

Heads told other heads their sums each 320 ms, and their group the others' sums in the same step, so that what a host knew of the other groups was up to 0.8 s old, while a request takes 0.1 to 0.5 s. When a zone is evacuated its hosts' requests go to the other zones' upstreams by just these counts. The pace now follows the number of other heads: each 80 ms for up to three, 160 ms for six, 320 ms, as before, from ten on. Sums are some 2 KB.

--- a/share/send.go
+++ b/share/send.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// sumEvery is the pace of sums among groups. Most requests stay in their own availability zone, so older
-	// counts of the others are enough, and these are the bytes that have a price.
-	sumEvery = 4 * busyEvery
 	// replyFor is how long a host goes on reporting to one that has reported to it.
 	replyFor = 2 * time.Second
 )
@@ -150,7 +147,7 @@
 }
 
 // sendSum tells the members of this host's group what the group does, and less often what all other groups
-// do; and the other groups' heads what this one does.
+// do; and the other groups' heads what this one does. Few groups tell each other as often as each tells its own.
 func (mesh *Mesh) sendSum(sender *sender, now cherrykeel.Instant) {
 	mesh.mutex.Lock()
 	plan := mesh.plan
@@ -171,7 +168,7 @@
 	mesh.mutex.Unlock()
 	sum.Sequence = mesh.nextSequence()
 	mesh.send(methodSum, sum, plan.Group)
-	if now.Sub(sender.sumAt)+busyEvery/2 < sumEvery {
+	if now.Sub(sender.sumAt)+busyEvery/2 < time.Duration(plan.SumTicks())*busyEvery {
 		return
 	}
 	sender.sumAt = now
--- a/topo/plan.go
+++ b/topo/plan.go
@@ -14,6 +14,11 @@
 	// watchers is how many hosts hear from all. They are spread over the hosts by a hash, so that the loss of
 	// a quarter of them at once takes all four in 1 case of 250; others take their places a second later.
 	watchers = 4
+	// sumsPerTick bounds how many sums a head sends to other heads in a tick of 80 ms: up to four groups hear of each
+	// other in each one. A request takes 0.1 to 0.5 s, and older counts say little.
+	sumsPerTick = 3
+	// slowestSumTicks bounds how old counts of other groups become.
+	slowestSumTicks = 4
 	// relaysPerGroup is how many hosts of each group pass on what is told to all, so that neither one that has died
 	// unnoticed nor a lost datagram leaves a group without it.
 	relaysPerGroup = 2
@@ -139,3 +144,9 @@
 	}
 	return false
 }
+
+// SumTicks returns in how many ticks once a head tells the other heads its sum, and its group theirs.
+func (plan Plan) SumTicks() int {
+	ticks := (len(plan.Heads) + sumsPerTick - 1) / sumsPerTick
+	return min(max(1, ticks), slowestSumTicks)
+}
--- a/topo/plan_test.go
+++ b/topo/plan_test.go
@@ -146,3 +146,15 @@
 		Expect(seen).To(HaveLen(16))
 	})
 })
+
+// Guards against sums among groups that grow with the square of the groups at the pace that few groups need.
+var _ = DescribeTable("how often a head tells the others its sum",
+	func(heads, ticks int) {
+		Expect(topo.Plan{Heads: make([]string, heads)}.SumTicks()).To(Equal(ticks))
+	},
+	Entry("one group", 0, 1),
+	Entry("four groups", 3, 1),
+	Entry("six groups", 5, 2),
+	Entry("twelve groups", 11, 4),
+	Entry("many groups", 274, 4),
+)
