--- a/flow/member.go
+++ b/flow/member.go
@@ -29,6 +29,12 @@
 	// pauseAfterBreak is how long an upstream that could not be reached gets nothing.
 	pauseAfterBreak = 300 * time.Millisecond
 	maxPause        = 2 * time.Second
+	// toldFor is how long what an upstream has told of its load with an answer is believed before the hosts' counts: these
+	// are some 200 ms old.
+	toldFor = 200 * time.Millisecond
+	// slowMoment is by how much an upstream has to be slower, at this moment or in the mean, that a slot which it has told
+	// to be free is no better than others.
+	slowMoment = 1.5
 )
 
 // member is one upstream as this host sees it.
@@ -40,6 +46,9 @@
 	// own counts this host's requests there, others what the other hosts say of theirs.
 	own    int
 	others int
+	// toldAt is when it last told its own load with an answer, and slowness how slow its machine was then.
+	toldAt   cherrykeel.Instant
+	slowness float64
 	// otherWaiting counts the other hosts' requests that wait for this upstream alone.
 	otherWaiting int
 	// sent counts what this host sends while it is cold.
@@ -69,6 +78,11 @@
 	return member.upstream.Slots + (member.upstream.Slots+2)/3
 }
 
+// rate is how many requests a second it can do.
+func (member *member) rate(usual time.Duration, now cherrykeel.Instant) float64 {
+	return float64(member.upstream.Slots) / member.workTime(usual, now).Seconds()
+}
+
 // closed reports whether nothing more is to be sent there, since its availability zone is evacuated.
 func (member *member) closed(now cherrykeel.Instant) bool {
 	return member.upstream.ClosedAt != 0 && now >= member.upstream.ClosedAt
@@ -79,17 +93,41 @@
 	return now >= member.pausedUntil && !member.closed(now)
 }
 
-// coldBounded reports whether it is cold and bears only so many requests a second.
-func (member *member) coldBounded(now cherrykeel.Instant) bool {
-	return member.upstream.ColdBounded && now < member.upstream.ColdUntil
+// count takes what the other hosts count there. What the upstream itself told is newer for some time.
+func (member *member) count(running, waiting int, now cherrykeel.Instant) {
+	if !member.toldLately(now) {
+		member.others = running
+	}
+	member.otherWaiting = waiting
+	member.turn = turn{}
+}
+
+// tell takes what the upstream told of its load with an answer, which is still in it.
+func (member *member) tell(load cherrykeel.UpstreamLoad, now cherrykeel.Instant) {
+	member.toldAt = now
+	member.slowness = load.Slowness
+	member.others = max(0, load.Running+load.Waiting-member.own-1)
+}
+
+// toldLately reports whether it told its load a moment ago.
+func (member *member) toldLately(now cherrykeel.Instant) bool {
+	return member.toldAt != 0 && now.Sub(member.toldAt) < toldFor
+}
+
+// toldFree reports whether it told a moment ago that it has a free slot, and works at about the service's pace.
+func (member *member) toldFree(usual time.Duration, now cherrykeel.Instant) bool {
+	if !member.toldLately(now) || member.load() >= member.upstream.Slots || member.failing(now) > 0 {
+		return false
+	}
+	return member.slowness < slowMoment && member.workTime(usual, now) < time.Duration(slowMoment*float64(usual))
 }
 
 // takes reports whether a request may go there now.
-func (member *member) takes(now cherrykeel.Instant) bool {
-	if member.coldBounded(now) && !member.sent.Allows(member.upstream.ColdPart, now) {
+func (member *member) takes(doubt *doubt, now cherrykeel.Instant) bool {
+	if member.upstream.BoundedAt(now) && !member.sent.Allows(member.upstream.ColdPart, now) {
 		return false
 	}
-	return member.reachable(now) && member.load() < member.limit()
+	return member.reachable(now) && member.load() < member.limit()+doubt.room(member.upstream.Slots)
 }
 
 // workTime is the expected time of one request in a slot.
--- a/flow/service.go
+++ b/flow/service.go
@@ -17,6 +17,8 @@
 	// target is the time to the target that the last request had.
 	target time.Duration
 	random func() float64
+	// doubt is how far counts are wrong.
+	doubt doubt
 }
 
 // New returns a scheduler for a service; owner is nil unless its keys are divided.
@@ -67,9 +69,7 @@
 // SetOthers replaces what the other hosts say: requests at upstreams, and requests waiting.
 func (service *Service) SetOthers(running, waiting map[string]int, total int, now cherrykeel.Instant) {
 	for id, member := range service.members {
-		member.others = running[id]
-		member.otherWaiting = waiting[id]
-		member.turn = turn{}
+		member.count(running[id], waiting[id], now)
 	}
 	service.discipline.setOthers(total)
 	service.discipline.observe(now)
@@ -258,7 +258,7 @@
 func (member *member) take(now cherrykeel.Instant) *Place {
 	member.own++
 	member.tryAt = 0
-	if member.coldBounded(now) {
+	if member.upstream.BoundedAt(now) {
 		member.sent.Note(now)
 	}
 	return &Place{Upstream: member.upstream, Load: member.load(), Begun: now, member: member}
@@ -282,7 +282,8 @@
 	case Abandoned:
 	}
 	if load.Known {
-		member.others = max(0, load.Running+load.Waiting-member.own-1)
+		service.doubt.note(member.load(), load.Running+load.Waiting-1, member.upstream.Slots)
+		member.tell(load, now)
 	}
 	service.Dispatch(now)
 }
