A keeper's look that changes nothing sums up no load

Cause: the keeper looks at its table 40 times a second; each look summed up the load of all spans, for which all keys that were asked for are sorted, though only spans that are given away need it; and it asked the ledger for the end of each owner, all holds at a time, to tell of those that have departed. Change: the load is summed up when it is first asked for; only owners that have departed are looked up. Same decisions: the load that is summed up is that of the table as it was, as before.

--- a/grants/departed.go
+++ b/grants/departed.go
@@ -74,8 +74,11 @@
 func (keeper *Keeper) publish(now cherrykeel.Instant, all bool) {
 	told := newFinals(keeper.term)
 	for id, contact := range keeper.contacts {
+		if !all && !contact.departed {
+			continue
+		}
 		held := keeper.ledger.Held(id)
-		if held != spans.Never && (all || contact.departed) {
+		if held != spans.Never {
 			told.until[id] = max(held, now)
 		}
 		if contact.departed {
--- a/spans/next.go
+++ b/spans/next.go
@@ -59,27 +59,33 @@
 }
 
 type step struct {
-	facts   Facts
-	list    []Owned
-	fit     map[string]Candidate
-	load    map[string]float64
+	facts Facts
+	list  []Owned
+	fit   map[string]Candidate
+	// known is the load by owner, once it was asked for: most looks change nothing and need none.
+	known   map[string]float64
 	changed bool
 }
 
 func newStep(list []Owned, facts Facts) *step {
-	step := &step{
-		facts: facts, list: append([]Owned(nil), list...),
-		fit: make(map[string]Candidate, len(facts.Candidates)), load: make(map[string]float64, len(facts.Candidates)),
-	}
+	step := &step{facts: facts, list: list, fit: make(map[string]Candidate, len(facts.Candidates))}
 	for _, candidate := range facts.Candidates {
 		step.fit[candidate.ID] = candidate
 	}
-	for _, owned := range list {
-		step.load[owned.Owner] += facts.Demand.Load(owned.Span())
-	}
 	return step
 }
 
+// load returns the load by owner as the table was, with what was given since.
+func (step *step) load() map[string]float64 {
+	if step.known == nil {
+		step.known = make(map[string]float64, len(step.facts.Candidates))
+		for _, owned := range step.list {
+			step.known[owned.Owner] += step.facts.Demand.Load(owned.Span())
+		}
+	}
+	return step.known
+}
+
 // replaceOwners gives spans that nobody holds to new owners, and takes spans from owners that leave.
 func (step *step) replaceOwners() {
 	var list []Owned
@@ -130,7 +136,7 @@
 	for _, i := range order {
 		load := step.facts.Demand.Load(pieces[i])
 		taker := step.leastUsed(owned, load)
-		step.load[taker.ID] += load
+		step.load()[taker.ID] += load
 		given[i] = Owned{First: pieces[i].First, Last: pieces[i].Last, Owner: taker.ID, Address: taker.Address, Born: taker.Born, Fence: step.facts.Offset}
 	}
 	return given
@@ -176,7 +182,7 @@
 
 func (step *step) total() float64 {
 	total := 0.0
-	for _, load := range step.load {
+	for _, load := range step.load() {
 		total += load
 	}
 	return total
@@ -191,7 +197,7 @@
 		if candidate.Cold && !step.allCold() {
 			continue
 		}
-		use := (step.load[candidate.ID] + more) / max(candidate.Capacity, math.SmallestNonzeroFloat64)
+		use := (step.load()[candidate.ID] + more) / max(candidate.Capacity, math.SmallestNonzeroFloat64)
 		if candidate.ID == owned.Owner && owned.Moving && len(step.fit) > 1 {
 			// What was taken for balance does not go back in the same breath.
 			use *= 1 + unevenness
