--- a/grants/bench_test.go
+++ b/grants/bench_test.go
@@ -50,7 +50,9 @@
 // idleGranter answers all orders at once.
 type idleGranter struct{}
 
-func (idleGranter) Grant(context.Context, cherrykeel.Upstream, cherrykeel.SpanGrant) error { return nil }
+func (idleGranter) Grant(context.Context, cherrykeel.Upstream, cherrykeel.SpanGrant) error {
+	return nil
+}
 
 func (idleGranter) Release(context.Context, cherrykeel.Upstream, cherrykeel.KeySpan, int64) (string, error) {
 	return "", nil
