Tables and hosts' records are looked after five times as seldom

Cause: each of a host's four topics woke it ten times a second to see whether it has to be read more closely: 40 of some 150 wake-ups a second. Change: a schedule says how soon another one has to be noticed; for the table and the hosts' records, which only the keeper reads closely, that is 500 ms.

--- a/entry/duty.go
+++ b/entry/duty.go
@@ -33,6 +33,8 @@
 	// keeperPace is the pace of the keeper's reads of its table, of which it tells all others itself. One that
 	// the store no longer serves moves no keys, and another one takes over a second after it has said so.
 	keeperPace = 2 * time.Second
+	// keeperLook is how soon a host that has become the keeper reads its table at that pace. It has just written it.
+	keeperLook = 500 * time.Millisecond
 	// goneAfter is when the record of a silent host is dropped; cuts and freezes of up to 12 s are known,
 	// but a host that is back announces itself again at once.
 	goneAfter = 8 * time.Second
@@ -105,9 +107,9 @@
 func (host *Host) tableSchedule() watch.Schedule {
 	table, _, known := host.spans.Current()
 	if known && table.Keeper == host.self.Name && table.Life == host.self.Life {
-		return watch.Schedule{Pace: keeperPace}
+		return watch.Schedule{Pace: keeperPace, Look: keeperLook}
 	}
-	return watch.Schedule{Pace: seldom(host.mesh.Known())}
+	return watch.Schedule{Pace: seldom(host.mesh.Known()), Look: keeperLook}
 }
 
 // dropSilent takes away the records of hosts that have been silent for long; one host does so for all.
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -30,6 +30,8 @@
 	Wait time.Duration
 	// Pace is the time from one read to the next.
 	Pace time.Duration
+	// Look is how soon another schedule has to be noticed, nudgePace at the least.
+	Look time.Duration
 }
 
 // Update is what a topic brought.
@@ -99,11 +101,12 @@
 func (follower *Follower) rest(ctx context.Context) {
 	begun := follower.clock.Now()
 	for ctx.Err() == nil {
-		left := follower.schedule().Pace - follower.clock.Now().Sub(begun)
+		schedule := follower.schedule()
+		left := schedule.Pace - follower.clock.Now().Sub(begun)
 		if left <= 0 {
 			return
 		}
-		if follower.sleep(ctx, min(left, nudgePace)) {
+		if follower.sleep(ctx, min(left, max(schedule.Look, nudgePace))) {
 			wait(ctx, nudgePace-follower.clock.Now().Sub(begun))
 			return
 		}
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -124,6 +125,27 @@
 		Expect(follower.WellFor()).NotTo(BeZero(), "an interrupted read says nothing of the store")
 	})
 
+	// A host is nudged when another one reports a change, however seldom it looks for a closer schedule by itself.
+	It("reads at once when it is nudged while it rests, and looks no more often than its schedule asks for", func() {
+		var looks atomic.Int64
+		reads := make(chan struct{}, 100)
+		log.read = func(_ context.Context, from int64) (cherrykeel.KeyedBatch, error) {
+			reads <- struct{}{}
+			return cherrykeel.KeyedBatch{Next: from}, nil
+		}
+		follower := watch.NewFollower("topic", log, cherrykeel.SystemClock(), zap.NewNop(), func(watch.Update) {}, func() watch.Schedule {
+			looks.Add(1)
+			return watch.Schedule{Pace: 2 * time.Hour, Look: time.Hour}
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go follower.Run(ctx)
+		Eventually(looks.Load, generous).Should(Equal(int64(1)))
+		Consistently(looks.Load, "300ms").Should(Equal(int64(1)))
+		follower.Nudge()
+		Eventually(reads, generous).Should(Receive())
+	})
+
 	// The store answers with a state older than one that was read: what it lacks is not gone.
 	It("does not take an older state for news", func() {
 		var mutex sync.Mutex
