Counts between hosts are read without reflection

Cause: sums of hundreds of upstreams come to each host 15 times a second; read as maps by the library they were the largest part of its own work, most of it reflection and one allocation a name. Change: an object of plain names and whole numbers, as hosts write it, is cut up directly; anything else goes to the library.

--- a/share/message.go
+++ b/share/message.go
@@ -55,10 +55,10 @@
 // stand in them by their Short names.
 type Counts struct {
 	// Running counts requests at each upstream.
-	Running map[string]int `json:",omitempty"`
+	Running tally `json:",omitempty"`
 	// Waiting counts waiting requests by owner, Queued those by service.
-	Waiting map[string]int `json:",omitempty"`
-	Queued  map[string]int `json:",omitempty"`
+	Waiting tally `json:",omitempty"`
+	Queued  tally `json:",omitempty"`
 }
 
 func newCounts() Counts {
