Watchers stay few while the store serves nobody

Cause: four hosts hear the reports of all and tell all. Each that says that the store does not serve it is kept and followed by the next one of the order, so that somebody can read for the others. While the store is away from all, that goes on until it is back: dozens of 195 hosts hear from all and tell all. Ruled out: no bound but a slower growth; it only moves the length of outage at which the messages grow. Left: if the twelve first of the order are cut off from the store and others are not, each of those reads for itself, and nobody takes over the keeping of spans until one of the twelve is served.

--- a/topo/plan_test.go
+++ b/topo/plan_test.go
@@ -135,6 +135,26 @@
 		Expect(plan.Watchers).To(HaveLen(8))
 	})
 
+	// The store is away from all hosts. While each one that said so was replaced by the next, more and more of them told
+	// all others in turn, in the end everyone everyone else.
+	It("keeps the watchers few while the store serves nobody", func() {
+		peers := fleet(75)
+		storeless := map[string]bool{}
+		for _, peer := range peers {
+			storeless[peer.Name] = true
+		}
+		Expect(topo.New("a-9", peers, view{storeless: storeless}).Watchers).To(HaveLen(12))
+		gone := map[string]bool{}
+		for _, name := range topo.New("a-9", peers, view{}).Order[:40] {
+			gone[name] = true
+		}
+		plan := topo.New("a-9", peers, view{silent: gone, storeless: storeless})
+		Expect(plan.Watchers).To(HaveLen(12))
+		for _, name := range plan.Watchers {
+			Expect(name == "a-9" || !gone[name]).To(BeTrue(), name)
+		}
+	})
+
 	It("divides a large zone into groups of bounded size", func() {
 		peers := fleet(75)
 		seen := map[string]bool{}
