A change of an upstream concerns only its service

Cause: after each change of an upstream every service was given its upstreams anew, with a map and an order of all of them. Change: a service whose upstreams are the same as before only looks at what waits.

--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"cherrykeel"
@@ -15,6 +16,8 @@
 	mutex   sync.Mutex
 	service *flow.Service
 	budget  *budget
+	// upstreams are those that the service was last given.
+	upstreams []cherrykeel.Upstream
 	// queued is called when a request begins to wait.
 	queued func()
 }
@@ -27,6 +30,18 @@
 	return &dispatcher{name: name, keyed: keyed, service: flow.New(zone, find, rand.Float64), budget: newBudget(bounds), queued: queued}
 }
 
+// setUpstreams gives the service its upstreams; mostly another service's have changed.
+func (dispatcher *dispatcher) setUpstreams(upstreams []cherrykeel.Upstream, now cherrykeel.Instant) {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	if slices.Equal(upstreams, dispatcher.upstreams) {
+		dispatcher.service.Dispatch(now)
+		return
+	}
+	dispatcher.upstreams = upstreams
+	dispatcher.service.SetUpstreams(upstreams, now)
+}
+
 // offer asks for a place; the verdict comes on the channel.
 func (dispatcher *dispatcher) offer(ticket *flow.Ticket, now cherrykeel.Instant) <-chan flow.Verdict {
 	verdicts := make(chan flow.Verdict, 1)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -162,9 +162,7 @@
 				fit = append(fit, upstream)
 			}
 		}
-		dispatcher.mutex.Lock()
-		dispatcher.service.SetUpstreams(fit, now)
-		dispatcher.mutex.Unlock()
+		dispatcher.setUpstreams(fit, now)
 	}
 }
 
