--- a/topo/plan.go
+++ b/topo/plan.go
@@ -14,13 +14,13 @@
 	// watchers is how many hosts hear from all. They are spread over the hosts by a hash, so that the loss of
 	// a quarter of them at once takes all four in 1 case of 250; others take their places a second later.
 	watchers = 4
+	// relaysPerGroup is how many hosts of each group pass on what is told to all, so that neither one that has died
+	// unnoticed nor a lost datagram leaves a group without it.
+	relaysPerGroup = 2
 	// mostWatchers bounds them with those whom the store does not serve. While it serves nobody, each that said so was
 	// followed by the next one, and in 3 s of an outage dozens of 195 hosts told all others; of twelve that are spread
 	// over the hosts one is served unless nearly nobody is.
 	mostWatchers = 3 * watchers
-	// relaysPerGroup is how many hosts of each group pass on what is told to all, so that neither one that has died
-	// unnoticed nor a lost datagram leaves a group without it.
-	relaysPerGroup = 2
 )
 
 // View is what a host knows of the others' state.
