--- a/share/message.go
+++ b/share/message.go
@@ -55,10 +55,10 @@
 // stand in them by their Short names.
 type Counts struct {
 	// Running counts requests at each upstream.
-	Running tally `json:",omitempty"`
+	Running map[string]int `json:",omitempty"`
 	// Waiting counts waiting requests by owner, Queued those by service.
-	Waiting tally `json:",omitempty"`
-	Queued  tally `json:",omitempty"`
+	Waiting map[string]int `json:",omitempty"`
+	Queued  map[string]int `json:",omitempty"`
 }
 
 func newCounts() Counts {
