--- a/share/message.go
+++ b/share/message.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
 
 	"cherrykeel"
 )
@@ -144,20 +145,15 @@
 	Work map[string]time.Duration `json:",omitempty"`
 }
 
-// notification is a notification of JSON-RPC. The library's type reads its parameters into maps and writes them again
-// before they can be read: that was a fifth of a calm host's work.
-type notification[Params any] struct {
-	Version string `json:"jsonrpc"`
-	Method  string `json:"method"`
-	Params  Params `json:"params"`
-}
-
-const protocolVersion = "2.0"
-
 func encode(method string, message any) ([]byte, error) {
-	data, err := json.Marshal(notification[any]{Version: protocolVersion, Method: method, Params: message})
+	params, err := json.Marshal(message)
 	if err != nil {
-		return nil, errors.WithStack(err)
+		return nil, err
+	}
+	raw := json.RawMessage(params)
+	data, err := json.Marshal(&jsonrpc2.Request{Method: method, Params: &raw, Notif: true})
+	if err != nil {
+		return nil, err
 	}
 	return pack(data)
 }
@@ -167,16 +163,13 @@
 	if err != nil {
 		return "", nil, err
 	}
-	var notification notification[json.RawMessage]
-	err = json.Unmarshal(data, &notification)
-	switch {
-	case err != nil:
+	var request jsonrpc2.Request
+	err = json.Unmarshal(data, &request)
+	if err != nil {
 		return "", nil, errors.Wrap(ErrMessage, err.Error())
-	case notification.Method == "":
-		return "", nil, errors.Wrap(ErrMessage, "no method")
-	case notification.Params == nil:
+	}
+	if request.Params == nil {
 		return "", nil, errors.Wrap(ErrMessage, "no parameters")
-	default:
-		return notification.Method, notification.Params, nil
 	}
+	return request.Method, *request.Params, nil
 }
