--- a/share/pack_test.go
+++ b/share/pack_test.go
@@ -24,6 +24,16 @@
 		}
 	})
 
+	ginkgo.It("without a method or parameters, and what is no message at all, are dropped", func() {
+		for _, data := range []string{`{}`, `{"method":"Load"}`, `{"params":{}}`, `{"method":7,"params":{}}`, `[]`, `{"method":"Load","params":{}`, `7`, `{"method":"Load","params":{}}x`} {
+			_, _, err := decode([]byte(data))
+			Expect(err).To(MatchError(ErrMessage), data)
+		}
+		method, _, err := decode([]byte(`{"meta":{"a":[1]},"method":"Load","params":{},"more":1}`))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(method).To(Equal(methodLoad))
+	})
+
 	ginkgo.It("that unpack to more than any message are dropped, and so is what does not unpack", func() {
 		var packed bytes.Buffer
 		writer := gzip.NewWriter(&packed)
