--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+
+	"cherrykeel/platform/soak"
+)
+
+type commands struct {
+	Seed      uint64        `help:"The first seed; it chooses the faults and the callers' requests." default:"1"`
+	Seeds     int           `help:"How many seeds are run, one after the other." default:"1"`
+	For       time.Duration `help:"How long faults come." default:"30s"`
+	Hosts     int           `help:"Entry hosts, each a process." default:"8"`
+	Upstreams int           `help:"Upstreams of each of the three services." default:"5"`
+	Callers   int           `help:"Callers that keep connections." default:"24"`
+	Pause     time.Duration `help:"Mean pause of a caller between requests." default:"40ms"`
+	Grace     time.Duration `help:"Time that a stopping host has." default:"6s"`
+	Bounds    bool          `help:"Check bounds in time; only a calm machine bears that." default:"true" negatable:""`
+	Patience  time.Duration `help:"How long service is waited for at the beginning and the end." default:"60s"`
+	Program   string        `help:"The cherrykeel program." default:"target/cherrykeel" type:"existingfile"`
+	Keep      bool          `help:"Keep the hosts' logs of seeds that fail."`
+}
+
+func (commands *commands) Run() error {
+	broken := 0
+	for i := range commands.Seeds {
+		failures, err := commands.soak(commands.Seed + uint64(i))
+		if err != nil {
+			return err
+		}
+		broken += failures
+	}
+	if broken > 0 {
+		return errors.Errorf("%d promises broken", broken)
+	}
+	return nil
+}
+
+func (commands *commands) soak(seed uint64) (int, error) {
+	dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
+	if err != nil {
+		return 0, err
+	}
+	program, err := filepath.Abs(commands.Program)
+	if err != nil {
+		return 0, err
+	}
+	report, err := soak.Soak(soak.Options{
+		Seed: seed, For: commands.For, Hosts: commands.Hosts, Upstreams: commands.Upstreams, Callers: commands.Callers,
+		Pause: commands.Pause, Grace: commands.Grace, Bounds: commands.Bounds, Patience: commands.Patience, Program: program, Dir: dir,
+	})
+	if err != nil {
+		return 0, errors.Wrapf(err, "seed %d, logs in %s", seed, dir)
+	}
+	report.Write(os.Stdout)
+	if commands.Keep && len(report.Failures) > 0 {
+		fmt.Println("  logs:", dir)
+		return len(report.Failures), nil
+	}
+	return len(report.Failures), os.RemoveAll(dir)
+}
+
+func main() {
+	var commands commands
+	context := kong.Parse(&commands,
+		kong.Name("soak"),
+		kong.Description("Entry hosts as real processes under seeded faults; docs/SOAK.md tells how to read a failure."),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
+	context.FatalIfErrorf(context.Run())
+}
--- a/fault/proxy.go
+++ b/fault/proxy.go
@@ -34,7 +34,12 @@
 
 // Listen returns a proxy to a target, on an address of its own.
 func Listen(target string) (*Proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return ListenAt("127.0.0.1:0", target)
+}
+
+// ListenAt returns a proxy to a target, on a given address.
+func ListenAt(address, target string) (*Proxy, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
