--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -62,6 +65,8 @@
 }
 
 func (commands *commands) soak(seed uint64) (int, error) {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
 	dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
 	if err != nil {
 		return 0, err
@@ -70,7 +75,7 @@
 	if err != nil {
 		return 0, err
 	}
-	outcome, err := soak.Soak(soak.Options{
+	outcome, err := soak.Soak(ctx, soak.Options{
 		Seed: seed, For: commands.For, Hosts: commands.Hosts, Upstreams: commands.Upstreams, Callers: commands.Callers,
 		Pause: commands.Pause, Grace: commands.Grace, Bounds: commands.Bounds, Patience: commands.Patience, Program: program, Dir: dir,
 	})
