--- a/topo/plan_test.go
+++ b/topo/plan_test.go
@@ -135,8 +135,7 @@
 		Expect(plan.Watchers).To(HaveLen(8))
 	})
 
-	// The store is away from all hosts. While each one that said so was replaced by the next, more and more of them told
-	// all others in turn, in the end everyone everyone else.
+	// Guards against watchers that follow each other in an outage until everyone tells everyone.
 	It("keeps the watchers few while the store serves nobody", func() {
 		peers := fleet(75)
 		storeless := map[string]bool{}
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -146,8 +146,7 @@
 		Eventually(reads, generous).Should(Receive())
 	})
 
-	// 195 hosts that all try twice a second make 800 calls a second that fail. Most wait longer, and are told what the
-	// others find; one that another host's report shows to have missed a change must not sleep on.
+	// Guards against hundreds of hosts that all try an absent store twice a second, and against one that sleeps on.
 	It("tries more seldom if it has patience while the store is away, and at once when it is nudged", func() {
 		var tries atomic.Int64
 		log.newest = func() (cherrykeel.KeyedBatch, error) {
