A host takes SIGHUP from the first moment of its program

Cause: the signal that settings have changed was taken once the entry command ran. On a busy machine that is half a second after the start, and a signal in that time ended the process.

The spec "takes the signal without a call" has no form on the code before, where the signal ends the test. What is left: the time until the runtime takes signals at all.

--- a/cmd/cherrykeel/entry.go
+++ b/cmd/cherrykeel/entry.go
@@ -16,6 +16,7 @@
 	"cherrykeel/conns"
 	"cherrykeel/entry"
 	"cherrykeel/events"
+	"cherrykeel/hangup"
 	"cherrykeel/opctl"
 	adapter "cherrykeel/platform"
 )
@@ -38,10 +39,6 @@
 }
 
 func (command *entryCommand) Run() error {
-	// Unless it is taken, the signal that the settings have changed ends the process with all its requests.
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
 	settings, err := adapter.LoadSettings(command.Config)
 	if err != nil {
 		return &opctl.ExitError{Code: opctl.ExitInvalid, Err: err}
@@ -72,7 +69,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	go command.watch(ctx, hangup, logger, func(settings cherrykeel.EntrySettings) {
+	go command.watch(ctx, hangup.Taken(), logger, func(settings cherrykeel.EntrySettings) {
 		store.Move(settings.StoreURL)
 		host.Reload(settings)
 	})
@@ -80,7 +77,7 @@
 }
 
 // watch reads the settings file again when it is told to, or finds it changed.
-func (command *entryCommand) watch(ctx context.Context, hangup <-chan os.Signal, logger *zap.Logger, reload func(cherrykeel.EntrySettings)) {
+func (command *entryCommand) watch(ctx context.Context, changed <-chan os.Signal, logger *zap.Logger, reload func(cherrykeel.EntrySettings)) {
 	ticker := time.NewTicker(settingsPace)
 	defer ticker.Stop()
 	last, _ := adapter.LoadSettings(command.Config)
@@ -89,7 +86,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangup:
+		case <-changed:
 			asked = true
 		case <-ticker.C:
 		}
--- a/cmd/cherrykeel/main.go
+++ b/cmd/cherrykeel/main.go
@@ -7,6 +7,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
 
+	"cherrykeel/hangup"
 	"cherrykeel/opctl"
 )
 
@@ -30,6 +31,9 @@
 	Owner   ownerCommand   `cmd:"" help:"Show who owns a key. Example: cherrykeel owner hanbit/availability hall-7"`
 }
 
+// entryName is the command that reads its settings again when it is sent SIGHUP.
+const entryName = "entry"
+
 func main() {
 	var commands commands
 	parser, err := kong.New(&commands,
@@ -45,6 +49,9 @@
 		parser.Errorf("%s", err)
 		os.Exit(opctl.ExitInvalid)
 	}
+	if context.Command() != entryName {
+		hangup.Release()
+	}
 	os.Exit(code(context.Run()))
 }
 
--- /dev/null
+++ b/hangup/hangup.go
@@ -0,0 +1,25 @@
+package hangup
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+var taken = make(chan os.Signal, 1)
+
+// The signal is taken while packages are initialised, this one among the first: a signal that came before the program
+// took it ended the process, and on a busy machine that was half a second.
+func init() {
+	signal.Notify(taken, syscall.SIGHUP)
+}
+
+// Taken gives a value after the signal has come.
+func Taken() <-chan os.Signal {
+	return taken
+}
+
+// Release lets the signal end the process, as is usual when a terminal is closed.
+func Release() {
+	signal.Reset(syscall.SIGHUP)
+}
--- /dev/null
+++ b/hangup/hangup_test.go
@@ -0,0 +1,25 @@
+package hangup_test
+
+import (
+	"os"
+	"syscall"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cherrykeel/hangup"
+)
+
+func TestHangup(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "hangup")
+}
+
+var _ = Describe("a process that imports the package", func() {
+	// Guards against a host that is told of new settings while it starts, and ends by the signal.
+	It("takes the signal without a call", func() {
+		Expect(syscall.Kill(os.Getpid(), syscall.SIGHUP)).To(Succeed())
+		Eventually(hangup.Taken(), "10s").Should(Receive(Equal(syscall.SIGHUP)))
+	})
+})
