The key that a request is for is part of what makes it the same request

Cause: the platform carries the key in a header alone, so that requests for different keys of one path were one request. A good answer for one key took back the ends of another, and upstreams went on ending.

Change: the key stands in the identity, on both ways.

The spec of a waiting request names the key of the request that it condemns.

--- a/deny/parts.go
+++ b/deny/parts.go
@@ -11,10 +11,10 @@
 var credentialHeaders = []string{"Authorization", "Cookie"}
 
 // PartsOf returns what makes a request the same one when it is sent again. Its target is the path with the query as
-// they came, its body is whole.
-func PartsOf(request *http.Request, target string, body []byte) poison.Parts {
+// they came, its body is whole; the key is empty if it has none.
+func PartsOf(request *http.Request, target, key string, body []byte) poison.Parts {
 	return poison.Parts{
-		Method: request.Method, Domain: request.Host, Path: target, Body: body,
+		Method: request.Method, Domain: request.Host, Path: target, Key: key, Body: body,
 		Caller: request.RemoteAddr, Credentials: credentials(request.Header),
 	}
 }
--- a/edge/denied.go
+++ b/edge/denied.go
@@ -10,7 +10,7 @@
 
 // partsOf are what makes a request the same one when it is sent again.
 func partsOf(exchange *cherrykeel.Exchange) poison.Parts {
-	return deny.PartsOf(exchange.Request, exchange.Request.URL.RequestURI(), exchange.Body)
+	return deny.PartsOf(exchange.Request, exchange.Request.URL.RequestURI(), exchange.Key, exchange.Body)
 }
 
 // refusal refuses a request under which upstreams have ended.
--- a/poison/identity.go
+++ b/poison/identity.go
@@ -37,6 +37,8 @@
 	// Domain and Path are the host that was asked for, and the path with its query, as they came.
 	Domain string
 	Path   string
+	// Key is the key that the request is for; empty if it has none.
+	Key string
 	// Caller is the caller's address, with or without a port.
 	Caller string
 	// Credentials are what the caller shows of who it is; empty if nothing.
@@ -60,7 +62,7 @@
 // Identify returns the identity of a request. A caller's address is no part of it: one request may come from many.
 func Identify(parts Parts) Identity {
 	digest := sha256.New()
-	for _, part := range []string{parts.Method, parts.Domain, parts.Path} {
+	for _, part := range []string{parts.Method, parts.Domain, parts.Path, parts.Key} {
 		add(digest, part)
 	}
 	_, _ = digest.Write(parts.Body)
--- a/poison/identity_test.go
+++ b/poison/identity_test.go
@@ -26,6 +26,7 @@
 		Entry("with another method", func(parts *poison.Parts) { parts.Method = "PUT" }),
 		Entry("to another host", func(parts *poison.Parts) { parts.Domain = "i.example" }),
 		Entry("with another query", func(parts *poison.Parts) { parts.Path = "/a/b?d" }),
+		Entry("for another key", func(parts *poison.Parts) { parts.Key = "7" }),
 		Entry("with another body", func(parts *poison.Parts) { parts.Body = []byte("xz") }),
 		Entry("where a part ends elsewhere", func(parts *poison.Parts) { parts.Domain, parts.Path = "h.example/", "a/b?c" }),
 	)
--- a/relay/denied.go
+++ b/relay/denied.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 
 	"cherrykeel"
 	"cherrykeel/deny"
@@ -11,7 +12,11 @@
 
 // parts are what makes this request the same one when it is sent again.
 func (exchange *exchange) parts() poison.Parts {
-	return deny.PartsOf(exchange.request, exchange.request.RequestURI, exchange.body)
+	key := ""
+	if exchange.asked.Key != cherrykeel.NoKey {
+		key = strconv.Itoa(exchange.asked.Key)
+	}
+	return deny.PartsOf(exchange.request, exchange.request.RequestURI, key, exchange.body)
 }
 
 // denied refuses a request under which upstreams have ended. It is not sent, so it surely does not run, and would not
--- a/relay/denied_test.go
+++ b/relay/denied_test.go
@@ -68,7 +68,7 @@
 		go ask("/other")
 		Eventually(func() int { return relay.Own().Waiting[""] }).Should(Equal(2))
 		incoming := httptest.NewRequest(http.MethodGet, "http://h/deadly", nil)
-		condemn(poison.Identify(poison.Parts{Method: http.MethodGet, Domain: "h", Path: incoming.RequestURI, Caller: incoming.RemoteAddr}))
+		condemn(poison.Identify(poison.Parts{Method: http.MethodGet, Domain: "h", Path: incoming.RequestURI, Key: "7", Caller: incoming.RemoteAddr}))
 		var writer *httptest.ResponseRecorder
 		Eventually(results).Should(Receive(&writer))
 		Expect(writer.Code).To(Equal(http.StatusServiceUnavailable))
