Hosts that hear the same words of upstreams' ends refuse the same requests

Cause: the time of an end was that of the first word, a denial to all stayed when a caller turned out to stand at all ends, and one life of an upstream had several ends if words of it lay two seconds apart. Hosts with the same records refused differently, and nothing repaired it; one upstream's end, told late, denied a page to all.

Change: an end's time is the earliest told; whether a denial is to all follows from the record alone; a life that is told apart by its birth has one end.

Before: the four specs "hosts that hear the same words in another order" fail; after: they pass, with the other specs of poison, deny, fold and those of the platform.

--- a/poison/callers.go
+++ b/poison/callers.go
@@ -16,7 +16,8 @@
 func (end *End) merge(told End) bool {
 	news := told.Withdrawn && !end.Withdrawn
 	end.Withdrawn = end.Withdrawn || told.Withdrawn
-	news = news || told.Begun > end.Begun
+	news = news || told.At < end.At || told.Begun > end.Begun
+	end.At = min(end.At, told.At)
 	end.Begun = max(end.Begun, told.Begun)
 	for mark, answered := range told.Callers {
 		news = end.note(mark, answered) || news
--- a/poison/judge.go
+++ b/poison/judge.go
@@ -56,7 +56,7 @@
 	found := denial{callers: map[Mark]bool{}}
 	standing := record.Standing()
 	if deadly(standing, before.all, rivals) {
-		found.all = before.all || !ofOne(standing) && trials(standing) >= deadlyTrials
+		found.all = !ofOne(standing) && trials(standing) >= deadlyTrials
 	}
 	for mark, ends := range record.standingOf() {
 		if deadly(ends, before.callers[mark], rivals) {
--- a/poison/record.go
+++ b/poison/record.go
@@ -25,7 +25,7 @@
 // End is an end of an upstream at which a request was at work.
 type End struct {
 	Life
-	// At is in Unix milliseconds on the clock of the host that saw it.
+	// At is in Unix milliseconds on the clock of the host that saw it first.
 	At int64
 	// Begun is when the last copy of the request was sent that was at work there, in Unix milliseconds; 0 if not told.
 	Begun int64 `json:",omitempty"`
@@ -36,10 +36,11 @@
 	Callers map[Mark]bool `json:",omitempty"`
 }
 
-// same reports whether two hosts mean the same end.
+// same reports whether two hosts mean the same end. A life that is told apart by its birth has one; of an upstream that
+// does not say when it was born, ends that lie near each other are taken for one.
 func (end End) same(other End) bool {
 	apart := time.Duration(max(end.At-other.At, other.At-end.At)) * time.Millisecond
-	return end.Life == other.Life && apart < sameEnd
+	return end.Life == other.Life && (end.Born != 0 || apart < sameEnd)
 }
 
 // Record is what is known of one request. Records are merged end by end, so that it does not matter in what order,
