Copies that were at work together deny nothing to all that share an address

Cause: three upstreams that lost power together under copies from one address denied the page to that address; behind a proxy that is everybody. The rule that one end has to come of a copy sent after another end held for denials to all only.

Before: "refuse nothing to an address for copies that were at work together" fails; after: it passes. A request that ends upstreams by copies at once from one address alone ends one more before it is denied.

--- a/poison/identity.go
+++ b/poison/identity.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"hash"
 	"net/netip"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -81,6 +82,11 @@
 	credentialsMark = "c"
 )
 
+// shown reports whether the mark is of what a caller shows of itself, which its neighbours do not share.
+func (mark Mark) shown() bool {
+	return strings.HasSuffix(string(mark), credentialsMark)
+}
+
 // Marks returns what tells the request's caller from others that send the same.
 func (parts *Parts) Marks() []Mark {
 	marks := []Mark{markOf(callerOf(parts.Caller), addressMark)}
--- a/poison/words_test.go
+++ b/poison/words_test.go
@@ -60,4 +60,12 @@
 		table := hears(oneEnd("a", 0, -100, "x"), oneEnd("a", 2000, 1900, "y"), oneEnd("a", 4000, 3900, "z"))
 		Expect(table.Extent(identity(1)).None()).To(BeTrue())
 	})
+
+	// Guards against all that are behind one address being refused a page, since their upstreams lost power together.
+	It("refuse nothing to an address for copies that were at work together", func() {
+		table := hears(oneEnd("a", 100, 0, "proxya", "1c"), oneEnd("b", 101, 1, "proxya", "2c"), oneEnd("c", 102, 2, "proxya", "3c"))
+		Expect(table.Refused(identity(1), "proxya", "4c")).To(BeFalse())
+		one := hears(oneEnd("a", 100, 0, "proxya", "1c"), oneEnd("b", 101, 1, "proxya", "1c"), oneEnd("c", 102, 2, "proxya", "1c"))
+		Expect(one.Refused(identity(1), "proxya", "1c")).To(BeTrue(), "one caller's copies")
+	})
 })
