--- a/deny/request.go
+++ b/deny/request.go
@@ -67,7 +67,8 @@
 	}
 }
 
-// Broke takes it that the request was sent to an upstream and got no answer from it. Of the break all is to be filled in but the identity; its Request is the id of this attempt of the caller, for logs.
+// Broke takes it that the request was sent to an upstream and got no answer from it. Of the break all is to be filled in
+// but the identity and the marks; its Request is the id of this attempt of the caller, for logs.
 func (request *Request) Broke(found poison.Break) {
 	found.Identity = request.Identity()
 	found.Marks = request.marks
--- a/poison/callers.go
+++ b/poison/callers.go
@@ -69,7 +69,8 @@
 }
 
 // trials counts the ends that came of one send after another. Copies that were at work together may have ended together
-// by something else: all upstreams lose power, and each page that many ask for stands at three ends, with no answer since. An end whose host has not said when the request was sent counts.
+// by something else: when all upstreams lose power, each page that many ask for stands at three ends, and nobody has had
+// an answer since. An end whose host has not said when the request was sent counts.
 func trials(ends []End) int {
 	inOrder := slices.SortedFunc(slices.Values(ends), func(one, other End) int { return cmp.Compare(one.At, other.At) })
 	count := 0
--- a/poison/table.go
+++ b/poison/table.go
@@ -11,7 +11,7 @@
 	// DeadlyEnds is how many ends of upstreams a request stands at before it is refused. Fewer would refuse what merely
 	// was at work beside others; each one more costs an upstream with all that runs there.
 	DeadlyEnds = 3
-	// deadlyTrials is how many of these have to come of one send after another before a request is refused to all.
+	// deadlyTrials is how many of these have to come of one send after another before a request is refused to all, or to all behind an address.
 	deadlyTrials = 2
 	// remembered is for how long after its last end a request is known. Refused for that long, it may end three more
 	// upstreams an hour; a caller that is refused wrongly is denied no longer.
