--- a/proof/stops_test.go
+++ b/proof/stops_test.go
@@ -20,10 +20,8 @@
 
 var _ = Describe("stops", func() {
 	It("of an entry host cut no request, however long, and keep-alive callers move on", func() {
-		// A search takes 1.5 s on its upstream. The host is told to stop while it runs and while other
-		// callers keep sending; each answer must be whole. Callers that still come when the host closes
-		// its listener are refused, or reset if that falls into the moment of their connecting: what
-		// fails in either way must not have run, and no connection may end without a word.
+		// Guards against a caller that connects while the host stops and is reset or cut off, so that it
+		// cannot tell whether its request ran.
 		cluster := newCluster(2)
 		cluster.shop()
 		for name, upstream := range cluster.upstreams {
@@ -44,7 +42,7 @@
 				for {
 					got := cluster.ask(leaving, http.MethodGet, "/keys/x", "")
 					if got.err != nil {
-						Expect(got.err.Error()).To(Or(ContainSubstring("connection refused"), ContainSubstring("connection reset by peer")))
+						Expect(got.err.Error()).To(ContainSubstring("connection refused"))
 						return
 					}
 					Expect(got.status).To(Equal(http.StatusOK))
