A stopping listener lets the system refuse new connections before it closes

What callers saw: "connection reset by peer" from a host that stops, as they connected or under their first request. They cannot tell whether the request was read, so one that must run once may not be sent again. Cause: between the listener's last look at its queue and its close the system completes further connections, and others are under way; the close resets both. Change: the listening socket is bound to a device by which its address is not reached, so that the system refuses at once who begins to connect; what is complete or under way is accepted for 200 ms more; then the socket is closed. Why it is enough: after the step no connection can begin, and each that had begun is in the queue before the close, unless a packet of it is lost.

--- a/drain/listener.go
+++ b/drain/listener.go
@@ -11,12 +11,17 @@
 	"cherrykeel/sock"
 )
 
-// Listener is a TCP listener whose close resets as few callers as the system allows: connections that are
-// complete are accepted first. Between the last look at the queue and the close a further one may be
-// completed and is reset; that takes a caller that comes when the balancer has long sent others elsewhere.
+// underWay is how long a stopped listener still takes connections that had begun: longer than a way to a caller and back.
+const underWay = 200 * time.Millisecond
+
+// Listener is a TCP listener whose stop resets no caller: who begins to connect is refused by the system first, then the
+// connections that are complete or under way are accepted, and only then is the socket closed. A close alone resets
+// them, and their callers cannot tell whether their requests ran.
 type Listener struct {
 	*net.TCPListener
 	stopping atomic.Bool
+	// waited says that the stop's time for connections under way is over.
+	waited atomic.Bool
 }
 
 // Listen opens a TCP address.
@@ -34,25 +39,33 @@
 // Accept returns the next connection, or net.ErrClosed when a stopped listener has none left.
 func (listener *Listener) Accept() (net.Conn, error) {
 	for {
-		if listener.stopping.Load() && !sock.Readable(listener.TCPListener) {
+		if listener.waited.Load() && !sock.Readable(listener.TCPListener) {
 			_ = listener.Close()
 			return nil, net.ErrClosed
 		}
 		conn, err := listener.TCPListener.Accept()
 		if err != nil && listener.stopping.Load() && isTimeout(err) {
-			// Stop has interrupted the wait; what is pending is accepted without one.
+			// What is complete by now is accepted without a wait.
 			_ = listener.SetDeadline(time.Time{})
+			listener.waited.Store(true)
 			continue
 		}
 		return conn, err
 	}
 }
 
-// Stop makes Accept return the connections that are complete, then close the listener and return
-// net.ErrClosed. It does not wait for that.
-func (listener *Listener) Stop() {
+// Stop makes Accept return the connections that are complete or under way, then close the listener and return
+// net.ErrClosed. It does not wait for that. An error says why the system cannot refuse new connections; then only the
+// complete ones are accepted, and one that comes at the moment of the close may be reset.
+func (listener *Listener) Stop() error {
+	err := sock.RefuseNew(listener.TCPListener)
+	until := time.Now()
+	if err == nil {
+		until = until.Add(underWay)
+	}
 	listener.stopping.Store(true)
-	_ = listener.SetDeadline(time.Now())
+	_ = listener.SetDeadline(until)
+	return err
 }
 
 func isTimeout(err error) bool {
--- a/drain/server.go
+++ b/drain/server.go
@@ -81,12 +81,24 @@
 	server.stopping.Store(true)
 }
 
-// Stop takes no more connections and returns when the accepted ones have been answered; those that are
-// left when the context ends are cut, and its error is returned.
-func (server *Server) Stop(ctx context.Context) error {
+// StopAccepting takes no more connections and returns when the listener is closed. Its error is that of Listener.Stop:
+// the listener is closed, but may have reset a caller.
+func (server *Server) StopAccepting() error {
 	server.Part()
-	server.listener.Stop()
+	err := server.listener.Stop()
 	<-server.accepted
+	return err
+}
+
+// Stop takes no more connections and returns when the accepted ones have been answered.
+func (server *Server) Stop(ctx context.Context) error {
+	_ = server.StopAccepting()
+	return server.Finish(ctx)
+}
+
+// Finish returns when the accepted connections have been answered, after StopAccepting; those that are left when the
+// context ends are cut, and its error is returned.
+func (server *Server) Finish(ctx context.Context) error {
 	ticker := time.NewTicker(pollEvery)
 	defer ticker.Stop()
 	for server.closeIdle(time.Now()) > 0 && ctx.Err() == nil {
--- a/drain/server_test.go
+++ b/drain/server_test.go
@@ -9,10 +9,14 @@
 	"net/http/httptest"
 	"runtime"
 	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
 
 	"cherrykeel/drain"
 )
@@ -253,6 +257,13 @@
 		}
 	})
 
+	// Guards against a caller that is reset as it connects, and cannot tell whether its request was read.
+	It("refuses or answers each caller that connects while it closes", func() {
+		for range 30 {
+			Expect(unrefused(16)).To(BeEmpty())
+		}
+	})
+
 	It("ends a wait for connections", func() {
 		listener, err := drain.Listen("127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
@@ -265,3 +276,63 @@
 		Eventually(ended, "10s").Should(Receive(MatchError(net.ErrClosed)))
 	})
 })
+
+// unrefused returns what callers saw other than answers and refusals, who connect all the time while a listener stops.
+func unrefused(callers int) []string {
+	listener, err := drain.Listen("127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	var group sync.WaitGroup
+	group.Go(func() { echoAll(listener) })
+	address := listener.Addr().String()
+	var answered atomic.Int64
+	ends := make(chan error, callers)
+	for range callers {
+		group.Go(func() {
+			err := askEcho(address)
+			for err == nil {
+				answered.Add(1)
+				err = askEcho(address)
+			}
+			ends <- err
+		})
+	}
+	Eventually(answered.Load, "10s").Should(BeNumerically(">", 4*callers))
+	Expect(listener.Stop()).To(Succeed())
+	group.Wait()
+	close(ends)
+	var others []string
+	for err := range ends {
+		if !errors.Is(err, syscall.ECONNREFUSED) {
+			others = append(others, err.Error())
+		}
+	}
+	return others
+}
+
+// echoAll gives each connection one byte back until the listener is closed.
+func echoAll(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			_, _ = io.CopyN(conn, conn, 1)
+		}()
+	}
+}
+
+func askEcho(address string) error {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	_, err = conn.Write([]byte("x"))
+	if err != nil {
+		return err
+	}
+	_, err = io.ReadFull(conn, make([]byte, 1))
+	return err
+}
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -37,9 +37,9 @@
 	host.waitUntil(ctx, begun, time.Duration(takeShare*float64(grace)))
 	host.relay.EndAt(begun.Add(grace - endMargin))
 	host.waitUntil(ctx, begun, time.Duration(acceptShare*float64(grace)))
-	host.listener.Stop()
+	err := host.listener.Stop()
 	<-host.accepted
-	events.Log(host.logger, events.EntryClosed, zap.Duration("After", host.clock.Now().Sub(begun)), zap.Int("Connections", host.server.Open()))
+	events.Log(host.logger, events.EntryClosed, zap.Duration("After", host.clock.Now().Sub(begun)), zap.Int("Connections", host.server.Open()), zap.Error(err))
 	for host.server.Open() > 0 && host.clock.Now().Sub(begun) < grace-endMargin-withdrawTimeout {
 		host.server.CloseIdle()
 		pause(ctx, stopPace)
--- a/events/events.go
+++ b/events/events.go
@@ -30,6 +30,7 @@
 	HostStopping = define(103, zap.InfoLevel, "host is stopping")
 	HostStopped  = define(104, zap.InfoLevel, "host has stopped")
 	HostCut      = define(105, zap.WarnLevel, "requests were cut at the end of the stop's time")
+	HostClosed   = define(106, zap.InfoLevel, "host takes no more connections")
 )
 
 // The events of the platform's log and list.
--- a/host/serve.go
+++ b/host/serve.go
@@ -87,7 +87,9 @@
 	for host.duty.holdsAny() && host.hasSuccessor() && ctx.Err() == nil {
 		pauseUntil(ctx, time.Now().Add(stopPoll))
 	}
-	err := host.front.Stop(ctx)
+	err := host.front.StopAccepting()
+	events.Log(host.logger, events.HostClosed, zap.Int64("Requests", host.requests.count.Load()), zap.Error(err))
+	err = host.front.Finish(ctx)
 	if err != nil {
 		events.Log(host.logger, events.HostCut, zap.Int64("Requests", host.requests.count.Load()), zap.Error(err))
 	}
--- /dev/null
+++ b/sock/export_test.go
@@ -0,0 +1,4 @@
+package sock
+
+// Unreached chooses the device to which a listener is bound.
+var Unreached = unreached
--- /dev/null
+++ b/sock/refuse.go
@@ -0,0 +1,61 @@
+package sock
+
+import (
+	"net"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+// ErrReached is returned by RefuseNew if callers may come by each device that the machine has.
+var ErrReached = errors.New("the address is reached by each network device")
+
+// RefuseNew makes the system refuse who begins to connect to a listening socket from now on; connections that are
+// complete or under way are not touched, and can be accepted. The socket is bound to a device by which its address is
+// not reached, so that the system finds no listener for new callers. Errors are the system's, and ErrReached.
+func RefuseNew(listener *net.TCPListener) error {
+	devices, err := net.Interfaces()
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	address := listener.Addr().(*net.TCPAddr)
+	device, found := unreached(address.IP, devices)
+	if !found {
+		return errors.WithStack(ErrReached)
+	}
+	return bindTo(listener, device)
+}
+
+// unreached returns a device by which nobody comes to the address. If there is none but the loopback, callers of
+// another address who are on the same machine still come by it.
+func unreached(address net.IP, devices []net.Interface) (net.Interface, bool) {
+	for _, device := range devices {
+		isLoopback := device.Flags&net.FlagLoopback != 0
+		if !isLoopback && (address.IsLoopback() || device.Flags&net.FlagUp == 0) {
+			return device, true
+		}
+	}
+	for _, device := range devices {
+		isLoopback := device.Flags&net.FlagLoopback != 0
+		if isLoopback && !address.IsLoopback() {
+			return device, true
+		}
+	}
+	return net.Interface{}, false
+}
+
+func bindTo(socket syscall.Conn, device net.Interface) error {
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	var failure error
+	err = raw.Control(func(descriptor uintptr) {
+		failure = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_BINDTOIFINDEX, device.Index)
+	})
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.WithStack(failure)
+}
