Operators are refused by a stopping host, or answered

What operators saw: EOF or "connection reset by peer" from the operators' port of `cherrykeel run` as the host stops. Cause: the same class as at callers' port. net/http's Shutdown closes the listener over complete connections, and gives up requests that it reads afterwards. Change: the operators' port is served by drain, as callers' is, with the same limit on idle connections. Ruled out: nothing else at that port ends connections.

--- a/host/host.go
+++ b/host/host.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -82,9 +81,9 @@
 
 	inner       *wire.Server
 	front       *drain.Server
-	admin       *http.Server
+	admin       *drain.Server
 	frontSocket *drain.Listener
-	adminSocket net.Listener
+	adminSocket *drain.Listener
 }
 
 // Option changes a Host under construction.
@@ -199,7 +198,7 @@
 	if err != nil {
 		return errors.Wrap(err, "Listen")
 	}
-	host.adminSocket, err = net.Listen("tcp", host.config.Admin)
+	host.adminSocket, err = drain.Listen(host.config.Admin)
 	if err != nil {
 		return errors.Wrap(err, "Admin")
 	}
--- a/host/serve.go
+++ b/host/serve.go
@@ -58,16 +58,21 @@
 		MaxHeaderBytes:    host.config.MaxHeaderBytes,
 		ErrorLog:          quiet,
 	}, host.frontSocket)
-	host.admin = &http.Server{Handler: host.adminHandler(), ReadHeaderTimeout: headTimeout, ErrorLog: quiet}
+	host.admin = drain.New(&http.Server{
+		Handler:           host.adminHandler(),
+		ReadHeaderTimeout: headTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          quiet,
+	}, host.adminSocket)
 	failed := make(chan error, 2)
-	start := func(serve func() error) {
-		err := serve()
-		if err != nil && err != http.ErrServerClosed {
+	start := func(server *drain.Server) {
+		err := server.Serve()
+		if err != nil {
 			failed <- err
 		}
 	}
-	go start(host.front.Serve)
-	go start(func() error { return host.admin.Serve(host.adminSocket) })
+	go start(host.front)
+	go start(host.admin)
 	return failed
 }
 
@@ -107,7 +112,7 @@
 func (host *Host) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), goneWait)
 	defer cancel()
-	_ = host.admin.Shutdown(ctx)
+	_ = host.admin.Stop(ctx)
 	host.inner.Close()
 	host.peers.Close()
 	host.workers.StopAndWait()
--- a/proof/stops_test.go
+++ b/proof/stops_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -65,6 +66,30 @@
 		Expect(leaving.process.command.ProcessState.ExitCode()).To(BeZero())
 	})
 
+	It("of an entry host answer or refuse operators", func() {
+		// Guards against an operator's connection that is reset or cut off while the host stops.
+		cluster := newCluster(1)
+		leaving := cluster.hosts[0]
+		operator := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience}
+		var operators sync.WaitGroup
+		var answered atomic.Int64
+		for range 16 {
+			operators.Go(func() {
+				defer GinkgoRecover()
+				err := askStatus(operator, leaving)
+				for err == nil {
+					answered.Add(1)
+					err = askStatus(operator, leaving)
+				}
+				Expect(err.Error()).To(ContainSubstring("connection refused"))
+			})
+		}
+		Eventually(answered.Load, patience).Should(BeNumerically(">", 100))
+		leaving.process.signal(syscall.SIGTERM)
+		operators.Wait()
+		Eventually(leaving.process.done, patience).Should(BeClosed())
+	})
+
 	DescribeTable("of an upstream take its new work away, and let its work in flight end", func(leave func(cluster *cluster, name string)) {
 		cluster := newCluster(3)
 		cluster.shop()
@@ -126,3 +151,14 @@
 		}
 	})
 })
+
+// askStatus asks a host for its status and reads the answer whole.
+func askStatus(operator *http.Client, entry *entry) error {
+	response, err := operator.Get("http://" + entry.admin + "/status")
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err
+}
