Specs of stops share the callers who connect all the time; one for the platform's way

Cause: the listener's mend serves the platform's way as well, and no spec there showed it; each spec had callers of its own. Change: fakes.Callers ask until each has failed once. The spec of `caller` stops a host as `entry` does. Ruled out: nothing new. The checks of the two older specs are the same: whoever is not answered is refused.

--- /dev/null
+++ b/caller/stop_test.go
@@ -0,0 +1,42 @@
+package caller_test
+
+import (
+	"net/http"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cherrykeel/caller"
+	"cherrykeel/drain"
+	"cherrykeel/fakes"
+)
+
+var _ = Describe("a host that stops among callers who connect all the time", func() {
+	// Guards against a caller that is reset or cut off as it connects, and cannot tell whether its request was read.
+	It("refuses each of them, or answers it", func() {
+		for range 10 {
+			listener, err := drain.Listen("127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			server := caller.New(http.HandlerFunc(echo))
+			closed := make(chan struct{})
+			go func() {
+				defer close(closed)
+				server.Serve(listener)
+			}()
+			callers := fakes.StartCallers(16, fakes.AskAnew("http://"+listener.Addr().String()))
+			Eventually(callers.Answered, generous).Should(BeNumerically(">", 100))
+
+			server.Stop()
+			Expect(listener.Stop()).To(Succeed())
+			<-closed
+			for server.Open() > 0 {
+				server.CloseIdle()
+				time.Sleep(time.Millisecond)
+			}
+
+			Expect(callers.Failures()).To(HaveEach(MatchError(syscall.ECONNREFUSED)))
+		}
+	})
+})
--- a/drain/server_test.go
+++ b/drain/server_test.go
@@ -9,16 +9,14 @@
 	"net/http/httptest"
 	"runtime"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-	"github.com/pkg/errors"
 
 	"cherrykeel/drain"
+	"cherrykeel/fakes"
 )
 
 func TestDrain(t *testing.T) {
@@ -260,7 +258,14 @@
 	// Guards against a caller that is reset as it connects, and cannot tell whether its request was read.
 	It("refuses or answers each caller that connects while it closes", func() {
 		for range 30 {
-			Expect(unrefused(16)).To(BeEmpty())
+			listener, err := drain.Listen("127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			address := listener.Addr().String()
+			go echoAll(listener)
+			callers := fakes.StartCallers(16, func() error { return askEcho(address) })
+			Eventually(callers.Answered, "10s").Should(BeNumerically(">", 100))
+			Expect(listener.Stop()).To(Succeed())
+			Expect(callers.Failures()).To(HaveEach(MatchError(syscall.ECONNREFUSED)))
 		}
 	})
 
@@ -277,36 +282,19 @@
 	})
 })
 
-// unrefused returns what callers saw other than answers and refusals, who connect all the time while a listener stops.
-func unrefused(callers int) []string {
-	listener, err := drain.Listen("127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	var group sync.WaitGroup
-	group.Go(func() { echoAll(listener) })
-	address := listener.Addr().String()
-	var answered atomic.Int64
-	ends := make(chan error, callers)
-	for range callers {
-		group.Go(func() {
-			err := askEcho(address)
-			for err == nil {
-				answered.Add(1)
-				err = askEcho(address)
-			}
-			ends <- err
-		})
+// askEcho connects, sends a byte and reads it back.
+func askEcho(address string) error {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return err
 	}
-	Eventually(answered.Load, "10s").Should(BeNumerically(">", 4*callers))
-	Expect(listener.Stop()).To(Succeed())
-	group.Wait()
-	close(ends)
-	var others []string
-	for err := range ends {
-		if !errors.Is(err, syscall.ECONNREFUSED) {
-			others = append(others, err.Error())
-		}
+	defer conn.Close()
+	_, err = conn.Write([]byte("x"))
+	if err != nil {
+		return err
 	}
-	return others
+	_, err = io.ReadFull(conn, make([]byte, 1))
+	return err
 }
 
 // echoAll gives each connection one byte back until the listener is closed.
@@ -322,17 +310,3 @@
 		}()
 	}
 }
-
-func askEcho(address string) error {
-	conn, err := net.Dial("tcp", address)
-	if err != nil {
-		return err
-	}
-	defer conn.Close()
-	_, err = conn.Write([]byte("x"))
-	if err != nil {
-		return err
-	}
-	_, err = io.ReadFull(conn, make([]byte, 1))
-	return err
-}
--- a/proof/stops_test.go
+++ b/proof/stops_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -70,23 +69,10 @@
 		// Guards against an operator's connection that is reset or cut off while the host stops.
 		cluster := newCluster(1)
 		leaving := cluster.hosts[0]
-		operator := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience}
-		var operators sync.WaitGroup
-		var answered atomic.Int64
-		for range 16 {
-			operators.Go(func() {
-				defer GinkgoRecover()
-				err := askStatus(operator, leaving)
-				for err == nil {
-					answered.Add(1)
-					err = askStatus(operator, leaving)
-				}
-				Expect(err.Error()).To(ContainSubstring("connection refused"))
-			})
-		}
-		Eventually(answered.Load, patience).Should(BeNumerically(">", 100))
+		operators := fakes.StartCallers(16, fakes.AskAnew("http://"+leaving.admin+"/status"))
+		Eventually(operators.Answered, patience).Should(BeNumerically(">", 100))
 		leaving.process.signal(syscall.SIGTERM)
-		operators.Wait()
+		Expect(operators.Failures()).To(HaveEach(MatchError(syscall.ECONNREFUSED)))
 		Eventually(leaving.process.done, patience).Should(BeClosed())
 	})
 
@@ -151,14 +137,3 @@
 		}
 	})
 })
-
-// askStatus asks a host for its status and reads the answer whole.
-func askStatus(operator *http.Client, entry *entry) error {
-	response, err := operator.Get("http://" + entry.admin + "/status")
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	_, err = io.Copy(io.Discard, response.Body)
-	return err
-}
