Specs share one clock that stands still

Cause: grants, share and watch each had the same clock under another name. Change: fakes.Clock in place of steppedClock, heldClock and manualClock. Checks are the same.

--- a/grants/freed_test.go
+++ b/grants/freed_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"cherrykeel"
+	"cherrykeel/fakes"
 	"cherrykeel/spans"
 )
 
@@ -17,7 +18,7 @@
 	// grants before it only. Taken for all, it frees keys that the owner holds, and if it leaves then they are given on.
 	It("does not free what the owner was granted after it", func() {
 		const service = "halls"
-		clock := &steppedClock{now: cherrykeel.Instant(time.Hour)}
+		clock := fakes.NewClock(cherrykeel.Instant(time.Hour))
 		granter := &lateGranter{clock: clock, arrivals: make(chan cherrykeel.Instant, 1), release: make(chan struct{})}
 		keeper := newStepped("host-1", clock, nil, smallWorld{}, granter)
 		owned := spans.Owned{First: 0, Last: 99, Owner: "u1", Fence: 4}
--- a/grants/lives_test.go
+++ b/grants/lives_test.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"cherrykeel"
+	"cherrykeel/fakes"
 	"cherrykeel/spans"
 )
 
@@ -41,7 +42,7 @@
 	// grants go on to the earlier life, which refuses connections: two misses, noted of the ID. The next life counts
 	// as lost, and when the table is there it is granted nothing for 5 s; nobody has its keys.
 	It("does not count as lost for grants that went to the one before", func() {
-		clock := &steppedClock{now: cherrykeel.Instant(time.Hour)}
+		clock := fakes.NewClock(cherrykeel.Instant(time.Hour))
 		world, granter := &rebornWorld{born: 1}, &refusingGranter{}
 		keeper := newStepped("host-1", clock, nil, world, granter)
 		owned := spans.Owned{First: 0, Last: cherrykeel.MaxKey, Owner: "u1", Address: "u1", Born: 1, Fence: 4}
@@ -50,7 +51,7 @@
 			keeper.greet()
 			keeper.renew(context.Background(), table, clock.Now())
 			settle(keeper)
-			clock.step(200 * time.Millisecond)
+			clock.Advance(200 * time.Millisecond)
 		}
 		keeper.greet()
 		world.born = 2
--- a/grants/order_test.go
+++ b/grants/order_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"cherrykeel"
+	"cherrykeel/fakes"
 	"cherrykeel/spans"
 )
 
@@ -40,14 +41,14 @@
 		owner   = "u1"
 	)
 	var (
-		clock   *steppedClock
+		clock   *fakes.Clock
 		granter *lateGranter
 		keeper  *Keeper
 		key     spans.Held
 	)
 
 	BeforeEach(func() {
-		clock = &steppedClock{now: cherrykeel.Instant(time.Hour)}
+		clock = fakes.NewClock(cherrykeel.Instant(time.Hour))
 		granter = &lateGranter{clock: clock, arrivals: make(chan cherrykeel.Instant, 1), release: make(chan struct{})}
 		keeper = newStepped("host-1", clock, nil, smallWorld{}, granter)
 		key = spans.Held{Service: service, Owner: owner, Span: cherrykeel.KeySpan{First: 0, Last: 99}, Fence: 4}
@@ -61,7 +62,7 @@
 		keeper.workers.grants = pond.NewPool(1)
 		keeper.workers.grants.Submit(func() { <-busy })
 		keeper.send(context.Background(), key, &grantState{}, clock.Now())
-		clock.step(400 * time.Millisecond)
+		clock.Advance(400 * time.Millisecond)
 		close(busy)
 		var arrived cherrykeel.Instant
 		Eventually(granter.arrivals, "20s").Should(Receive(&arrived))
@@ -75,7 +76,7 @@
 		keeper.workers.grants = pond.NewPool(1)
 		keeper.workers.grants.Submit(func() { <-busy })
 		keeper.send(context.Background(), key, &grantState{}, clock.Now())
-		clock.step(time.Second)
+		clock.Advance(time.Second)
 		close(busy)
 		settle(keeper)
 		Expect(granter.arrivals).To(BeEmpty())
--- a/grants/overtaken_test.go
+++ b/grants/overtaken_test.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"cherrykeel"
+	"cherrykeel/fakes"
 	"cherrykeel/spans"
 )
 
@@ -48,7 +49,7 @@
 	// of an owner that is lost is given on.
 	It("do not make the keeper claim anew", func() {
 		const service = "halls"
-		clock := &steppedClock{now: cherrykeel.Instant(time.Hour)}
+		clock := fakes.NewClock(cherrykeel.Instant(time.Hour))
 		log := &openLog{values: make(chan []byte, 1)}
 		keeper := newStepped("host-1", clock, log, smallWorld{}, &fencedGranter{})
 		busy := make(chan struct{})
@@ -61,7 +62,7 @@
 		moving := spans.Table{Version: 5, Term: 1, Services: map[string][]spans.Owned{service: {owned}}}
 		keeper.release(context.Background(), moving, clock.Now())
 		settle(keeper)
-		clock.step(200 * time.Millisecond)
+		clock.Advance(200 * time.Millisecond)
 		close(busy)
 		settle(keeper)
 		Expect(keeper.refused(context.Background(), moving, 6)).To(BeFalse())
--- a/grants/phases_test.go
+++ b/grants/phases_test.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"cherrykeel"
+	"cherrykeel/fakes"
 	"cherrykeel/spans"
 )
 
@@ -42,7 +43,7 @@
 	// later: two misses, and an owner that lives counts as lost for 5 s, while its hold runs out.
 	It("is asked again on a new connection before it counts as lost", func() {
 		const service = "halls"
-		clock := &steppedClock{now: cherrykeel.Instant(time.Hour)}
+		clock := fakes.NewClock(cherrykeel.Instant(time.Hour))
 		granter := &hungGranter{hung: map[int]chan struct{}{}, arrive: make(chan int, 4)}
 		keeper := newStepped("host-1", clock, nil, smallWorld{}, granter)
 		first := spans.Owned{First: 0, Last: 99, Owner: "u1", Address: "u1", Fence: 4}
@@ -56,26 +57,26 @@
 		renew(first)
 		arrives(0)
 		settle(keeper)
-		clock.step(200 * time.Millisecond)
+		clock.Advance(200 * time.Millisecond)
 		renew(first, second)
 		arrives(100)
 		settle(keeper)
-		clock.step(400 * time.Millisecond)
+		clock.Advance(400 * time.Millisecond)
 		one, two := make(chan struct{}), make(chan struct{})
 		granter.hung = map[int]chan struct{}{0: one, 100: two}
 		renew(first, second)
 		arrives(0)
-		clock.step(200 * time.Millisecond)
+		clock.Advance(200 * time.Millisecond)
 		renew(first, second)
 		arrives(100)
 		granter.hung = nil
-		clock.step(400 * time.Millisecond)
+		clock.Advance(400 * time.Millisecond)
 		close(one)
 		settle(keeper)
 		renew(first, second)
 		arrives(0)
 		settle(keeper)
-		clock.step(200 * time.Millisecond)
+		clock.Advance(200 * time.Millisecond)
 		close(two)
 		settle(keeper)
 		Expect(keeper.lost("u1", clock.Now())).To(BeFalse())
--- a/grants/standin_test.go
+++ b/grants/standin_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -14,26 +13,6 @@
 	"cherrykeel/spans"
 )
 
-// steppedClock stands still until the spec sets it forward.
-type steppedClock struct {
-	mutex sync.Mutex
-	now   cherrykeel.Instant
-}
-
-func (clock *steppedClock) Now() cherrykeel.Instant {
-	clock.mutex.Lock()
-	defer clock.mutex.Unlock()
-	return clock.now
-}
-
-func (clock *steppedClock) Wall() time.Time { return time.Time{} }
-
-func (clock *steppedClock) step(by time.Duration) {
-	clock.mutex.Lock()
-	defer clock.mutex.Unlock()
-	clock.now = clock.now.Add(by)
-}
-
 // openLog is a store that answers no write; it may carry them out later.
 type openLog struct {
 	cherrykeel.KeyedLog
--- a/grants/successor_test.go
+++ b/grants/successor_test.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"cherrykeel"
+	"cherrykeel/fakes"
 	"cherrykeel/spans"
 )
 
@@ -66,7 +67,7 @@
 	// the next owner only, who gets the keys at once beside the first one.
 	It("does not give keys to whom an open write has named while the owner before was granted them again", func() {
 		ctx := context.Background()
-		clock := &steppedClock{now: cherrykeel.Instant(time.Hour)}
+		clock := fakes.NewClock(cherrykeel.Instant(time.Hour))
 		granter := &countingGranter{clock: clock, until: map[string]cherrykeel.Instant{}}
 		log := &openLog{values: make(chan []byte, 8)}
 		table := spans.Table{Version: 1, Term: 1, Keeper: "host-1", Life: "life", Services: map[string][]spans.Owned{
@@ -78,25 +79,25 @@
 		first.bound(clock.Now())
 		free := first.ledger.FreeAt(service, "", whole)
 
-		clock.step(free.Sub(clock.Now()) - 2*time.Second)
+		clock.Advance(free.Sub(clock.Now()) - 2*time.Second)
 		first.contact("u1").missed(clock.Now())
-		clock.step(retryGrant)
+		clock.Advance(retryGrant)
 		first.contact("u1").missed(clock.Now())
 		Expect(first.lost("u1", clock.Now())).To(BeTrue())
-		clock.step(2 * time.Second)
+		clock.Advance(2 * time.Second)
 		first.change(ctx, table, 2, clock.Now())
 		var written []byte
 		Eventually(log.values, "20s").Should(Receive(&written))
 		settle(first)
 
-		clock.step(lostFor)
+		clock.Advance(lostFor)
 		first.change(ctx, table, 2, clock.Now())
 		first.renew(ctx, table, clock.Now())
 		if granter.holds("u1") {
 			settle(first)
 		}
 
-		clock.step(time.Second)
+		clock.Advance(time.Second)
 		given, err := spans.Decode(written, 2)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(given.Services[service][0].Owner).To(Equal("u2"))
--- a/share/awake_test.go
+++ b/share/awake_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -15,33 +14,13 @@
 	"cherrykeel/share"
 )
 
-// heldClock stands still until the test moves it.
-type heldClock struct {
-	mutex sync.Mutex
-	now   cherrykeel.Instant
-}
-
-func (clock *heldClock) Now() cherrykeel.Instant {
-	clock.mutex.Lock()
-	defer clock.mutex.Unlock()
-	return clock.now
-}
-
-func (clock *heldClock) Wall() time.Time { return time.Time{} }
-
-func (clock *heldClock) advance(by time.Duration) {
-	clock.mutex.Lock()
-	defer clock.mutex.Unlock()
-	clock.now = clock.now.Add(by)
-}
-
 var _ = Describe("a host that was suspended", func() {
 	// A keeper's machine stands still for ten seconds. Meanwhile another host has claimed, and the first
 	// seconds' reports wait in the socket: they say that the old term is the newest. Read and dated on waking,
 	// they would confirm the old keeper, and an upstream that only it reaches would get keys that have
 	// another owner.
 	It("does not take what has waited in its socket for fresh word", func() {
-		clock := &heldClock{now: cherrykeel.Instant(time.Hour)}
+		clock := fakes.NewClock(cherrykeel.Instant(time.Hour))
 		self := cherrykeel.Peer{Name: "host-1", Life: "a", Inner: fakes.FreeAddress()}
 		other := cherrykeel.Peer{Name: "host-2", Life: "b", Inner: fakes.FreeAddress()}
 		told := make(chan share.Told, 100)
@@ -65,10 +44,10 @@
 		}
 		send("1")
 		Expect(mesh.Reports(time.Second)).To(HaveLen(1))
-		clock.advance(10 * time.Second)
+		clock.Advance(10 * time.Second)
 		send("2")
 		Expect(mesh.Reports(time.Second)).To(BeEmpty())
-		clock.advance(200 * time.Millisecond)
+		clock.Advance(200 * time.Millisecond)
 		send("3")
 		Expect(mesh.Reports(time.Second)).To(HaveLen(1))
 	})
--- a/watch/table_test.go
+++ b/watch/table_test.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"cherrykeel"
+	"cherrykeel/fakes"
 	"cherrykeel/spans"
 	"cherrykeel/watch"
 )
@@ -16,7 +17,7 @@
 	// The keeper writes a new owner and grants it the keys a few milliseconds later. A request that is sent
 	// in between is refused and costs the retry budget, so it waits that long.
 	It("holds requests back until a new owner has its grant", func() {
-		clock := &manualClock{now: cherrykeel.Instant(time.Hour)}
+		clock := fakes.NewClock(cherrykeel.Instant(time.Hour))
 		view := watch.NewSpans(clock, zap.NewNop(), func() {}, func(spans.Table, int64) {})
 		write := func(owner string, offset int64) {
 			table := spans.Table{Services: map[string][]spans.Owned{"s": {{First: 0, Last: cherrykeel.MaxKey, Owner: owner, Fence: offset}}}}
@@ -25,13 +26,13 @@
 			view.Wrote(value, offset)
 		}
 		write("a", 1)
-		clock.now = clock.now.Add(time.Second)
+		clock.Advance(time.Second)
 		Expect(view.Owner("s", 7).Moving).To(BeFalse())
 		write("a", 2)
 		Expect(view.Owner("s", 7).Moving).To(BeFalse(), "the same owner goes on")
 		write("b", 3)
 		Expect(view.Owner("s", 7).Moving).To(BeTrue())
-		clock.now = clock.now.Add(50 * time.Millisecond)
+		clock.Advance(50 * time.Millisecond)
 		Expect(view.Owner("s", 7).ID).To(Equal("b"))
 		Expect(view.Owner("s", 7).Moving).To(BeFalse())
 		write("a", 2)
@@ -41,7 +42,7 @@
 	// Another writer's record stands in the table's place. A host that starts then finds no table; were it to claim
 	// at once it would deal all keys to new owners beside the old ones. It waits until none of those is left.
 	It("is not taken for empty while another writer's record stands there", func() {
-		clock := &manualClock{now: cherrykeel.Instant(time.Hour)}
+		clock := fakes.NewClock(cherrykeel.Instant(time.Hour))
 		view := watch.NewSpans(clock, zap.NewNop(), func() {}, func(spans.Table, int64) {})
 		for offset, value := range []string{`{}`, `[]`, `{"Term":-3}`, `{"Term":0,"Services":{"s":[{"First":9,"Last":3,"Owner":"a"}]}}`, "\xff"} {
 			view.Apply(watch.Update{Records: []cherrykeel.KeyedRecord{{Key: watch.SpansKey, Value: []byte(value), Offset: int64(offset)}}, Next: int64(offset) + 1})
@@ -49,7 +50,7 @@
 		}
 		_, _, known := view.Current()
 		Expect(known).To(BeFalse())
-		clock.now = clock.now.Add(21 * time.Second)
+		clock.Advance(21 * time.Second)
 		_, next, known := view.Current()
 		Expect(known).To(BeTrue())
 		Expect(next).To(Equal(int64(5)))
@@ -58,7 +59,7 @@
 	// Hosts are told what a move changed, and datagrams are lost. A change that follows a version that the
 	// host has not seen must not be laid over the one it knows: keys would have an owner that they never had.
 	It("takes a told change only if it follows the version known", func() {
-		clock := &manualClock{now: cherrykeel.Instant(time.Hour)}
+		clock := fakes.NewClock(cherrykeel.Instant(time.Hour))
 		var told []spans.Table
 		var befores []int64
 		writer := watch.NewSpans(clock, zap.NewNop(), func() {}, func(change spans.Table, before int64) {
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -24,20 +24,6 @@
 
 const generous = "20s"
 
-// manualClock stands still until it is set.
-type manualClock struct {
-	mutex sync.Mutex
-	now   cherrykeel.Instant
-}
-
-func (clock *manualClock) Now() cherrykeel.Instant {
-	clock.mutex.Lock()
-	defer clock.mutex.Unlock()
-	return clock.now
-}
-
-func (clock *manualClock) Wall() time.Time { return time.Time{} }
-
 // scriptedLog answers as the test sets it.
 type scriptedLog struct {
 	mutex  sync.Mutex
--- a/watch/zones_test.go
+++ b/watch/zones_test.go
@@ -6,20 +6,21 @@
 	"go.uber.org/zap"
 
 	"cherrykeel"
+	"cherrykeel/fakes"
 	"cherrykeel/watch"
 )
 
 var _ = Describe("the evacuated availability zones", func() {
 	var (
 		view  *watch.Zones
-		clock *manualClock
+		clock *fakes.Clock
 		told  []cherrykeel.KeyedRecord
 		calls int
 	)
 
 	BeforeEach(func() {
 		told, calls = nil, 0
-		clock = &manualClock{now: 100}
+		clock = fakes.NewClock(100)
 		view = watch.NewZones("evacuate/", clock, zap.NewNop(), func() { calls++ }, func(record cherrykeel.KeyedRecord) { told = append(told, record) })
 	})
 
@@ -69,7 +70,7 @@
 	It("are taken back if the newest records of all keys lack them", func() {
 		whole(1)
 		read(record("evacuate/a", "{}", 3))
-		clock.now = 200
+		clock.Advance(100)
 		whole(9, record("config", "x", 8))
 		Expect(evacuated("a")).To(BeFalse())
 		state, _ := view.State("a")
@@ -80,7 +81,7 @@
 	It("keep the time of the first order while it is repeated", func() {
 		whole(1)
 		read(record("evacuate/a", "{}", 3))
-		clock.now = 200
+		clock.Advance(100)
 		read(record("evacuate/a", "{}", 4))
 		state, _ := view.State("a")
 		Expect(state).To(Equal(watch.ZoneState{Evacuated: true, Offset: 4, Since: 100}))
