On a plain log a request that came in time is read though the host stood still until its time was up

What callers saw: "connection reset by peer" on a new connection, when the host had stood still for longer than the time for a head (10 s) after it had accepted it. Cause: net/http's read ends by its deadline without a look at the socket, and the connection is closed over the request. Change: what had come when the deadline passed is read once for each deadline. Why it is enough: a head that came whole is read at once; one that comes byte by byte gets no second late read. Ruled out: the listener's close (the connection had been accepted).

--- a/drain/conn.go
+++ b/drain/conn.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync/atomic"
+	"time"
 
 	"cherrykeel/sock"
 )
@@ -13,12 +14,35 @@
 	intake *sock.Intake
 	// awaited says that a read has begun since the connection became idle: net/http has begun all that it had read.
 	awaited atomic.Bool
+	// readLate says that bytes were read after the deadline, which is done once for each deadline.
+	readLate atomic.Bool
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. What had come when the deadline passed is read all the same: a host that stood still would
+// else end connections whose requests came in time, and their callers could not tell whether these were read.
 func (conn *conn) Read(buffer []byte) (int, error) {
 	conn.awaited.Store(true)
-	return conn.intake.Read(buffer)
+	count, err := conn.intake.Read(buffer)
+	if err == nil || !isTimeout(err) || conn.readLate.Swap(true) {
+		return count, err
+	}
+	count = conn.intake.ReadArrived(buffer)
+	if count > 0 {
+		return count, nil
+	}
+	return 0, err
+}
+
+// SetReadDeadline implements net.Conn.
+func (conn *conn) SetReadDeadline(deadline time.Time) error {
+	conn.readLate.Store(false)
+	return conn.Conn.SetReadDeadline(deadline)
+}
+
+// SetDeadline implements net.Conn.
+func (conn *conn) SetDeadline(deadline time.Time) error {
+	conn.readLate.Store(false)
+	return conn.Conn.SetDeadline(deadline)
 }
 
 // CloseWrite lets net/http end a connection whose request it has not read to its end.
--- a/drain/server_test.go
+++ b/drain/server_test.go
@@ -7,16 +7,19 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"runtime"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"cherrykeel/drain"
 	"cherrykeel/fakes"
+	"cherrykeel/sock"
 )
 
 func TestDrain(t *testing.T) {
@@ -198,6 +201,30 @@
 	})
 })
 
+var _ = Describe("a connection whose time to read is up", func() {
+	// Guards against a request that came in time and is reset unread, since the host stood still until its time was up.
+	It("gives what has come, once", func() {
+		inner, err := drain.Listen("127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(inner.Close)
+		near, err := net.Dial("tcp", inner.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(near.Close)
+		far, err := drain.Watched(inner).Accept()
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(far.Close)
+		_, err = near.Write([]byte("ab"))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() bool { return sock.Unsent(near.(*net.TCPConn)) }, "10s").Should(BeFalse())
+		Expect(far.SetReadDeadline(time.Now().Add(-time.Second))).To(Succeed())
+
+		buffer := make([]byte, 1)
+		Expect(far.Read(buffer)).To(Equal(1))
+		_, err = far.Read(buffer)
+		Expect(err).To(MatchError(os.ErrDeadlineExceeded))
+	})
+})
+
 var _ = Describe("a server that lets its connections part", func() {
 	// Guards against a connection that stays open behind the answer to a request that ran when the stop began, and is
 	// closed under its caller's next request.
--- a/sock/intake.go
+++ b/sock/intake.go
@@ -67,6 +67,18 @@
 	}
 }
 
+// ReadArrived reads what lies in the socket, whatever the connection's deadline; it returns 0 if nothing does.
+func (intake *Intake) ReadArrived(buffer []byte) int {
+	if intake.raw == nil {
+		return 0
+	}
+	count := 0
+	_ = intake.raw.Control(func(descriptor uintptr) {
+		count, _ = intake.take(int(descriptor), buffer)
+	})
+	return count
+}
+
 func (intake *Intake) take(descriptor int, buffer []byte) (int, error) {
 	intake.mutex.Lock()
 	defer intake.mutex.Unlock()
