--- a/caller/stop_test.go
+++ b/caller/stop_test.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"syscall"
-	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -31,10 +30,11 @@
 			server.Stop()
 			Expect(listener.Stop()).To(Succeed())
 			<-closed
-			for server.Open() > 0 {
+			open := func() int {
 				server.CloseIdle()
-				time.Sleep(time.Millisecond)
+				return server.Open()
 			}
+			Eventually(open, generous, "1ms").Should(BeZero())
 
 			Expect(callers.Failures()).To(HaveEach(MatchError(syscall.ECONNREFUSED)))
 		}
--- a/drain/listener.go
+++ b/drain/listener.go
@@ -11,12 +11,12 @@
 	"cherrykeel/sock"
 )
 
-// underWay is how long a stopped listener still takes connections that had begun: longer than a way to a caller and back.
+// underWay is how long a stopped listener still takes connections whose handshake had begun: longer than a round trip.
 const underWay = 200 * time.Millisecond
 
-// Listener is a TCP listener whose stop resets no caller: who begins to connect is refused by the system first, then the
-// connections that are complete or under way are accepted, and only then is the socket closed. A close alone resets
-// them, and their callers cannot tell whether their requests ran.
+// Listener is a TCP listener whose stop resets no caller: first the system is made to refuse new connections, then those
+// that are complete or in their handshake are accepted, and only then is the socket closed. A close alone would reset
+// them, and their callers could not tell whether their requests ran.
 type Listener struct {
 	*net.TCPListener
 	stopping atomic.Bool
@@ -54,7 +54,7 @@
 	}
 }
 
-// Stop makes Accept return the connections that are complete or under way, then close the listener and return
+// Stop makes Accept return the connections that are complete or in their handshake, then close the listener and return
 // net.ErrClosed. It does not wait for that. An error says why the system cannot refuse new connections; then only the
 // complete ones are accepted, and one that comes at the moment of the close may be reset.
 func (listener *Listener) Stop() error {
--- a/fakes/callers.go
+++ b/fakes/callers.go
@@ -5,8 +5,12 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
+// askTimeout bounds one request, so that a spec ends whatever becomes of it.
+const askTimeout = time.Minute
+
 // Callers ask all the time, each until it fails once.
 type Callers struct {
 	answered atomic.Int64
@@ -48,7 +52,7 @@
 
 // AskAnew returns a caller's request to a URL, each on a connection of its own, that is answered when it was read whole.
 func AskAnew(url string) func() error {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: askTimeout}
 	return func() error {
 		response, err := client.Get(url)
 		if err != nil {
--- a/sock/refuse.go
+++ b/sock/refuse.go
@@ -11,9 +11,9 @@
 // ErrReached is returned by RefuseNew if callers may come by each device that the machine has.
 var ErrReached = errors.New("the address is reached by each network device")
 
-// RefuseNew makes the system refuse who begins to connect to a listening socket from now on; connections that are
-// complete or under way are not touched, and can be accepted. The socket is bound to a device by which its address is
-// not reached, so that the system finds no listener for new callers. Errors are the system's, and ErrReached.
+// RefuseNew makes the system refuse new connections to a listening socket; those that are complete or in their handshake
+// are not touched, and can be accepted. The socket is bound to a network device by which its address is not reached, so
+// that the system finds no listener for new callers. Errors are the system's, and ErrReached.
 func RefuseNew(listener *net.TCPListener) error {
 	devices, err := net.Interfaces()
 	if err != nil {
