--- a/drain/server_test.go
+++ b/drain/server_test.go
@@ -186,17 +186,9 @@
 var _ = Describe("a connection of a server", func() {
 	// Guards against callers that wait half a second for the end of a connection whose request was refused unread.
 	It("can be half-closed", func() {
-		inner, err := drain.Listen("127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(inner.Close)
-		near, err := net.Dial("tcp", inner.Addr().String())
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(near.Close)
-		far, err := drain.Watched(inner).Accept()
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(far.Close)
+		near, far := watchedPair()
 		Expect(far.(interface{ CloseWrite() error }).CloseWrite()).To(Succeed())
-		_, err = io.ReadAll(near)
+		_, err := io.ReadAll(near)
 		Expect(err).NotTo(HaveOccurred())
 	})
 })
@@ -204,16 +196,8 @@
 var _ = Describe("a connection whose time to read is up", func() {
 	// Guards against a request that came in time and is reset unread, since the host stood still until its time was up.
 	It("gives what has come, once", func() {
-		inner, err := drain.Listen("127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(inner.Close)
-		near, err := net.Dial("tcp", inner.Addr().String())
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(near.Close)
-		far, err := drain.Watched(inner).Accept()
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(far.Close)
-		_, err = near.Write([]byte("ab"))
+		near, far := watchedPair()
+		_, err := near.Write([]byte("ab"))
 		Expect(err).NotTo(HaveOccurred())
 		Eventually(func() bool { return sock.Unsent(near.(*net.TCPConn)) }, "10s").Should(BeFalse())
 		Expect(far.SetReadDeadline(time.Now().Add(-time.Second))).To(Succeed())
@@ -337,3 +321,17 @@
 		}()
 	}
 }
+
+// watchedPair returns both ends of a connection, the far one as a server has it.
+func watchedPair() (net.Conn, net.Conn) {
+	listener, err := drain.Listen("127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	near, err := net.Dial("tcp", listener.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(near.Close)
+	far, err := drain.Watched(listener).Accept()
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(far.Close)
+	return near, far
+}
