Soak: a stand-in waits for its address, which a process being started may still hold

Cause: the soak starts host processes. Between fork and exec a child has a copy of each open socket; a listener that the soak closes in that time still holds its address.

Ruled out: connections that are still open at the address (the system allows a listener beside them), an Accept that outlives Close (Go waits for it).

Product code is not touched.

--- a/fault/proxy.go
+++ b/fault/proxy.go
@@ -4,7 +4,18 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// inUsePatience is for how long an address that is in use is tried again. A process that this one starts has a copy
+	// of each open socket until it runs its own program, and on a busy machine that takes a while; only then is the
+	// address of a listener that was closed meanwhile free.
+	inUsePatience = 10 * time.Second
+	inUsePause    = 5 * time.Millisecond
 )
 
 // Rules say what happens to connections; the zero value passes everything on.
@@ -37,9 +48,9 @@
 	return ListenAt("127.0.0.1:0", target)
 }
 
-// ListenAt returns a proxy to a target, on a given address.
+// ListenAt returns a proxy to a target, on a given address; it waits for an address that is still in use.
 func ListenAt(address, target string) (*Proxy, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := listenOnceFree(address)
 	if err != nil {
 		return nil, err
 	}
@@ -48,6 +59,17 @@
 	return proxy, nil
 }
 
+func listenOnceFree(address string) (net.Listener, error) {
+	until := time.Now().Add(inUsePatience)
+	for {
+		listener, err := net.Listen("tcp", address)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(until) {
+			return listener, err
+		}
+		time.Sleep(inUsePause)
+	}
+}
+
 // Address returns where the proxy listens.
 func (proxy *Proxy) Address() string {
 	return proxy.listener.Addr().String()
