A request that the estimate rules out is sent now and then, so that the estimate is renewed

A request that is refused by the estimate alone is sent all the same if this host has nothing at work there and has sent nothing for a second: at most one a second and service, with pauses of up to 5 s while none is answered in time. An answer in time makes the host forget every estimate that had ruled it out. An answer that is read after its request's time tells of no more than that time, with a weight of a twentieth.

--- a/flow/discipline.go
+++ b/flow/discipline.go
@@ -35,6 +35,8 @@
 	wait(ticket *Ticket, now cherrykeel.Instant) time.Duration
 	// hopeless reports whether not even a place right now would bring an answer in time.
 	hopeless(ticket *Ticket, now cherrykeel.Instant) bool
+	// trial returns the upstream that a ticket may be sent to though no answer is expected in time, or nil.
+	trial(ticket *Ticket, now cherrykeel.Instant) *member
 	// standing returns the state of the queue that a ticket waits in.
 	standing(ticket *Ticket) *standing
 }
--- a/flow/member.go
+++ b/flow/member.go
@@ -17,6 +17,8 @@
 	// crowdedWeight is the weight of an answer that had to wait for a slot: how long it waited follows from
 	// counts that are up to 80 ms old, and taken in full it makes a merely busy upstream look slow.
 	crowdedWeight = 0.05
+	// lateWeight is the weight of an answer that this host has read too late.
+	lateWeight = 0.05
 	// coldFactor is by how much an upstream is slower for some seconds after its start.
 	coldFactor = 2
 	// failureHalfLife is how fast failures are forgotten, so that an upstream that failed is tried
@@ -57,6 +59,8 @@
 	turn turn
 	// standing is about the queue of the requests for its keys.
 	standing standing
+	// sentAt is when this host last sent it a request.
+	sentAt cherrykeel.Instant
 	// work is the mean time of one request in a slot; 0 while unknown.
 	work time.Duration
 	// failures is a decayed count, and so is answers.
@@ -169,16 +173,15 @@
 // sent and what the upstream told with its answer: counts lag when many hosts send to one upstream at once,
 // and a time that was spent in its queue, taken for work, made a key's owner look three times slower than it
 // was, so that callers were refused that it could have served.
-func (member *member) learn(took time.Duration, load int) {
+func (member *member) learn(took time.Duration, load int, weight float64) {
 	crowd := max(1, float64(load)/float64(member.upstream.Slots))
 	work := time.Duration(float64(took) / crowd)
 	if member.work == 0 {
 		member.work = work
 		return
 	}
-	weight := workWeight
 	if load > member.upstream.Slots {
-		weight = crowdedWeight
+		weight = min(weight, crowdedWeight)
 	}
 	member.work += time.Duration(weight * float64(work-member.work))
 }
--- a/flow/owned.go
+++ b/flow/owned.go
@@ -89,6 +89,19 @@
 	return &member.standing
 }
 
+// trial returns the key's owner, unless this host has sent it something lately whose answer will tell.
+func (owned *owned) trial(ticket *Ticket, now cherrykeel.Instant) *member {
+	if ticket.Key == cherrykeel.NoKey {
+		return owned.keyless.trial(ticket, now)
+	}
+	owner := owned.owner(ticket)
+	member, known := owned.service.members[owner.ID]
+	if !known || owner.Moving || !member.reachable(now) || !owned.hasTurn(member, now) || !member.quiet(now) {
+		return nil
+	}
+	return member
+}
+
 func (owned *owned) place(ticket *Ticket, now cherrykeel.Instant) *member {
 	if ticket.Key == cherrykeel.NoKey {
 		return owned.keyless.place(ticket, now)
--- a/flow/service.go
+++ b/flow/service.go
@@ -18,7 +18,8 @@
 	target time.Duration
 	random func() float64
 	// doubt is how far counts are wrong.
-	doubt doubt
+	doubt  doubt
+	trials trials
 }
 
 // New returns a scheduler for a service; owner is nil unless its keys are divided.
@@ -132,6 +133,13 @@
 		return
 	}
 	reason, refused := service.refuse(ticket, answer, stood, now)
+	if reason == TooLate {
+		member := service.trial(ticket, now)
+		if member != nil {
+			ticket.Wake(service.grantedTrial(ticket, member, now))
+			return
+		}
+	}
 	if refused {
 		ticket.Wake(service.refusal(ticket, reason, now))
 		return
@@ -232,7 +240,7 @@
 func (service *Service) granted(ticket *Ticket, member *member, now cherrykeel.Instant) Verdict {
 	inputs := service.inputs(ticket, member, now)
 	inputs.Wait = member.expected(service.usual(), now)
-	return Verdict{Place: member.take(now), Inputs: inputs}
+	return Verdict{Place: member.take(ticket, now), Inputs: inputs}
 }
 
 func (service *Service) refusal(ticket *Ticket, reason Reason, now cherrykeel.Instant) Verdict {
@@ -255,13 +263,14 @@
 	return inputs
 }
 
-func (member *member) take(now cherrykeel.Instant) *Place {
+func (member *member) take(ticket *Ticket, now cherrykeel.Instant) *Place {
 	member.own++
+	member.sentAt = now
 	member.tryAt = 0
 	if member.upstream.BoundedAt(now) {
 		member.sent.Note(now)
 	}
-	return &Place{Upstream: member.upstream, Load: member.load(), Begun: now, member: member}
+	return &Place{Upstream: member.upstream, Load: member.load(), Begun: now, Deadline: ticket.Deadline, member: member}
 }
 
 // Leave ends a place and gives it to the next request.
@@ -273,7 +282,7 @@
 	case Answered:
 		member.answers++
 		member.breaks = 0
-		service.learn(member, now.Sub(place.Begun), max(place.Load, load.Running+load.Waiting))
+		service.learn(place, max(place.Load, load.Running+load.Waiting), now)
 	case Failed, Refused:
 		member.failures++
 	case Unreached:
@@ -289,11 +298,23 @@
 }
 
 // learn takes the time of an answer, unless its upstream has left meanwhile.
-func (service *Service) learn(member *member, took time.Duration, load int) {
+//
+// An attempt ends when its request's time is up. An answer that is read later was there before: this host stood still, or
+// had no processor. One that stood still for 6 s believed that its upstreams were as slow, so such an answer tells of no more
+// than the request's time, and of that little.
+func (service *Service) learn(place *Place, load int, now cherrykeel.Instant) {
+	member := place.member
 	if service.members[member.upstream.ID] != member {
 		return
 	}
+	took, weight := now.Sub(place.Begun), workWeight
+	given := place.Deadline.Sub(place.Begun)
+	if took > given {
+		took, weight = given, lateWeight
+	} else if place.Trial {
+		service.noteTrial(place, now)
+	}
 	service.works.remove(member.work)
-	member.learn(took, load)
+	member.learn(took, load, weight)
 	service.works.add(member.work)
 }
--- a/flow/shared.go
+++ b/flow/shared.go
@@ -226,6 +226,28 @@
 	return time.Duration(float64(ahead+1)/rate) + usual
 }
 
+// trial returns the upstream that is expected to answer first, unless this host has sent any of them something lately whose
+// answer will tell.
+func (shared *shared) trial(ticket *Ticket, now cherrykeel.Instant) *member {
+	usual := shared.service.usual()
+	var best *member
+	var bestCost float64
+	for _, member := range shared.members {
+		if !member.quiet(now) {
+			return nil
+		}
+		if !member.takes(&shared.service.doubt, now) {
+			continue
+		}
+		cost := shared.cost(member, member.expected(usual, now), usual, now)
+		if best == nil || cost < bestCost {
+			best = member
+			bestCost = cost
+		}
+	}
+	return best
+}
+
 func (shared *shared) hopeless(ticket *Ticket, now cherrykeel.Instant) bool {
 	return ticket.outlasts(shared.service.usual(), now)
 }
--- a/flow/ticket.go
+++ b/flow/ticket.go
@@ -67,8 +67,12 @@
 type Place struct {
 	Upstream cherrykeel.Upstream
 	// Load is how many requests were there, this one included.
-	Load   int
-	Begun  cherrykeel.Instant
+	Load  int
+	Begun cherrykeel.Instant
+	// Deadline is the ticket's.
+	Deadline cherrykeel.Instant
+	// Trial says that no answer was expected in time.
+	Trial  bool
 	member *member
 }
 
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -69,7 +69,7 @@
 	took := exchange.relay.clock.Now().Sub(exchange.arrived)
 	exchange.relay.meter.served(exchange.dispatcher.name, result.status, took)
 	events.Log(exchange.relay.Logger, events.RequestServed, append(exchange.fields(),
-		zap.Int("Status", result.status), zap.String("Upstream", place.Upstream.ID), zap.Int("Load", place.Load),
+		zap.Int("Status", result.status), zap.String("Upstream", place.Upstream.ID), zap.Int("Load", place.Load), zap.Bool("Trial", place.Trial),
 		zap.Int("Others", exchange.inputs.Others), zap.Int64("Fence", exchange.inputs.Fence), zap.Duration("Expected", exchange.inputs.Wait),
 		zap.Int("Attempts", exchange.attempts), zap.Duration("Waited", place.Begun.Sub(exchange.arrived)), zap.Duration("Took", took), zap.Error(err))...)
 }
@@ -126,7 +126,7 @@
 
 func (exchange *exchange) noteAttempt(place *flow.Place, result result) {
 	events.Log(exchange.relay.Logger, events.AttemptEnded, append(exchange.fields(),
-		zap.String("Upstream", place.Upstream.ID), zap.String("Address", place.Upstream.Address), zap.Int("Load", place.Load),
+		zap.String("Upstream", place.Upstream.ID), zap.String("Address", place.Upstream.Address), zap.Int("Load", place.Load), zap.Bool("Trial", place.Trial),
 		zap.Int("Attempt", exchange.attempts), zap.Bool("MayHaveRun", result.finding == uncertain), zap.Int("Status", result.status),
 		zap.String("Detail", result.detail), zap.Duration("Took", exchange.relay.clock.Now().Sub(place.Begun)))...)
 }
