--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -215,6 +215,7 @@
 	}
 	switch {
 	case finished.cancelled:
+		upstream.health.Left()
 	case finished.draining:
 		upstream.health.Drained(now)
 	case finished.shed:
--- a/member/health.go
+++ b/member/health.go
@@ -57,6 +57,7 @@
 // otherwise draw the most requests, since refusals leave the fewest in flight.
 func (health *Health) Shed() {
 	health.shed += shedWeight * (1 - health.shed)
+	health.probing = false
 }
 
 // Failed takes in an attempt that got no answer; it ejects the upstream after several in a row.
@@ -71,9 +72,16 @@
 	health.ejectedUntil = now.Add(min(pause, maxEjection))
 }
 
+// Left takes in that an attempt ended without showing anything, as when its caller went away. The next request is the probe
+// then: without it an upstream whose probe ended so got nothing any more, while the service had others.
+func (health *Health) Left() {
+	health.probing = false
+}
+
 // Drained takes in the upstream's own word that it takes no new work.
 func (health *Health) Drained(now cherrykeel.Instant) {
 	health.draining = true
+	health.probing = false
 	health.drainedAt = now
 }
 
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -98,6 +98,27 @@
 		Expect(health.Warmth(10*second)).To(BeNumerically("<", 0.1), "it warms up again")
 	})
 
+	// Guards against an upstream that is passed over for ever, since the one request that was to show whether it is back
+	// showed nothing.
+	DescribeTable("is tried again when a probe showed nothing",
+		func(end func(health *member.Health, now cherrykeel.Instant)) {
+			health := member.NewHealth(0, true)
+			for range 3 {
+				health.Failed(second)
+			}
+			now := 3 * second
+			Expect(health.Usable(now)).To(BeTrue())
+			health.Chosen()
+			end(health, now)
+			Expect(health.Usable(now + 30*second)).To(BeTrue())
+			health.Chosen()
+			Expect(health.Usable(now+30*second)).To(BeFalse(), "one at a time")
+		},
+		Entry("since its caller went away", func(health *member.Health, _ cherrykeel.Instant) { health.Left() }),
+		Entry("since the upstream had no room", func(health *member.Health, _ cherrykeel.Instant) { health.Shed() }),
+		Entry("since the upstream was draining", func(health *member.Health, now cherrykeel.Instant) { health.Drained(now) }),
+	)
+
 	It("lowers an upstream that sheds, whatever load it reports", func() {
 		health := member.NewHealth(0, true)
 		for range 50 {
