--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -94,6 +94,44 @@
 	})
 })
 
+var _ = Describe("a host without slots whose answers came late", func() {
+	const (
+		late     = 6 * time.Second
+		deadline = second
+		pace     = second / 10
+	)
+
+	// Guards against a host that stood still, takes that time for the upstream's own, and refuses every request: it then asks
+	// the steward for no slot, and gets none as long as the other hosts have use for all.
+	It("asks for one again", func() {
+		queue := admit.NewQueue(1, 4)
+		queue.Offer(&admit.Ticket{Deadline: deadline}, 0)
+		queue.Resize(0, 4, 0)
+		now := cherrykeel.Instant(late)
+		queue.Done(late, now)
+		steward := admit.NewSteward("up", 3, 0)
+		admitted := 0
+		for round := range 300 {
+			now += pace
+			steward.Ask("busy", admit.Want{InFlight: 2 + round%2, Waiting: 9}, now)
+			slots, _ := steward.Ask("late", admit.Want{InFlight: queue.InFlight(), Waiting: queue.Waiting()}, now)
+			queue.Resize(slots, 4, now)
+			ticket := &admit.Ticket{Arrived: now, Deadline: now + deadline, Wake: func(woken bool) {
+				if woken {
+					admitted++
+				}
+			}}
+			if queue.Offer(ticket, now) == admit.Admitted {
+				admitted++
+			}
+			for queue.InFlight() > 0 {
+				queue.Done(10*time.Millisecond, now)
+			}
+		}
+		Expect(admitted).To(BeNumerically(">", 0))
+	})
+})
+
 var _ = Describe("a steward of slots", func() {
 	It("never gives out more than there are, while hosts come, go and change their minds", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -25,6 +25,8 @@
 	Wake  func(admitted bool)
 	index int
 	gone  bool
+	// trial says that the mean rules it out.
+	trial bool
 }
 
 // before reports whether the ticket is to be admitted before the other.
@@ -58,6 +60,8 @@
 	mean time.Duration
 	// turns counts admissions of waiting requests.
 	turns int
+	// trying says that the request on the upstream is a trial.
+	trying bool
 }
 
 // NewQueue returns a queue for limit requests at once, which may be 0 for a while, and length waiting ones.
@@ -94,7 +98,10 @@
 		return Admitted
 	}
 	if now.Add(queue.Wait(ticket)) >= ticket.Deadline {
-		return TooLate
+		if !queue.idle() {
+			return TooLate
+		}
+		ticket.trial = true
 	}
 	if len(queue.waiting) >= queue.length && !queue.displace(ticket) {
 		return TooLong
@@ -103,6 +110,12 @@
 	return Queued
 }
 
+// idle reports whether no request is on the upstream, nor waits for it. Then one may wait whatever the mean says: a host that
+// stood still took that time for the upstream's own, refused all, asked for no slot, and got none while others had use for them.
+func (queue *Queue) idle() bool {
+	return queue.inFlight == 0 && len(queue.waiting) == 0
+}
+
 // Wait estimates how long a ticket's turn and its service will take.
 func (queue *Queue) Wait(ticket *Ticket) time.Duration {
 	ahead := 0
@@ -118,9 +131,10 @@
 // Done ends a request that took the given time, and admits the next; 0 stands for one that was not sent.
 func (queue *Queue) Done(took time.Duration, now cherrykeel.Instant) {
 	queue.inFlight--
-	if queue.mean == 0 {
+	if queue.mean == 0 || queue.trying && took > 0 {
 		queue.mean = took
 	}
+	queue.trying = false
 	if took > 0 {
 		queue.mean += time.Duration(meanWeight * float64(took-queue.mean))
 	}
@@ -139,7 +153,7 @@
 func (queue *Queue) admitWaiting(now cherrykeel.Instant) {
 	for len(queue.waiting) > 0 {
 		ticket := queue.next()
-		late := now.Add(queue.mean) >= ticket.Deadline
+		late := now >= ticket.Deadline || !ticket.trial && now.Add(queue.mean) >= ticket.Deadline
 		if !late && queue.inFlight >= queue.limit {
 			return
 		}
@@ -147,6 +161,7 @@
 		if !late {
 			queue.inFlight++
 			queue.turns++
+			queue.trying = ticket.trial
 		}
 		ticket.Wake(!late)
 	}
