--- a/flow/trial_test.go
+++ b/flow/trial_test.go
@@ -1,6 +1,7 @@
 package flow_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -112,6 +113,36 @@
 		})
 	}
 
+	// Guards against a host that sends a request to each of hundreds of owners, since it has sent none of them anything lately.
+	It("are as few for many owners as for one", func() {
+		const owners = 40
+		service := flow.New("z", func(key int) flow.Owner { return flow.Owner{ID: fmt.Sprint(key)} }, half)
+		var upstreams []cherrykeel.Upstream
+		for i := range owners {
+			upstreams = append(upstreams, upstream(fmt.Sprint(i), 3))
+		}
+		service.SetUpstreams(upstreams, 0)
+		next := 0
+		each := func(ticket *flow.Ticket) {
+			ticket.Key = next % owners
+			next++
+		}
+		learn(service, each, owners, slow)
+		Expect(len(play(service, each, slowed, slowed))).To(BeNumerically("~", 5, 2))
+	})
+
+	// Guards against a host that takes long to find out that it was wrong since upstreams were slow some other time.
+	It("are sent with short pauses again once one has been answered in time", func() {
+		service := alone()
+		learn(service, keep, 1, slow)
+		play(service, keep, slowed, slowed+soon)
+		for range 10 {
+			learn(service, keep, 1, slow)
+		}
+		until := now + 4*time.Second
+		Expect(len(play(service, keep, until, until))).To(BeNumerically(">=", 2))
+	})
+
 	// Guards against a service of many upstreams whose estimates are renewed one a second.
 	It("renew the estimates of all upstreams that were ruled out with it", func() {
 		service := flow.New("z", nil, half)
