One end bounds the whole stop of an entry host

Cause: waits of the stop had bounds of their own or none. Accepting that does not end (descriptors have run out: the connection that waits is readable, is not taken, and Accept fails again and again) was waited for without a bound, and so was the store's client; the removal of the record had 400 ms from its beginning, also when the stop came to it late. Change: a context that ends at the grace less endMargin, by the host's clock, bounds all that serves; the last words have until exitMargin before the end. Event 602 comes before the last words, so that it is logged whatever they wait for. The listener is closed when the record is taken away if not all connections could be taken by then, and 623 says so. Ruled out: a grace changed by settings that are read again meanwhile (it was read once for all steps already); a caller that does not read, and an answer that is never done (their goroutines outlive the stop, which does not wait for them beyond its end).

--- a/entry/stop.go
+++ b/entry/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"cherrykeel"
@@ -16,46 +17,104 @@
 	acceptShare = 0.6
 	// takeShare is the part in which every request is taken; after it only those whose time ends before the host's.
 	takeShare = 0.45
-	// endMargin is kept of the grace for the process to end by itself.
-	endMargin = 150 * time.Millisecond
-	stopPace  = 50 * time.Millisecond
+	// endMargin is kept of the grace for the process to end by itself: for its last words, and from exitMargin on for
+	// nothing but the end.
+	endMargin  = 150 * time.Millisecond
+	exitMargin = 50 * time.Millisecond
+	stopPace   = 50 * time.Millisecond
 	// withdrawTimeout bounds the write that takes the host's record away, made this long before the end.
 	withdrawTimeout = 400 * time.Millisecond
 	// finishTimeout bounds the last word of a keeper, which waits for no call.
 	finishTimeout = 50 * time.Millisecond
 )
 
+// ErrNotAllTaken means that connections still waited to be taken when the listener was closed; they are reset.
+var ErrNotAllTaken = errors.New("connections still waited to be taken")
+
 // stop serves what the balancer still sends, lets each connection end with its next answer, and returns
 // when none is left or the grace has passed.
 func (host *Host) stop(ctx context.Context) {
 	begun := host.clock.Now()
 	host.stopping.Store(true)
-	events.Log(host.logger, events.EntryStopping, zap.Int("Connections", host.server.Open()), zap.Duration("Grace", host.currentBounds().Grace))
+	grace := host.currentBounds().Grace
+	events.Log(host.logger, events.EntryStopping, zap.Int("Connections", host.server.Open()), zap.Duration("Grace", grace))
 	host.server.Stop()
 	go host.keeper.Resign(ctx)
-	grace := host.currentBounds().Grace
-	host.waitUntil(ctx, begun, time.Duration(takeShare*float64(grace)))
-	host.relay.EndAt(begun.Add(grace - endMargin))
-	host.waitUntil(ctx, begun, time.Duration(acceptShare*float64(grace)))
-	err := host.listener.Stop()
-	<-host.accepted
+	end := begun.Add(grace - endMargin)
+	// One end bounds the whole stop. While each wait had a bound of its own, or none, a host that had run out of
+	// descriptors, or was asked to wait by its store, was killed at the end of its grace.
+	ending, cancel := host.until(ctx, end)
+	defer cancel()
+	within(ending, func() { host.leave(ending, begun, end) })
+	events.Log(host.logger, events.EntryStopped, zap.Int("Cut", host.server.Open()), zap.Duration("Took", host.clock.Now().Sub(begun)))
+	last, cancelLast := host.until(ctx, begun.Add(grace-exitMargin))
+	defer cancelLast()
+	within(last, func() { host.finishKeeping(last) })
+}
+
+// leave returns when no connection is left, and the host's record is taken away, or the context has ended.
+func (host *Host) leave(ctx context.Context, begun, end cherrykeel.Instant) {
+	grace := end.Add(endMargin).Sub(begun)
+	host.waitUntil(ctx, begun.Add(time.Duration(takeShare*float64(grace))))
+	host.relay.EndAt(end)
+	host.waitUntil(ctx, begun.Add(time.Duration(acceptShare*float64(grace))))
+	serving, cancel := host.until(ctx, end.Add(-withdrawTimeout))
+	defer cancel()
+	err := host.closeListener(serving)
 	events.Log(host.logger, events.EntryClosed, zap.Duration("After", host.clock.Now().Sub(begun)), zap.Int("Connections", host.server.Open()), zap.Error(err))
-	for host.server.Open() > 0 && host.clock.Now().Sub(begun) < grace-endMargin-withdrawTimeout {
-		host.server.CloseIdle()
-		pause(ctx, stopPace)
-	}
+	host.closeConnections(serving)
 	withdrawn := make(chan struct{})
 	go func() {
 		defer close(withdrawn)
-		host.withdraw(ctx)
+		host.withdraw(ctx, end)
 	}()
-	for host.server.Open() > 0 && host.clock.Now().Sub(begun) < grace-endMargin {
+	host.closeConnections(ctx)
+	<-withdrawn
+}
+
+// closeListener returns when the listener is closed: after the connections that are complete were taken, or, if they
+// cannot all be until the context ends, as when descriptors have run out, at its end. What has been taken by then is
+// served to its end.
+func (host *Host) closeListener(ctx context.Context) error {
+	err := host.listener.Stop()
+	select {
+	case <-host.accepted:
+		return err
+	case <-ctx.Done():
+		_ = host.listener.Close()
+		return errors.WithStack(ErrNotAllTaken)
+	}
+}
+
+// closeConnections ends each connection as it becomes idle, and returns when none is left or the context has ended.
+func (host *Host) closeConnections(ctx context.Context) {
+	for host.server.Open() > 0 && ctx.Err() == nil {
 		host.server.CloseIdle()
 		pause(ctx, stopPace)
 	}
-	<-withdrawn
-	host.finishKeeping(ctx)
-	events.Log(host.logger, events.EntryStopped, zap.Int("Cut", host.server.Open()), zap.Duration("Took", host.clock.Now().Sub(begun)))
+}
+
+// within returns when a step is done or the context has ended, whatever the step waits for.
+func within(ctx context.Context, step func()) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		step()
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// until returns a context that ends at an instant of the host's clock, which goes on while the machine is suspended.
+func (host *Host) until(ctx context.Context, end cherrykeel.Instant) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		host.waitUntil(ctx, end)
+		cancel()
+	}()
+	return ctx, cancel
 }
 
 // finishKeeping tells the others that this host grants nothing any more, should it be keeper still: it could
@@ -72,16 +131,21 @@
 	host.mesh.Farewell()
 }
 
-func (host *Host) waitUntil(ctx context.Context, begun cherrykeel.Instant, elapsed time.Duration) {
-	for host.clock.Now().Sub(begun) < elapsed && ctx.Err() == nil {
-		pause(ctx, stopPace)
+// waitUntil returns at an instant of the host's clock, or when the context has ended.
+func (host *Host) waitUntil(ctx context.Context, instant cherrykeel.Instant) {
+	for ctx.Err() == nil {
+		left := instant.Sub(host.clock.Now())
+		if left <= 0 {
+			return
+		}
+		pause(ctx, min(left, stopPace))
 	}
 }
 
 // withdraw takes this host's record away. The others count hosts to tell whether they are more than half;
 // those that have left for good would make that impossible.
-func (host *Host) withdraw(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, withdrawTimeout)
+func (host *Host) withdraw(ctx context.Context, end cherrykeel.Instant) {
+	ctx, cancel := context.WithTimeout(ctx, min(withdrawTimeout, end.Sub(host.clock.Now())))
 	defer cancel()
 	_, err := host.platform.Hosts.Put(ctx, host.self.Name, nil)
 	if err != nil {
