Connections are counted and taken while idle ones are closed

Cause: CloseIdle held the server's mutex over all closes, so that the stop could neither count connections nor accept meanwhile. Change: it copies the list first. Ruled out: two ends of one connection (a second one finds it closing).

--- a/caller/server.go
+++ b/caller/server.go
@@ -1,8 +1,10 @@
 package caller
 
 import (
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -119,15 +121,20 @@
 	server.ending.Store(true)
 }
 
-// CloseIdle ends the connections on which nothing is read, waits or runs.
+// CloseIdle ends the connections on which nothing is read, waits or runs. Meanwhile others can be counted and taken:
+// thousands of closes on a slow processor would else hold up the stop.
 func (server *Server) CloseIdle() {
-	server.mutex.Lock()
-	defer server.mutex.Unlock()
-	for conn := range server.conns {
+	for _, conn := range server.current() {
 		conn.closeIdle()
 	}
 }
 
+func (server *Server) current() []*conn {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return slices.Collect(maps.Keys(server.conns))
+}
+
 // Open returns how many connections there are.
 func (server *Server) Open() int {
 	server.mutex.Lock()
