The process of an entry host ends before its grace, whatever hangs

Cause: after the stop the process waited until the log was written. A reader that had stalled kept it for ever, with all requests served. Change: Host.Over is closed exitMargin before the end of the grace; the command returns then, and the process ends. Until then it waits as before, so that a slow reader gets all lines. Ruled out: the close of the metrics (it waits for nothing outside the process), SIGTERM before the signal is taken (it ends the process).

--- a/cmd/cherrykeel/entry.go
+++ b/cmd/cherrykeel/entry.go
@@ -45,10 +45,8 @@
 	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
 	sink := events.NewSink(os.Stdout)
-	defer sink.Close()
 	logger := events.NewLogger(sink, zapcore.InfoLevel)
 	scope, handler, closer := newMetrics()
-	defer closer.Close()
 	clock := cherrykeel.SuspendClock()
 	store := adapter.NewStore(settings.StoreURL, transport(storeIdle))
 	host := entry.New(settings, entry.Platform{
@@ -63,8 +61,13 @@
 		DecodeRoutes:     adapter.DecodeRoutes,
 		DecodeUpstream:   adapter.DecodeUpstream,
 	}, entry.WithLogger(logger), entry.WithMetrics(scope, handler), entry.WithClock(clock))
+	closeOutputs := func() {
+		_ = closer.Close()
+		sink.Close()
+	}
 	err = host.Listen()
 	if err != nil {
+		closeOutputs()
 		return &opctl.ExitError{Code: opctl.ExitInvalid, Err: err}
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
@@ -73,7 +76,25 @@
 		store.Move(settings.StoreURL)
 		host.Reload(settings)
 	})
-	return host.Run(ctx)
+	return orOver(host.Over(), func() error {
+		defer closeOutputs()
+		return host.Run(ctx)
+	})
+}
+
+// orOver returns when a program has run, or when its time is over: what still hangs ends with the process. A reader of
+// the log that had stalled kept the process for ever, with all requests served.
+func orOver(over <-chan struct{}, program func() error) error {
+	ended := make(chan error, 1)
+	go func() {
+		ended <- program()
+	}()
+	select {
+	case err := <-ended:
+		return err
+	case <-over:
+		return nil
+	}
 }
 
 // watch reads the settings file again when it is told to, or finds it changed.
--- a/entry/host.go
+++ b/entry/host.go
@@ -85,6 +85,8 @@
 	listener *drain.Listener
 	// accepted is closed when no further connection will be.
 	accepted chan struct{}
+	// over is closed when the process has to end.
+	over     chan struct{}
 	ready    atomic.Bool
 	stopping atomic.Bool
 	mutex    sync.Mutex
@@ -154,6 +156,7 @@
 
 		upstreamsChained: -1,
 		accepted:         make(chan struct{}),
+		over:             make(chan struct{}),
 	}
 	host.bounds.Store(&settings.Bounds)
 	for _, option := range options {
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -40,16 +40,26 @@
 	events.Log(host.logger, events.EntryStopping, zap.Int("Connections", host.server.Open()), zap.Duration("Grace", grace))
 	host.server.Stop()
 	go host.keeper.Resign(ctx)
+	go host.endProcess(begun.Add(grace - exitMargin))
 	end := begun.Add(grace - endMargin)
 	// One end bounds the whole stop. While each wait had a bound of its own, or none, a host that had run out of
 	// descriptors, or was asked to wait by its store, was killed at the end of its grace.
 	ending, cancel := host.until(ctx, end)
 	defer cancel()
-	within(ending, func() { host.leave(ending, begun, end) })
+	within(ending.Done(), func() { host.leave(ending, begun, end) })
 	events.Log(host.logger, events.EntryStopped, zap.Int("Cut", host.server.Open()), zap.Duration("Took", host.clock.Now().Sub(begun)))
-	last, cancelLast := host.until(ctx, begun.Add(grace-exitMargin))
-	defer cancelLast()
-	within(last, func() { host.finishKeeping(last) })
+	within(host.over, func() { host.finishKeeping(ctx) })
+}
+
+// endProcess closes Over at an instant. It outlives the stop, since what follows may hang as well.
+func (host *Host) endProcess(at cherrykeel.Instant) {
+	host.waitUntil(context.Background(), at)
+	close(host.over)
+}
+
+// Over is closed when the process has to end, whatever it still waits for, since its grace is all but over.
+func (host *Host) Over() <-chan struct{} {
+	return host.over
 }
 
 // leave returns when no connection is left, and the host's record is taken away, or the context has ended.
@@ -94,8 +104,8 @@
 	}
 }
 
-// within returns when a step is done or the context has ended, whatever the step waits for.
-func within(ctx context.Context, step func()) {
+// within returns when a step is done or its time is over, whatever the step waits for.
+func within(over <-chan struct{}, step func()) {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -103,7 +113,7 @@
 	}()
 	select {
 	case <-done:
-	case <-ctx.Done():
+	case <-over:
 	}
 }
 
