On a plain log a stop whose accepting does not end is over when its time is

Cause: StopAccepting waited for the accept loop without a bound; with no descriptor left a connection that waits keeps it for ever. Change: it takes the stop's context and closes the listener when that ends. Event 106 has its error. Ruled out: nothing.

--- a/drain/server.go
+++ b/drain/server.go
@@ -81,18 +81,24 @@
 	server.stopping.Store(true)
 }
 
-// StopAccepting takes no more connections and returns when the listener is closed. Its error is that of Listener.Stop:
-// the listener is closed, but may have reset a caller.
-func (server *Server) StopAccepting() error {
+// StopAccepting takes no more connections and returns when the listener is closed. Its error is that of Listener.Stop,
+// or the context's, if that has ended before all connections were taken, as when descriptors have run out: the listener
+// is closed, but may have reset a caller.
+func (server *Server) StopAccepting(ctx context.Context) error {
 	server.Part()
 	err := server.listener.Stop()
-	<-server.accepted
-	return err
+	select {
+	case <-server.accepted:
+		return err
+	case <-ctx.Done():
+		_ = server.listener.Close()
+		return errors.WithStack(ctx.Err())
+	}
 }
 
 // Stop takes no more connections and returns when the accepted ones have been answered.
 func (server *Server) Stop(ctx context.Context) error {
-	_ = server.StopAccepting()
+	_ = server.StopAccepting(ctx)
 	return server.Finish(ctx)
 }
 
--- a/host/serve.go
+++ b/host/serve.go
@@ -92,7 +92,7 @@
 	for host.duty.holdsAny() && host.hasSuccessor() && ctx.Err() == nil {
 		pauseUntil(ctx, time.Now().Add(stopPoll))
 	}
-	err := host.front.StopAccepting()
+	err := host.front.StopAccepting(ctx)
 	events.Log(host.logger, events.HostClosed, zap.Int64("Requests", host.requests.count.Load()), zap.Error(err))
 	err = host.front.Finish(ctx)
 	if err != nil {
