A stop that is noticed late has what is left of its grace

Cause: the grace counts from the signal; a process that stands still then (frozen, no processor) began its stop when it went on, and outlasted its grace by up to that time. Change: the mesh, which looks each 80 ms, tells the earliest instant at which what is noticed now can have come: the beginning of a pause of 160 ms or more that ended within the last 150 ms. The stop has the grace less that time, and 601 logs it (Late). Shares of the grace are those of what is left. Ruled out: to tell when in a standstill the signal came (the system does not keep that). So a request that needs longer than what is left is cut earlier than before if the signal came late in the standstill; had it come early, the platform would have killed the process. A standstill amid the stop is counted by the clock already. One at the end of the grace is not to be helped.

--- a/entry/stop.go
+++ b/entry/stop.go
@@ -36,8 +36,11 @@
 func (host *Host) stop(ctx context.Context) {
 	begun := host.clock.Now()
 	host.stopping.Store(true)
-	grace := host.currentBounds().Grace
-	events.Log(host.logger, events.EntryStopping, zap.Int("Connections", host.server.Open()), zap.Duration("Grace", grace))
+	// The grace counts from the signal. One that comes while the process stands still is noticed late by up to that time,
+	// and a stop that has the whole grace from then on outlasts it.
+	late := max(0, begun.Sub(host.mesh.Earliest()))
+	grace := host.currentBounds().Grace - late
+	events.Log(host.logger, events.EntryStopping, zap.Int("Connections", host.server.Open()), zap.Duration("Grace", grace), zap.Duration("Late", late))
 	host.server.Stop()
 	go host.keeper.Resign(ctx)
 	go host.endProcess(begun.Add(grace - exitMargin))
--- a/share/awake_test.go
+++ b/share/awake_test.go
@@ -51,4 +51,17 @@
 		send("3")
 		Expect(mesh.Reports(time.Second)).To(HaveLen(1))
 	})
+	// A host is told to stop while it stands still, and sees that when it goes on.
+	It("dates what it notices then to the beginning of its standstill, and what comes later to its own time", func() {
+		clock := fakes.NewClock(cherrykeel.Instant(time.Hour))
+		mesh := share.New(cherrykeel.Peer{Name: "host-1"}, clock, zap.NewNop(), &member{}, func() {}, func() {}, func(share.Demand) {}, func(share.Told) {})
+		begun := clock.Now()
+		Expect(mesh.Earliest()).To(Equal(begun))
+		clock.Advance(3 * time.Second)
+		Expect(mesh.Earliest()).To(Equal(begun))
+		clock.Advance(100 * time.Millisecond)
+		Expect(mesh.Earliest()).To(Equal(begun), "it has just gone on")
+		clock.Advance(100 * time.Millisecond)
+		Expect(mesh.Earliest()).To(Equal(clock.Now()))
+	})
 })
--- a/share/mesh.go
+++ b/share/mesh.go
@@ -33,6 +33,8 @@
 	// is read within deafFor after that is dropped, and the next message of each host is waited for.
 	standstill = 500 * time.Millisecond
 	deafFor    = 150 * time.Millisecond
+	// pauseLeast is the pause after which this process may have stood still; shorter ones its timers have on any busy host.
+	pauseLeast = 2 * busyEvery
 	// maxDatagram bounds one message; demand beyond it is cut.
 	maxDatagram = 60 << 10
 )
@@ -84,10 +86,13 @@
 	// awakeAt is when the process was last seen to run, deafUntil ends what is dropped after a suspension.
 	awakeAt   cherrykeel.Instant
 	deafUntil cherrykeel.Instant
-	spoken    spoken
-	loads     loads
-	workTold  map[string]toldWork
-	demandAt  cherrykeel.Instant
+	// pausedAt and wokeAt are the ends of the last pause in which the process may have stood still.
+	pausedAt cherrykeel.Instant
+	wokeAt   cherrykeel.Instant
+	spoken   spoken
+	loads    loads
+	workTold map[string]toldWork
+	demandAt cherrykeel.Instant
 }
 
 // New returns a mesh; reported, counted, demand and told are called from its own goroutines.
@@ -235,6 +240,10 @@
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
 	stood := now.Sub(mesh.awakeAt)
+	if stood >= pauseLeast {
+		mesh.pausedAt = mesh.awakeAt
+		mesh.wokeAt = now
+	}
 	mesh.awakeAt = now
 	if stood > standstill {
 		mesh.deafUntil = now.Add(deafFor)
@@ -243,6 +252,19 @@
 	return now >= mesh.deafUntil
 }
 
+// Earliest returns the earliest instant at which what the process notices now can have come: when it last stood still, if
+// it has just gone on. A signal that was sent meanwhile is noticed after it.
+func (mesh *Mesh) Earliest() cherrykeel.Instant {
+	now := mesh.clock.Now()
+	mesh.awake(now)
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	if mesh.wokeAt != 0 && now.Sub(mesh.wokeAt) <= deafFor {
+		return mesh.pausedAt
+	}
+	return now
+}
+
 // Rank returns this host's place among those that are believed and that count, from 0; counts must not ask the mesh.
 func (mesh *Mesh) Rank(counts func(report Report) bool) int {
 	mesh.mutex.Lock()
