The list of hosts is put in force at a bounded pace, not once for each host that starts

Cause: when all of 195 hosts start at once, each is told of each other one by one, and each of these words built anew what follows from the list: all addresses resolved, order and groups of the hosts, the plan.

Change: watch.Peers says only that there is news; entry puts the list in force at once when it was read whole, else every 50 ms at the most, the newest one always. A host's life is looked up where it is kept, at once.

--- a/entry/announce.go
+++ b/entry/announce.go
@@ -17,6 +17,10 @@
 	// longestAnnouncePause bounds the pauses while the store does not take the announcement: refused calls
 	// have their price too, and the others miss this host for no longer than that after its return.
 	longestAnnouncePause = 1200 * time.Millisecond
+	// peersPace bounds how often a changed list of hosts is put in force. When all hosts start at once each hears of all
+	// others one by one, and 195 lists put in force took 107 ms of a core, two thirds of a second of a small host's, in
+	// which it was not ready. Loads and reports are sent each 80 ms at the soonest, so that none waits for it.
+	peersPace = 50 * time.Millisecond
 )
 
 // announce tells the other hosts of this one, again if its record is dropped.
@@ -29,7 +33,7 @@
 	wait := announcePause
 	written := int64(-1)
 	for ctx.Err() == nil {
-		life, _ := host.peerLife(host.self.Name)
+		life, _ := host.peers.Life(host.self.Name)
 		if life != host.self.Life && !host.stopping.Load() {
 			offset, err := host.platform.Hosts.Put(ctx, host.self.Name, value)
 			if err != nil {
@@ -64,16 +68,12 @@
 	}
 }
 
-func (host *Host) takePeers(peers []cherrykeel.Peer) {
-	host.mutex.Lock()
-	before := host.lives
-	newcomers := false
-	host.lives = map[string]string{}
-	for _, peer := range peers {
-		host.lives[peer.Name] = peer.Life
-		newcomers = newcomers || before[peer.Name] != peer.Life
-	}
-	host.mutex.Unlock()
+// putPeersInForce passes on the hosts there are. Calls follow each other, so that the last one knows all changes.
+func (host *Host) putPeersInForce() {
+	host.passing.Lock()
+	defer host.passing.Unlock()
+	peers := host.peers.Current()
+	newcomers := host.takeLives(peers)
 	host.mesh.SetPeers(peers)
 	if host.coldUpstreams() > 0 {
 		host.putUpstreamsInForce()
@@ -83,9 +83,16 @@
 	}
 }
 
-func (host *Host) peerLife(name string) (string, bool) {
+// takeLives notes the hosts' lives, and reports whether there are new ones among them.
+func (host *Host) takeLives(peers []cherrykeel.Peer) bool {
 	host.mutex.Lock()
 	defer host.mutex.Unlock()
-	life, known := host.lives[name]
-	return life, known
+	before := host.lives
+	newcomers := false
+	host.lives = map[string]string{}
+	for _, peer := range peers {
+		host.lives[peer.Name] = peer.Life
+		newcomers = newcomers || before[peer.Name] != peer.Life
+	}
+	return newcomers
 }
--- /dev/null
+++ b/entry/bare_test.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"go.uber.org/zap/zapcore"
+
+	"cherrykeel"
+	"cherrykeel/events"
+)
+
+type noDialect struct{ cherrykeel.Dialect }
+
+// emptyLog has no records and takes none.
+type emptyLog struct{}
+
+func (emptyLog) Newest(context.Context) (cherrykeel.KeyedBatch, error) {
+	return cherrykeel.KeyedBatch{}, nil
+}
+
+func (emptyLog) Read(context.Context, int64, time.Duration) (cherrykeel.KeyedBatch, error) {
+	return cherrykeel.KeyedBatch{}, nil
+}
+
+func (emptyLog) Put(context.Context, string, []byte) (int64, error) {
+	return 0, cherrykeel.ErrStoreAway
+}
+
+func (emptyLog) PutAt(context.Context, string, []byte, int64) error { return cherrykeel.ErrStoreAway }
+
+// bareHost is a host that follows nothing yet; change may give it other topics and decoders.
+func bareHost(change func(platform *Platform)) *Host {
+	platform := Platform{
+		Dialect: noDialect{}, Operator: emptyLog{}, Upstreams: emptyLog{}, Hosts: emptyLog{}, Spans: emptyLog{},
+		RoutesKey: "routes", EvacuationPrefix: "evacuate/",
+		DecodeRoutes: func([]byte) (cherrykeel.RouteSet, error) {
+			services := map[string]cherrykeel.RoutedService{}
+			for i := range 4 {
+				name := fmt.Sprintf("service-%d", i)
+				services[name] = cherrykeel.RoutedService{Name: name, Keyed: i == 0}
+			}
+			return cherrykeel.RouteSet{Version: 1, Services: services}, nil
+		},
+		DecodeUpstream: func(id string, value []byte) (cherrykeel.Upstream, error) {
+			var upstream cherrykeel.Upstream
+			err := json.Unmarshal(value, &upstream)
+			return upstream, err
+		},
+	}
+	if change != nil {
+		change(&platform)
+	}
+	settings := cherrykeel.EntrySettings{Name: "host-0", Zone: "zone-0", Inner: "127.0.0.1:7000"}
+	return New(settings, platform, WithClock(cherrykeel.SystemClock()), WithLogger(events.NewLogger(zapcore.AddSync(io.Discard), zapcore.InfoLevel)))
+}
--- a/entry/denied.go
+++ b/entry/denied.go
@@ -81,6 +81,10 @@
 	update.Records = peers
 	host.applyDenied(denied, host.denied.MergeKept)
 	host.peers.Apply(update)
+	if update.Whole {
+		// A host is ready once it has read the whole list; until it is in force it would spend the retries of all hosts.
+		host.putPeersInForce()
+	}
 }
 
 // applyDenied takes what other hosts have seen, as they told it or as it is kept in the store.
--- a/entry/host.go
+++ b/entry/host.go
@@ -89,10 +89,13 @@
 	stopping atomic.Bool
 	mutex    sync.Mutex
 	lives    map[string]string
+	// passing makes those who put the list of hosts in force follow each other.
+	passing  sync.Mutex
 	recent   recentChanges
 	counted  *paced
 	reported *paced
 	joined   *paced
+	listed   *paced
 	names    atomic.Pointer[shortNames]
 	// started is when the process began.
 	started cherrykeel.Instant
@@ -179,6 +182,7 @@
 	host.counted = &paced{clock: host.clock, pace: gatherPace, do: host.gather}
 	host.reported = &paced{clock: host.clock, pace: heardPace, do: host.heard}
 	host.joined = &paced{clock: host.clock, pace: newcomersPace, do: host.tellNewcomers}
+	host.listed = &paced{clock: host.clock, pace: peersPace, do: host.putPeersInForce}
 	host.names.Store(&shortNames{})
 	host.spans = watch.NewSpans(host.clock, host.logger, host.spansChanged, host.tellSpans)
 	host.mesh = share.New(host.self, host.clock, host.logger, &state{host: host}, host.reported.ask, host.counted.ask, func(demand share.Demand) { host.keeper.Demand(demand) }, host.told)
@@ -201,7 +205,7 @@
 	host.zones = watch.NewZones(host.platform.EvacuationPrefix, host.clock, host.logger, host.putUpstreamsInForce, host.tellOne(topicSettings))
 	host.upstreams = watch.NewUpstreams(host.platform.DecodeUpstream, host.clock, host.logger,
 		host.putUpstreamsInForce, host.tellUpstreams)
-	host.peers = watch.NewPeers(host.clock, host.logger, host.takePeers, host.tellOne(topicHosts))
+	host.peers = watch.NewPeers(host.clock, host.logger, host.listed.ask, host.tellOne(topicHosts))
 	host.topics.operator = host.follow(topicSettings, host.platform.Operator, host.applyOperator, host.settingsSchedule)
 	host.topics.upstreams = host.follow(topicUpstreams, host.platform.Upstreams, host.upstreams.Apply, host.upstreamsSchedule)
 	host.topics.hosts = host.follow(topicHosts, host.platform.Hosts, host.applyHosts, host.tableSchedule)
--- /dev/null
+++ b/entry/listed_test.go
@@ -0,0 +1,74 @@
+package entry
+
+import (
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cherrykeel"
+	"cherrykeel/share"
+	"cherrykeel/watch"
+)
+
+// announcements are the records of hosts in one life of each, from an offset on.
+func announcements(count int, life string, offset int64) []cherrykeel.KeyedRecord {
+	var records []cherrykeel.KeyedRecord
+	for i := range count {
+		name := fmt.Sprintf("host-%d", i)
+		value, err := watch.EncodePeer(cherrykeel.Peer{Name: name, Life: life, Inner: fmt.Sprintf("127.2.0.%d:7100", i), Zone: "zone-0"})
+		if err != nil {
+			panic(err)
+		}
+		records = append(records, cherrykeel.KeyedRecord{Key: name, Value: value, Offset: offset + int64(i)})
+	}
+	return records
+}
+
+var _ = Describe("the list of hosts", func() {
+	const hosts = 195
+	var host *Host
+	var passed atomic.Int64
+
+	BeforeEach(func() {
+		host = bareHost(nil)
+		passed.Store(0)
+		host.listed.do = func() {
+			passed.Add(1)
+			host.putPeersInForce()
+		}
+	})
+
+	// All hosts start at the same moment, and each tells the others of itself. While each of these words put the whole
+	// list in force anew, hosts with a sixth of a core had two thirds of a second to do before they were ready.
+	It("is put in force at a bounded pace when many announce themselves, the last ones included", func() {
+		begun := time.Now()
+		for _, record := range announcements(hosts, "second", hosts) {
+			host.told(share.Told{Topic: topicHosts, Records: []cherrykeel.KeyedRecord{record}})
+		}
+		Eventually(host.mesh.Known, "20s").Should(Equal(hosts))
+		most := 2 + int(time.Since(begun)/peersPace)
+		Expect(passed.Load()).To(BeNumerically("<=", most))
+	})
+
+	// Guards against a host that has read the whole list and spends, as the only one it knows, the retries of all.
+	It("is in force at once when it was read whole, however lately it was before", func() {
+		first := announcements(1, "first", 0)
+		host.told(share.Told{Topic: topicHosts, Records: first})
+		host.applyHosts(watch.Update{Records: announcements(hosts, "first", 0), Whole: true, Next: hosts})
+		Expect(host.mesh.Known()).To(Equal(hosts))
+	})
+
+	// Guards against hosts that start unnoticed because others have started within the same pause.
+	It("says that there are newcomers until they are told, also when several start in one pause", func() {
+		host.applyHosts(watch.Update{Records: announcements(3, "first", 0), Whole: true, Next: 3})
+		Expect(host.takeLives(host.peers.Current())).To(BeFalse())
+		host.peers.Apply(watch.Update{Records: announcements(2, "second", 3), Told: true, Next: 5})
+		life, known := host.peers.Life("host-1")
+		Expect(known).To(BeTrue())
+		Expect(life).To(Equal("second"))
+		Expect(host.takeLives(host.peers.Current())).To(BeTrue())
+	})
+})
--- a/entry/world.go
+++ b/entry/world.go
@@ -59,7 +59,7 @@
 
 // PeerLife implements grants.World.
 func (world *world) PeerLife(name string) (string, time.Duration, bool) {
-	life, known := world.host.peerLife(name)
+	life, known := world.host.peers.Life(name)
 	return life, world.host.peers.Age(name), known
 }
 
--- a/watch/peers.go
+++ b/watch/peers.go
@@ -19,7 +19,7 @@
 type Peers struct {
 	clock  cherrykeel.Clock
 	logger *zap.Logger
-	change func(peers []cherrykeel.Peer)
+	change func()
 	tell   func(record cherrykeel.KeyedRecord)
 
 	mutex   sync.Mutex
@@ -28,9 +28,9 @@
 	since   map[string]cherrykeel.Instant
 }
 
-// NewPeers returns a view of the hosts' announcements; change is called with all of them, and tell with
+// NewPeers returns a view of the hosts' announcements; change is called when there are others, and tell with
 // each record that this host read itself.
-func NewPeers(clock cherrykeel.Clock, logger *zap.Logger, change func([]cherrykeel.Peer), tell func(cherrykeel.KeyedRecord)) *Peers {
+func NewPeers(clock cherrykeel.Clock, logger *zap.Logger, change func(), tell func(cherrykeel.KeyedRecord)) *Peers {
 	return &Peers{
 		clock: clock, logger: logger, change: change, tell: tell,
 		peers: map[string]cherrykeel.Peer{}, offsets: map[string]int64{}, since: map[string]cherrykeel.Instant{},
@@ -51,12 +51,11 @@
 			news = append(news, record)
 		}
 	}
-	all := peers.all()
 	peers.mutex.Unlock()
 	if len(news) == 0 {
 		return
 	}
-	peers.change(all)
+	peers.change()
 	if update.Told || update.Whole {
 		return
 	}
@@ -116,19 +115,23 @@
 	return peer, nil
 }
 
-func (peers *Peers) all() []cherrykeel.Peer {
-	var all []cherrykeel.Peer
+// Current returns the hosts.
+func (peers *Peers) Current() []cherrykeel.Peer {
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	all := make([]cherrykeel.Peer, 0, len(peers.peers))
 	for _, peer := range peers.peers {
 		all = append(all, peer)
 	}
 	return all
 }
 
-// Current returns the hosts.
-func (peers *Peers) Current() []cherrykeel.Peer {
+// Life returns a host's life; false if it has not announced itself.
+func (peers *Peers) Life(name string) (string, bool) {
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
-	return peers.all()
+	peer, known := peers.peers[name]
+	return peer.Life, known
 }
 
 // Age returns how long ago a host's record was read.
