A host is ready once what it has read is in force, not when it was read

Cause: a topic counts as known before its records are handed on. A host with 0.16 of a core needs about 0.1 s to put hundreds of upstreams in force after it has read them; looked at in that time it said that it was ready, and would have refused callers for want of an upstream, or taken a request on the list of those refused.

Change: a follower tells when its first state has been handed on whole, and readiness asks for that, of the operator's topic, the upstreams and the hosts. What else asks whether a topic is known is as it was: the parts of cold upstreams are worked out while the list of hosts is put in force.

--- a/entry/denied.go
+++ b/entry/denied.go
@@ -105,7 +105,7 @@
 // knowsDenied reports whether this host has read which requests end upstreams. It does not wait for that for ever:
 // one partition of the store may be away while the others are not, and nobody would be served.
 func (host *Host) knowsDenied() bool {
-	return host.topics.hosts.Known() || host.clock.Now().Sub(host.started) > deniedPatience
+	return host.topics.hosts.Applied() || host.clock.Now().Sub(host.started) > deniedPatience
 }
 
 // forgetDenied drops what is too old, at one host from the store too, and shows how much is left.
--- a/entry/tend.go
+++ b/entry/tend.go
@@ -77,7 +77,7 @@
 // whether it is.
 func (host *Host) noteReady() bool {
 	_, known := host.routes.Current()
-	if !known || !host.zones.Known() || !host.topics.upstreams.Known() || !host.knowsDenied() {
+	if !known || !host.topics.operator.Applied() || !host.topics.upstreams.Applied() || !host.knowsDenied() {
 		return false
 	}
 	host.ready.Store(true)
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -61,7 +61,9 @@
 	mutex sync.Mutex
 	next  int64
 	known bool
-	lost  bool
+	// applied says that what was read first has been handed on whole.
+	applied bool
+	lost    bool
 	// interrupt ends the read that waits now.
 	interrupt context.CancelFunc
 	nudgedAt  cherrykeel.Instant
@@ -247,5 +249,8 @@
 	}
 	follower.noteUnreadable(batch.Unreadable)
 	follower.apply(Update{Records: batch.Records, Whole: true, Next: batch.Next})
+	follower.mutex.Lock()
+	follower.applied = true
+	follower.mutex.Unlock()
 	return nil
 }
--- a/watch/known.go
+++ b/watch/known.go
@@ -83,6 +83,14 @@
 	return follower.known
 }
 
+// Applied reports whether all that the topic had at the start is in force. Of many records that takes a while after they
+// were read, and who counted as ready in it refused all callers.
+func (follower *Follower) Applied() bool {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	return follower.applied
+}
+
 // WellFor returns how long the topic has been read without a failure; 0 while it is not.
 func (follower *Follower) WellFor() time.Duration {
 	follower.mutex.Lock()
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -111,6 +111,25 @@
 		Expect(follower.WellFor()).NotTo(BeZero(), "an interrupted read says nothing of the store")
 	})
 
+	// A host of a sixth of a core needs a tenth of a second to put 659 upstreams in force. Guards against one that is ready
+	// in that time, and refuses callers since it knows no upstream.
+	It("has applied a topic only when what was read first is in force", func() {
+		begun := make(chan struct{})
+		release := make(chan struct{})
+		follower := watch.NewFollower("topic", log, cherrykeel.SystemClock(), zap.NewNop(), func(watch.Update) {
+			close(begun)
+			<-release
+		}, func() watch.Schedule { return watch.Schedule{Pace: time.Hour} })
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go follower.Run(ctx)
+		Eventually(begun, generous).Should(BeClosed())
+		Expect(follower.Known()).To(BeTrue())
+		Expect(follower.Applied()).To(BeFalse())
+		close(release)
+		Eventually(follower.Applied, generous).Should(BeTrue())
+	})
+
 	// A host is nudged when another one reports a change, however seldom it looks for a closer schedule by itself.
 	It("reads at once when it is nudged while it rests, and looks no more often than its schedule asks for", func() {
 		var looks atomic.Int64
