A host that has stopped by plan says so, and the others don't warn of its silence

Cause: a host that stops while the store is away cannot take its record away.

Change: the last report says that the host has ended, and no warning follows on it; whether its counts and its word are believed, when its record is dropped and who is chosen in its place is as it was. A report that is sent after it says so too, so that the word is not taken back. Older hosts ignore the field.

--- a/share/mesh.go
+++ b/share/mesh.go
@@ -77,8 +77,10 @@
 	unknown bool
 	// storeless says that the store does not serve this host.
 	storeless bool
-	fleet     *topo.Fleet
-	plan      topo.Plan
+	// ended says that this host has said farewell.
+	ended bool
+	fleet *topo.Fleet
+	plan  topo.Plan
 	// watchingSince is when this host last became one that hears from all.
 	watchingSince cherrykeel.Instant
 	// awakeAt is when the process was last seen to run, deafUntil ends what is dropped after a suspension.
@@ -170,7 +172,7 @@
 	defer mesh.mutex.Unlock()
 	for name, heard := range mesh.heard {
 		age := now.Sub(heard.At)
-		if age < staleAfter || mesh.silent[name] {
+		if age < staleAfter || mesh.silent[name] || heard.Report.Ended {
 			continue
 		}
 		mesh.silent[name] = true
--- a/share/message.go
+++ b/share/message.go
@@ -41,6 +41,8 @@
 	Ages map[string]time.Duration `json:",omitempty"`
 	// Finals is told by the keeper of spans, and passed on by the others.
 	Finals *Finals `json:",omitempty"`
+	// Ended says that this is the host's last word: it has stopped by plan.
+	Ended bool `json:",omitempty"`
 }
 
 // Finals tells of owners that the keeper of a term grants nothing any more.
--- a/share/send.go
+++ b/share/send.go
@@ -70,21 +70,30 @@
 	sender.report = report
 	sender.reportAt = now
 	report.Sequence = mesh.nextSequence()
-	report.Ages, report.Finals = ages, finals
+	report.Ages, report.Finals, report.Ended = ages, finals, mesh.hasEnded()
 	mesh.send(methodReport, report, mesh.reportTo(now))
 }
 
-// Farewell reports to all hosts once more, whatever was reported before.
+// Farewell reports to all hosts once more, whatever was reported before, and says that this host has ended. Each of them
+// would else warn of its silence: its record stays while the store is away.
 func (mesh *Mesh) Farewell() {
-	report := Report{Host: mesh.self.Name, Life: mesh.self.Life, Term: -1}
-	mesh.state.Report(&report)
-	report.Sequence = mesh.nextSequence()
 	mesh.mutex.Lock()
+	mesh.ended = true
 	names := mesh.names()
 	mesh.mutex.Unlock()
+	report := Report{Host: mesh.self.Name, Life: mesh.self.Life, Term: -1, Ended: true}
+	mesh.state.Report(&report)
+	report.Sequence = mesh.nextSequence()
 	mesh.send(methodReport, report, names)
 }
 
+// hasEnded reports whether this host has said farewell; a report that is sent still must not take that back.
+func (mesh *Mesh) hasEnded() bool {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	return mesh.ended
+}
+
 func (mesh *Mesh) noteStore(well bool) {
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -63,9 +63,14 @@
 }
 
 func newMember(name, life, zone string) *member {
+	GinkgoHelper()
+	return newMemberWith(zap.NewNop(), name, life, zone)
+}
+
+func newMemberWith(logger *zap.Logger, name, life, zone string) *member {
 	GinkgoHelper()
 	member := &member{peer: cherrykeel.Peer{Name: name, Life: life, Inner: fakes.FreeAddress(), Zone: zone}, running: map[string]int{}}
-	member.mesh = share.New(member.peer, cherrykeel.SystemClock(), zap.NewNop(), member, func() { member.changes.Add(1) }, func() { member.changes.Add(1) },
+	member.mesh = share.New(member.peer, cherrykeel.SystemClock(), logger, member, func() { member.changes.Add(1) }, func() { member.changes.Add(1) },
 		func(demand share.Demand) { member.set(func() { member.demands = append(member.demands, demand) }) },
 		func(told share.Told) { member.set(func() { member.told = append(member.told, told) }) })
 	Expect(member.mesh.Listen()).To(Succeed())
