A stop keeps an unused connection while the host stands still, and tells its caller when it ends it

Cause: a connection that brings no request for 5 s of the clock, or for the 10 s that net/http gives a head, is closed with nothing said. Time in which the host stood still counted, so a caller that stood still with it, on the same machine, lost its connection before it could send. Change: a stop counts its patience by its looks, each for 10 ms at most; an unused connection outlasts its deadline once, and until the stop ends it while one goes on. What ends unused is told 408 with Cherrykeel-Outcome not-run, also when the stop's time is over. Event 107 counts these. Why it is enough: whoever sends within 5 s in which the host runs is answered; whoever does not learns that nothing was read, since reading ends before the answer is written. Ruled out: a request that was read and given up (net/http does that only once Shutdown runs, which comes when nothing is open or the time is up); a reset's causes (bytes that lie unread make a reset, never EOF); the listener.

--- a/drain/conn.go
+++ b/drain/conn.go
@@ -1,36 +1,65 @@
 package drain
 
 import (
+	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"cherrykeel"
 	"cherrykeel/sock"
 )
 
+// notRead tells a caller that no request of its was read. It is a 408 since callers that rest on a kept connection take
+// that one as its plain end.
+const notRead = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n" +
+	cherrykeel.HeaderOutcome + ": " + string(cherrykeel.NotRun) + "\r\n\r\n"
+
 // conn is an accepted connection whose unread bytes are known.
 type conn struct {
 	net.Conn
-	intake *sock.Intake
+	intake   *sock.Intake
+	stopping *atomic.Bool
+	patience time.Duration
 	// awaited says that a read has begun since the connection became idle: net/http has begun all that it had read.
 	awaited atomic.Bool
 	// readLate says that bytes were read after the deadline, which is done once for each deadline.
 	readLate atomic.Bool
+	// waitedOn says that the connection was unused when its deadline passed, and got its patience. Only Read uses it.
+	waitedOn bool
+	// ending is held while the connection is closed.
+	ending sync.Mutex
 }
 
 // Read implements net.Conn. What had come when the deadline passed is read all the same: a host that stood still would
 // else end connections whose requests came in time, and their callers could not tell whether these were read.
 func (conn *conn) Read(buffer []byte) (int, error) {
 	conn.awaited.Store(true)
-	count, err := conn.intake.Read(buffer)
-	if err == nil || !isTimeout(err) || conn.readLate.Swap(true) {
-		return count, err
+	for {
+		count, err := conn.intake.Read(buffer)
+		if err == nil || !isTimeout(err) || conn.readLate.Swap(true) {
+			return count, err
+		}
+		count = conn.intake.ReadArrived(buffer)
+		if count > 0 {
+			return count, nil
+		}
+		if !conn.waitOn() {
+			return 0, err
+		}
 	}
-	count = conn.intake.ReadArrived(buffer)
-	if count > 0 {
-		return count, nil
+}
+
+// waitOn lets a connection that has never brought a byte outlast its deadline: once, since the host may have stood still
+// until then and its caller with it, and for as long as the server stops, which tells callers when it ends unused ones.
+// A plain end in place of an answer would not tell them whether their request was read.
+func (conn *conn) waitOn() bool {
+	if conn.intake.Received() > 0 || conn.waitedOn && !conn.stopping.Load() {
+		return false
 	}
-	return 0, err
+	conn.waitedOn = true
+	return conn.SetReadDeadline(time.Now().Add(conn.patience)) == nil
 }
 
 // SetReadDeadline implements net.Conn.
@@ -59,9 +88,31 @@
 	return conn.awaited.Load() && !conn.intake.Unsent() && conn.intake.ShutUnlessUnread(taken)
 }
 
+// turnAway ends the connection and tells its caller that nothing on it was read, if shut reports that nothing is from
+// now on. What comes meanwhile ends net/http's read, and with it the connection: not before the caller is told.
+func (conn *conn) turnAway(shut func() bool) bool {
+	conn.ending.Lock()
+	defer conn.ending.Unlock()
+	if !shut() {
+		return false
+	}
+	_, _ = io.WriteString(conn.Conn, notRead)
+	_ = conn.Conn.Close()
+	return true
+}
+
+// Close implements net.Conn.
+func (conn *conn) Close() error {
+	conn.ending.Lock()
+	defer conn.ending.Unlock()
+	return conn.Conn.Close()
+}
+
 // watched hands out a listener's connections as ones whose unread bytes are known.
 type watched struct {
 	net.Listener
+	stopping *atomic.Bool
+	patience time.Duration
 }
 
 // Accept implements net.Listener.
@@ -70,5 +121,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: socket, intake: sock.NewIntake(socket)}, nil
+	accepted := &conn{
+		Conn:     socket,
+		intake:   sock.NewIntake(socket),
+		stopping: watched.stopping,
+		patience: watched.patience,
+	}
+	return accepted, nil
 }
--- a/drain/server.go
+++ b/drain/server.go
@@ -12,30 +12,40 @@
 )
 
 const (
-	// unusedPatience is how long a stop waits for the first request of an accepted connection. Callers send
-	// it within a way there and back; one that was opened in advance loses nothing when it is closed unused.
+	// unusedPatience is how long a stop waits for the first request of an accepted connection. Callers send it within a
+	// way there and back; one that was opened in advance loses nothing when it ends unused.
 	unusedPatience = 5 * time.Second
-	pollEvery      = 10 * time.Millisecond
+	// lookEvery is how often a stop looks at its connections, and the most that one look counts for. What passes beyond
+	// that has passed without the process: a host that stood still would else end connections whose callers stood still
+	// with it and are about to send.
+	lookEvery = 10 * time.Millisecond
 )
 
 // Server is an HTTP server whose stop answers what it has accepted.
 //
 // net/http's Shutdown alone drops each request whose head it reads after the shutdown began, and each that lies unread on
 // a connection it takes for idle; the caller cannot tell whether the request ran. So the listener is closed first, a
-// connection is closed as idle only if nothing on it is unread, and Shutdown comes when none is left.
+// connection is closed as idle only if nothing on it is unread, one that brings no request is told that none was read, and
+// Shutdown comes when none is left.
 type Server struct {
 	server   *http.Server
 	listener *Listener
 	accepted chan struct{}
 	stopping atomic.Bool
+	// turnedAway counts the connections that ended unused.
+	turnedAway atomic.Int64
 
 	mutex sync.Mutex
 	open  map[*conn]openConn
+	// ran is how long the process ran since the stop's first look, and looked the time of the last one.
+	ran    time.Duration
+	looked time.Time
 }
 
 type openConn struct {
-	since time.Time
 	state http.ConnState
+	// since is Server.ran when the connection came into that state.
+	since time.Duration
 	// taken counts the bytes that had been read when the connection became idle.
 	taken int64
 }
@@ -51,7 +61,7 @@
 // Serve accepts connections until Stop, which makes it return nil, or until accepting fails.
 func (server *Server) Serve() error {
 	defer close(server.accepted)
-	err := server.server.Serve(watched{Listener: server.listener})
+	err := server.server.Serve(watched{Listener: server.listener, stopping: &server.stopping, patience: unusedPatience})
 	if errors.Is(err, net.ErrClosed) {
 		return nil
 	}
@@ -67,10 +77,10 @@
 	defer server.mutex.Unlock()
 	switch state {
 	case http.StateNew, http.StateActive:
-		server.open[conn] = openConn{since: time.Now(), state: state}
+		server.open[conn] = openConn{state: state, since: server.ran}
 	case http.StateIdle:
 		conn.awaited.Store(false)
-		server.open[conn] = openConn{since: time.Now(), state: state, taken: conn.intake.Received()}
+		server.open[conn] = openConn{state: state, since: server.ran, taken: conn.intake.Received()}
 	case http.StateHijacked, http.StateClosed:
 		delete(server.open, conn)
 	}
@@ -97,9 +107,9 @@
 }
 
 // Finish returns when the accepted connections have been answered, after StopAccepting; those that are left when the
-// context ends are cut, and its error is returned.
+// context ends are cut, and its error is returned; callers of which nothing was read are told so.
 func (server *Server) Finish(ctx context.Context) error {
-	ticker := time.NewTicker(pollEvery)
+	ticker := time.NewTicker(lookEvery)
 	defer ticker.Stop()
 	for server.closeIdle(time.Now()) > 0 && ctx.Err() == nil {
 		select {
@@ -107,6 +117,9 @@
 		case <-ctx.Done():
 		}
 	}
+	if ctx.Err() != nil {
+		server.turnAwayUnread()
+	}
 	err := server.server.Shutdown(ctx)
 	if err != nil {
 		_ = server.server.Close()
@@ -114,20 +127,52 @@
 	return errors.WithStack(err)
 }
 
+// TurnedAway returns how many connections brought no request until the stop ended them; their callers were told so.
+func (server *Server) TurnedAway() int64 {
+	return server.turnedAway.Load()
+}
+
 // closeIdle closes the connections that are idle or have brought no request for long, and counts the others.
 func (server *Server) closeIdle(now time.Time) int {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
+	server.count(now)
 	for conn, open := range server.open {
-		if open.mayRest(now) && conn.idle(open.taken) {
+		idle := func() bool { return conn.idle(open.taken) }
+		switch {
+		case open.state == http.StateIdle && idle():
 			_ = conn.Close()
 			delete(server.open, conn)
+		case open.state == http.StateNew && server.ran-open.since >= unusedPatience:
+			server.turnAway(conn, idle)
 		}
 	}
 	return len(server.open)
 }
 
-// mayRest reports whether the connection may be closed if nothing on it is unread.
-func (open openConn) mayRest(now time.Time) bool {
-	return open.state == http.StateIdle || open.state == http.StateNew && now.Sub(open.since) >= unusedPatience
+// count adds the time that the process ran since the last look; Server.mutex is held.
+func (server *Server) count(now time.Time) {
+	if !server.looked.IsZero() {
+		server.ran += min(now.Sub(server.looked), lookEvery)
+	}
+	server.looked = now
+}
+
+// turnAwayUnread ends the connections of which nothing was read, whatever has come on them.
+func (server *Server) turnAwayUnread() {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	for conn, open := range server.open {
+		if open.state == http.StateNew {
+			server.turnAway(conn, conn.intake.ShutUnlessRead)
+		}
+	}
+}
+
+// turnAway ends an unused connection if shut reports that nothing on it is read any more; Server.mutex is held.
+func (server *Server) turnAway(conn *conn, shut func() bool) {
+	if conn.turnAway(shut) {
+		delete(server.open, conn)
+		server.turnedAway.Add(1)
+	}
 }
--- a/drain/server_test.go
+++ b/drain/server_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -322,15 +323,20 @@
 	}
 }
 
-// watchedPair returns both ends of a connection, the far one as a server has it.
+// watchedPair returns both ends of a connection, the far one as a server has it that does not stop.
 func watchedPair() (net.Conn, net.Conn) {
+	return watchedPairOf(new(atomic.Bool), time.Minute)
+}
+
+// watchedPairOf is watchedPair with a server that may be stopping, and a patience for unused connections.
+func watchedPairOf(stopping *atomic.Bool, patience time.Duration) (net.Conn, net.Conn) {
 	listener, err := drain.Listen("127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(listener.Close)
 	near, err := net.Dial("tcp", listener.Addr().String())
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(near.Close)
-	far, err := drain.Watched(listener).Accept()
+	far, err := drain.Watched(listener, stopping, patience).Accept()
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(far.Close)
 	return near, far
--- /dev/null
+++ b/drain/unused_test.go
@@ -0,0 +1,169 @@
+package drain_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cherrykeel"
+	"cherrykeel/drain"
+)
+
+const (
+	request = "GET / HTTP/1.1\r\nHost: any\r\n\r\n"
+	// generous bounds what a spec waits for; none asserts how soon it comes.
+	generous = "10s"
+	// patientLooks end the patience for an unused connection if none of them is late.
+	patientLooks = int(drain.UnusedPatience/drain.LookEvery) + 1
+)
+
+var _ = Describe("a connection that has brought no request when its server stops", func() {
+	var (
+		listener *drain.Listener
+		server   *drain.Server
+		now      time.Time
+	)
+
+	BeforeEach(func() {
+		now = time.Now()
+		var err error
+		listener, err = drain.Listen("127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		handler := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(writer, "whole") })
+		server = drain.New(&http.Server{Handler: handler}, listener)
+		go func(server *drain.Server) { _ = server.Serve() }(server)
+	})
+
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		return conn
+	}
+	answer := func(conn net.Conn) *http.Response {
+		GinkgoHelper()
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Close).To(BeTrue())
+		return response
+	}
+	expectTurnedAway := func(response *http.Response) {
+		GinkgoHelper()
+		Expect(response.StatusCode).To(Equal(http.StatusRequestTimeout))
+		Expect(response.Header.Get(cherrykeel.HeaderOutcome)).To(Equal(string(cherrykeel.NotRun)))
+	}
+	// look takes looks at the server's connections, so far apart by the spec's own clock.
+	look := func(times int, apart time.Duration) {
+		for range times {
+			now = now.Add(apart)
+			drain.CloseIdleAt(server, now)
+		}
+	}
+
+	// Guards against a caller that is cut off unheard, since the host stood still for longer than it has patience: the
+	// connection is old by then, and the caller, which stood still with it, is just about to send.
+	It("keeps its patience while the host stands still", func() {
+		conn := dial()
+		Expect(server.StopAccepting()).To(Succeed())
+		look(10, drain.UnusedPatience)
+		_, err := io.WriteString(conn, request)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer(conn).StatusCode).To(Equal(http.StatusOK))
+		Expect(server.TurnedAway()).To(BeZero())
+	})
+
+	// Guards against a caller that cannot tell whether its request was read when the host's patience ends.
+	It("is told that nothing was read when the patience ends", func() {
+		conn := dial()
+		Expect(server.StopAccepting()).To(Succeed())
+		ended := func() int64 {
+			look(patientLooks, drain.LookEvery)
+			return server.TurnedAway()
+		}
+		Eventually(ended, generous).Should(BeEquivalentTo(1))
+		expectTurnedAway(answer(conn))
+	})
+
+	// Guards against a request that crosses the end of the patience and gets a reset in place of an answer.
+	It("is answered, or told so, if its request comes in that moment", func() {
+		var early []net.Conn
+		for range 300 {
+			early = append(early, dial())
+		}
+		Expect(server.StopAccepting()).To(Succeed())
+		look(patientLooks-1, drain.LookEvery)
+		var sent atomic.Int32
+		for _, conn := range early {
+			go func() {
+				_, _ = io.WriteString(conn, request)
+				sent.Add(1)
+			}()
+		}
+		for int(sent.Load()) < len(early) {
+			look(1, drain.LookEvery)
+		}
+		for _, conn := range early {
+			Expect(answer(conn).StatusCode).To(BeElementOf(http.StatusOK, http.StatusRequestTimeout))
+		}
+	})
+
+	// Guards against a caller that cannot tell whether its request was read when the stop's time ends.
+	It("is told that nothing was read when the stop's time ends", func() {
+		conn := dial()
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = server.Stop(ctx)
+		expectTurnedAway(answer(conn))
+		Expect(server.TurnedAway()).To(BeEquivalentTo(1))
+	})
+})
+
+var _ = Describe("an unused connection whose time to read is up", func() {
+	// The request comes only after the deadline, which passed while the host stood still and its caller with it.
+	It("waits on, once", func() {
+		near, far := watchedPair()
+		Expect(far.SetReadDeadline(time.Now().Add(-time.Second))).To(Succeed())
+		go func() {
+			defer GinkgoRecover()
+			_, err := io.WriteString(near, request)
+			Expect(err).NotTo(HaveOccurred())
+		}()
+		buffer := make([]byte, len(request))
+		Expect(io.ReadFull(far, buffer)).To(Equal(len(request)))
+
+		Expect(far.SetReadDeadline(time.Now().Add(-time.Second))).To(Succeed())
+		_, err := far.Read(buffer)
+		Expect(err).To(MatchError(os.ErrDeadlineExceeded))
+	})
+
+	It("ends after that", func() {
+		_, far := watchedPairOf(new(atomic.Bool), time.Millisecond)
+		Expect(far.SetReadDeadline(time.Now().Add(-time.Second))).To(Succeed())
+		_, err := far.Read(make([]byte, 1))
+		Expect(err).To(MatchError(os.ErrDeadlineExceeded))
+	})
+
+	// Guards against a read that ends a connection on which the stop still waits for a request.
+	It("is left to the stop of its server", func() {
+		stopping := new(atomic.Bool)
+		stopping.Store(true)
+		near, far := watchedPairOf(stopping, time.Millisecond)
+		Expect(far.SetReadDeadline(time.Now().Add(-time.Second))).To(Succeed())
+		ended := make(chan error, 1)
+		go func() {
+			_, err := far.Read(make([]byte, 1))
+			ended <- err
+		}()
+		Consistently(ended, "50ms").ShouldNot(Receive())
+		Expect(near.(*net.TCPConn).CloseWrite()).To(Succeed())
+		Eventually(ended, generous).Should(Receive(MatchError(io.EOF)))
+	})
+})
--- a/events/events.go
+++ b/events/events.go
@@ -31,6 +31,7 @@
 	HostStopped  = define(104, zap.InfoLevel, "host has stopped")
 	HostCut      = define(105, zap.WarnLevel, "requests were cut at the end of the stop's time")
 	HostClosed   = define(106, zap.InfoLevel, "host takes no more connections")
+	HostUnused   = define(107, zap.InfoLevel, "connections brought no request until the host had stopped")
 )
 
 // The events of the platform's log and list.
--- a/host/serve.go
+++ b/host/serve.go
@@ -113,8 +113,17 @@
 	ctx, cancel := context.WithTimeout(context.Background(), goneWait)
 	defer cancel()
 	_ = host.admin.Stop(ctx)
+	host.logUnused()
 	host.inner.Close()
 	host.peers.Close()
 	host.workers.StopAndWait()
 	events.Log(host.logger, events.HostStopped)
 }
+
+// logUnused tells how many connections ended that had been opened and never used.
+func (host *Host) logUnused() {
+	callers, operators := host.front.TurnedAway(), host.admin.TurnedAway()
+	if callers+operators > 0 {
+		events.Log(host.logger, events.HostUnused, zap.Int64("Callers", callers), zap.Int64("Operators", operators))
+	}
+}
--- a/sock/intake.go
+++ b/sock/intake.go
@@ -138,6 +138,17 @@
 	return true
 }
 
+// ShutUnlessRead reads nothing from now on, unless something was read already; it reports whether it did.
+func (intake *Intake) ShutUnlessRead() bool {
+	intake.mutex.Lock()
+	defer intake.mutex.Unlock()
+	if intake.received > 0 {
+		return false
+	}
+	intake.shut = true
+	return true
+}
+
 // holdsMore is Unread while Intake.mutex is held.
 func (intake *Intake) holdsMore(counted int64) bool {
 	return intake.received > counted || intake.source != nil && Readable(intake.source)
