--- a/drain/unused_test.go
+++ b/drain/unused_test.go
@@ -72,7 +72,7 @@
 	// connection is old by then, and the caller, which stood still with it, is just about to send.
 	It("keeps its patience while the host stands still", func() {
 		conn := dial()
-		Expect(server.StopAccepting()).To(Succeed())
+		Expect(server.StopAccepting(context.Background())).To(Succeed())
 		look(10, drain.UnusedPatience)
 		_, err := io.WriteString(conn, request)
 		Expect(err).NotTo(HaveOccurred())
@@ -83,7 +83,7 @@
 	// Guards against a caller that cannot tell whether its request was read when the host's patience ends.
 	It("is told that nothing was read when the patience ends", func() {
 		conn := dial()
-		Expect(server.StopAccepting()).To(Succeed())
+		Expect(server.StopAccepting(context.Background())).To(Succeed())
 		ended := func() int64 {
 			look(patientLooks, drain.LookEvery)
 			return server.TurnedAway()
@@ -98,7 +98,7 @@
 		for range 300 {
 			early = append(early, dial())
 		}
-		Expect(server.StopAccepting()).To(Succeed())
+		Expect(server.StopAccepting(context.Background())).To(Succeed())
 		look(patientLooks-1, drain.LookEvery)
 		var sent atomic.Int32
 		for _, conn := range early {
--- a/entry/bare_test.go
+++ b/entry/bare_test.go
@@ -15,22 +15,21 @@
 
 type noDialect struct{ cherrykeel.Dialect }
 
-// emptyLog has no records and takes none.
+// emptyLog is a topic of the store without records.
 type emptyLog struct{}
 
 func (emptyLog) Newest(context.Context) (cherrykeel.KeyedBatch, error) {
 	return cherrykeel.KeyedBatch{}, nil
 }
 
-func (emptyLog) Read(context.Context, int64, time.Duration) (cherrykeel.KeyedBatch, error) {
-	return cherrykeel.KeyedBatch{}, nil
+func (emptyLog) Read(ctx context.Context, _ int64, _ time.Duration) (cherrykeel.KeyedBatch, error) {
+	<-ctx.Done()
+	return cherrykeel.KeyedBatch{}, cherrykeel.ErrStoreAway
 }
 
-func (emptyLog) Put(context.Context, string, []byte) (int64, error) {
-	return 0, cherrykeel.ErrStoreAway
-}
+func (emptyLog) Put(context.Context, string, []byte) (int64, error) { return 0, nil }
 
-func (emptyLog) PutAt(context.Context, string, []byte, int64) error { return cherrykeel.ErrStoreAway }
+func (emptyLog) PutAt(context.Context, string, []byte, int64) error { return nil }
 
 // bareHost is a host that follows nothing yet; change may give it other topics and decoders.
 func bareHost(change func(platform *Platform)) *Host {
--- a/entry/ready_test.go
+++ b/entry/ready_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -21,11 +20,6 @@
 	return cherrykeel.KeyedBatch{Records: []cherrykeel.KeyedRecord{{Key: log.key, Value: []byte("{}")}}, Next: 1}, nil
 }
 
-func (log oneRecord) Read(ctx context.Context, from int64, _ time.Duration) (cherrykeel.KeyedBatch, error) {
-	<-ctx.Done()
-	return cherrykeel.KeyedBatch{}, cherrykeel.ErrStoreAway
-}
-
 var _ = Describe("a host that starts", func() {
 	// A host with a sixth of a core takes a tenth of a second to put hundreds of upstreams in force that it has read. Guards
 	// against one that counts as ready in that time, and refuses callers since it knows no upstream.
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -18,22 +18,6 @@
 	stopsGrace = 6 * time.Second
 )
 
-// emptyLog is a topic of the store without records.
-type emptyLog struct{}
-
-func (emptyLog) Newest(context.Context) (cherrykeel.KeyedBatch, error) {
-	return cherrykeel.KeyedBatch{}, nil
-}
-
-func (emptyLog) Read(ctx context.Context, _ int64, _ time.Duration) (cherrykeel.KeyedBatch, error) {
-	<-ctx.Done()
-	return cherrykeel.KeyedBatch{}, cherrykeel.ErrStoreAway
-}
-
-func (emptyLog) Put(context.Context, string, []byte) (int64, error) { return 0, nil }
-
-func (emptyLog) PutAt(context.Context, string, []byte, int64) error { return nil }
-
 // hostsLog is the hosts' topic; it hands each removal of a record to a function.
 type hostsLog struct {
 	emptyLog
