A stop that is noticed late takes less, and serves what it has for as long as before

With what is left of its grace since the earliest such moment it was never killed, but cut requests that it had the time to answer: one that stood still for longer than its grace ended at once, with all connections, though the signal may have come a moment before.

Change: the earliest moment decides until when new connections and requests are taken; what is taken is served until the grace since the signal was noticed. If the signal came early, the platform ends the process, which cuts nothing that ending sooner would have answered.

Ruled out: to tell when the signal came (the system keeps no time of it).

The spec of a standstill at the signal is another one for it: it asked that the host be gone by the earliest end, and now that it takes nothing that might outlast that and cuts nothing before the latest.

--- a/entry/bare_test.go
+++ b/entry/bare_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap/zapcore"
@@ -13,7 +14,15 @@
 	"cherrykeel/events"
 )
 
-type noDialect struct{ cherrykeel.Dialect }
+// noDialect knows no headers.
+type noDialect struct{}
+
+func (noDialect) Asked(*http.Request) cherrykeel.Asked {
+	return cherrykeel.Asked{ID: "r", Key: cherrykeel.NoKey}
+}
+func (noDialect) Direct(http.Header, cherrykeel.Upstream, time.Duration) {}
+func (noDialect) Echo(http.Header, string)                               {}
+func (noDialect) Reply(int, http.Header) cherrykeel.Reply                { return cherrykeel.Reply{} }
 
 // emptyLog is a topic of the store without records.
 type emptyLog struct{}
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -36,11 +36,10 @@
 func (host *Host) stop(ctx context.Context) {
 	begun := host.clock.Now()
 	host.stopping.Store(true)
-	// The grace counts from the signal. One that comes while the process stands still is noticed late by up to that time,
-	// and a stop that has the whole grace from then on outlasts it.
-	late := max(0, begun.Sub(host.mesh.Earliest()))
-	grace := host.currentBounds().Grace - late
-	events.Log(host.logger, events.EntryStopping, zap.Int("Connections", host.server.Open()), zap.Duration("Grace", grace), zap.Duration("Late", late))
+	// The grace counts from the signal. One that comes while the process stands still is noticed late by up to that time.
+	told := min(begun, host.mesh.Earliest())
+	grace := host.currentBounds().Grace
+	events.Log(host.logger, events.EntryStopping, zap.Int("Connections", host.server.Open()), zap.Duration("Grace", grace), zap.Duration("Late", begun.Sub(told)))
 	host.server.Stop()
 	go host.keeper.Resign(ctx)
 	go host.endProcess(begun.Add(grace - exitMargin))
@@ -49,7 +48,7 @@
 	// descriptors, or was asked to wait by its store, was killed at the end of its grace.
 	ending, cancel := host.until(ctx, end)
 	defer cancel()
-	within(ending.Done(), func() { host.leave(ending, begun, end) })
+	within(ending.Done(), func() { host.leave(ending, told, end) })
 	events.Log(host.logger, events.EntryStopped, zap.Int("Cut", host.server.Open()), zap.Duration("Took", host.clock.Now().Sub(begun)))
 	within(host.over, func() { host.finishKeeping(ctx) })
 }
@@ -65,16 +64,18 @@
 	return host.over
 }
 
-// leave returns when no connection is left, and the host's record is taken away, or the context has ended.
-func (host *Host) leave(ctx context.Context, begun, end cherrykeel.Instant) {
-	grace := end.Add(endMargin).Sub(begun)
-	host.waitUntil(ctx, begun.Add(time.Duration(takeShare*float64(grace))))
-	host.relay.EndAt(end)
-	host.waitUntil(ctx, begun.Add(time.Duration(acceptShare*float64(grace))))
+// leave returns when no connection is left, and the host's record is taken away, or the context has ended. The host may
+// have been told to stop at any time since an instant: from then on its grace counts for what it takes, so that it takes
+// nothing that the end might cut. What it has taken is served until the last moment, since the signal may have come later.
+func (host *Host) leave(ctx context.Context, told, end cherrykeel.Instant) {
+	grace := host.currentBounds().Grace
+	host.waitUntil(ctx, told.Add(part(grace, takeShare)))
+	host.relay.EndAt(told.Add(grace - endMargin))
+	host.waitUntil(ctx, told.Add(part(grace, acceptShare)))
 	serving, cancel := host.until(ctx, end.Add(-withdrawTimeout))
 	defer cancel()
 	err := host.closeListener(serving)
-	events.Log(host.logger, events.EntryClosed, zap.Duration("After", host.clock.Now().Sub(begun)), zap.Int("Connections", host.server.Open()), zap.Error(err))
+	events.Log(host.logger, events.EntryClosed, zap.Duration("After", host.clock.Now().Sub(told)), zap.Int("Connections", host.server.Open()), zap.Error(err))
 	host.closeConnections(serving)
 	withdrawn := make(chan struct{})
 	go func() {
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"sync"
 	"time"
 
@@ -44,9 +46,9 @@
 	clock := fakes.NewClock(cherrykeel.Instant(time.Hour))
 	settings := cherrykeel.EntrySettings{
 		Name: "host-1", Callers: fakes.FreeAddress(), Readiness: fakes.FreeAddress(), Inner: fakes.FreeAddress(),
-		Bounds: cherrykeel.Bounds{Grace: stopsGrace, MaxHold: 10 * time.Second, InForce: 2 * time.Second, Drain: 2 * time.Second},
+		Bounds: cherrykeel.Bounds{Grace: stopsGrace, MaxHold: 10 * time.Second, RetryWindow: 10 * time.Second, InForce: 2 * time.Second, Drain: 2 * time.Second},
 	}
-	host := New(settings, Platform{Operator: emptyLog{}, Upstreams: emptyLog{}, Spans: emptyLog{}, Hosts: hostsLog{remove: remove}}, WithClock(clock))
+	host := New(settings, Platform{Dialect: noDialect{}, Operator: emptyLog{}, Upstreams: emptyLog{}, Spans: emptyLog{}, Hosts: hostsLog{remove: remove}}, WithClock(clock))
 	Expect(host.Listen()).To(Succeed())
 	return &stoppingHost{host: host, clock: clock, ended: make(chan struct{})}
 }
@@ -131,16 +133,32 @@
 		Expect(late).To(BeZero())
 	})
 
-	// The machine stands still while the host is told to stop. Its grace has begun then, not when it goes on.
-	It("though it stood still when it was told to stop", func() {
+	// The machine stands still while the host is told to stop, and its grace may have begun at any moment of that. Guards
+	// against requests that it takes and that the platform cuts by killing it, and against ones that it cuts itself
+	// although it has the time to answer them.
+	It("and takes nothing that might outlast it though it stood still when it was told, but serves what it has", func() {
 		stopping := newStoppingHost(noRemoval)
 		stopping.run()
 		stopping.holdOpen()
+		stopping.host.relay.SetRoutes(cherrykeel.RouteSet{
+			Services: map[string]cherrykeel.RoutedService{"s": {Name: "s"}},
+			Routes:   []cherrykeel.Route{{Domain: "h", PathPrefix: "/", Timeout: stopsGrace / 2, Parts: []cherrykeel.RoutePart{{Service: "s", Weight: 1}}}},
+		})
+		ask := func() string {
+			writer := httptest.NewRecorder()
+			stopping.host.relay.ServeHTTP(writer, httptest.NewRequest(http.MethodGet, "http://h/x", nil))
+			return writer.Body.String()
+		}
+		Expect(ask()).To(HavePrefix("no-upstream"), "taken, and refused only for want of an upstream")
 		stopping.clock.Advance(stopsGrace / 2)
 		stopping.begin()
-		stopping.clock.Advance(stopsGrace / 2)
+		Eventually(ask, generous).Should(HavePrefix("stopping"))
+		stopping.clock.Advance(stopsGrace - endMargin - 1)
+		Consistently(stopping.ended, "200ms").ShouldNot(BeClosed())
+		stopping.clock.Advance(1)
 		Eventually(stopping.ended, generous).Should(BeClosed())
 	})
+
 	It("and not before, while a request is unanswered, if it ran all the while", func() {
 		stopping := newStoppingHost(noRemoval)
 		stopping.run()
