A stop that comes late to its listener takes the last connections all the same

Cause: since the stop has one end, a host that woke less than withdrawTimeout before it closed its listener at once, and reset connections that it took before; with a grace below 1.9 s the listener's wait for connections under way was cut short too. Change: taking the last connections has acceptTimeout at the least; the record is taken away beside it. Ruled out: to wait for them until the end. A host without descriptors would then close its idle connections with its process only.

--- a/entry/stop.go
+++ b/entry/stop.go
@@ -22,6 +22,9 @@
 	endMargin  = 150 * time.Millisecond
 	exitMargin = 50 * time.Millisecond
 	stopPace   = 50 * time.Millisecond
+	// acceptTimeout is what taking the last connections has at the least, however late the stop comes to it; the listener
+	// waits for 200 ms for those that are under way.
+	acceptTimeout = 300 * time.Millisecond
 	// withdrawTimeout bounds the write that takes the host's record away, made this long before the end.
 	withdrawTimeout = 400 * time.Millisecond
 	// finishTimeout bounds the last word of a keeper, which waits for no call.
@@ -73,22 +76,24 @@
 	host.waitUntil(ctx, begun.Add(time.Duration(acceptShare*float64(grace))))
 	serving, cancel := host.until(ctx, end.Add(-withdrawTimeout))
 	defer cancel()
-	err := host.closeListener(serving)
-	events.Log(host.logger, events.EntryClosed, zap.Duration("After", host.clock.Now().Sub(begun)), zap.Int("Connections", host.server.Open()), zap.Error(err))
-	host.closeConnections(serving)
 	withdrawn := make(chan struct{})
 	go func() {
 		defer close(withdrawn)
+		<-serving.Done()
 		host.withdraw(ctx, end)
 	}()
+	err := host.closeListener(ctx, max(end.Add(-withdrawTimeout), host.clock.Now().Add(acceptTimeout)))
+	events.Log(host.logger, events.EntryClosed, zap.Duration("After", host.clock.Now().Sub(begun)), zap.Int("Connections", host.server.Open()), zap.Error(err))
 	host.closeConnections(ctx)
+	cancel()
 	<-withdrawn
 }
 
 // closeListener returns when the listener is closed: after the connections that are complete were taken, or, if they
-// cannot all be until the context ends, as when descriptors have run out, at its end. What has been taken by then is
-// served to its end.
-func (host *Host) closeListener(ctx context.Context) error {
+// cannot all be until an instant, as when descriptors have run out, then. What has been taken is served to its end.
+func (host *Host) closeListener(ctx context.Context, at cherrykeel.Instant) error {
+	ctx, cancel := host.until(ctx, at)
+	defer cancel()
 	err := host.listener.Stop()
 	select {
 	case <-host.accepted:
