--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -8,8 +8,12 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 
 	"cherrykeel"
+	"cherrykeel/events"
 	"cherrykeel/fakes"
 )
 
@@ -53,18 +57,21 @@
 	clock *fakes.Clock
 	stop  context.CancelFunc
 	ended chan struct{}
+	// logged is what the host has logged.
+	logged *observer.ObservedLogs
 }
 
 func newStoppingHost(remove func(ctx context.Context)) *stoppingHost {
 	GinkgoHelper()
+	core, logged := observer.New(zapcore.InfoLevel)
 	clock := fakes.NewClock(cherrykeel.Instant(time.Hour))
 	settings := cherrykeel.EntrySettings{
 		Name: "host-1", Callers: fakes.FreeAddress(), Readiness: fakes.FreeAddress(), Inner: fakes.FreeAddress(),
 		Bounds: cherrykeel.Bounds{Grace: stopsGrace, MaxHold: 10 * time.Second, InForce: 2 * time.Second, Drain: 2 * time.Second},
 	}
-	host := New(settings, Platform{Operator: emptyLog{}, Upstreams: emptyLog{}, Spans: emptyLog{}, Hosts: hostsLog{remove: remove}}, WithClock(clock))
+	host := New(settings, Platform{Operator: emptyLog{}, Upstreams: emptyLog{}, Spans: emptyLog{}, Hosts: hostsLog{remove: remove}}, WithClock(clock), WithLogger(zap.New(core)))
 	Expect(host.Listen()).To(Succeed())
-	return &stoppingHost{host: host, clock: clock, ended: make(chan struct{})}
+	return &stoppingHost{host: host, clock: clock, ended: make(chan struct{}), logged: logged}
 }
 
 // run serves until stop is called.
@@ -167,4 +174,15 @@
 		stopping.clock.Advance(1)
 		Eventually(stopping.ended, generous).Should(BeClosed())
 	})
+	// Guards against callers that are reset as they connect, since the host woke late in its stop and has time for them yet.
+	It("and takes the last connections though it comes late to its listener", func() {
+		stopping := newStoppingHost(noRemoval)
+		stopping.run()
+		stopping.begin()
+		stopping.clock.Advance(stopsGrace - endMargin - withdrawTimeout/2)
+		closed := func() []observer.LoggedEntry { return stopping.logged.FilterMessage(events.EntryClosed.Text).All() }
+		Eventually(closed, generous).Should(HaveLen(1))
+		Expect(closed()[0].ContextMap()).NotTo(HaveKeyWithValue("Error", ErrNotAllTaken.Error()))
+		Eventually(stopping.ended, generous).Should(BeClosed())
+	})
 })
