--- a/sock/intake_test.go
+++ b/sock/intake_test.go
@@ -50,6 +50,24 @@
 		Expect(intake.Received()).To(BeEquivalentTo(3))
 	})
 
+	It("can be shut over bytes that lie in the socket, and not once something was read", func() {
+		near, far := pair()
+		intake := sock.NewIntake(far)
+		_, err := near.Write([]byte("abc"))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() bool { return intake.Unread(0) }, "10s").Should(BeTrue())
+		Expect(intake.ShutUnlessRead()).To(BeTrue())
+		_, err = intake.Read(buffer)
+		Expect(err).To(MatchError(net.ErrClosed))
+
+		near, far = pair()
+		intake = sock.NewIntake(far)
+		_, err = near.Write([]byte("abc"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(intake.Read(buffer)).To(BeNumerically(">", 0))
+		Expect(intake.ShutUnlessRead()).To(BeFalse())
+	})
+
 	It("reads nothing once it is shut", func() {
 		near, far := pair()
 		intake := sock.NewIntake(far)
