Send trials beside an upstream that is in use and not ruled out

Cause: shared.trial gave up if any upstream had had a request within the last second, whatever its answer could tell. Change: only one that the estimate rules out holds trials back; one that is in use and not ruled out is passed over. The pauses between trials bound them as before.

--- a/flow/shared.go
+++ b/flow/shared.go
@@ -226,17 +226,19 @@
 	return time.Duration(float64(ahead+1)/rate) + usual
 }
 
-// trial returns the upstream that is expected to answer first, unless this host has sent any of them something lately whose
-// answer will tell.
+// trial returns the upstream that is expected to answer first, unless this host has sent something lately to one that is
+// ruled out, whose answer will tell. One that is not is only full, and its answers tell nothing of the others: while it held
+// trials back, a restarted upstream that was in use all the time kept all others unused for ever.
 func (shared *shared) trial(ticket *Ticket, now cherrykeel.Instant) *member {
 	usual := shared.service.usual()
 	var best *member
 	var bestCost float64
 	for _, member := range shared.members {
-		if !member.quiet(now) {
+		quiet := member.quiet(now)
+		if !quiet && ticket.outlasts(member.workTime(usual, now), now) {
 			return nil
 		}
-		if !member.takes(&shared.service.doubt, now) {
+		if !quiet || !member.takes(&shared.service.doubt, now) {
 			continue
 		}
 		cost := shared.cost(member, member.expected(usual, now), usual, now)
