Date a signal to a standstill though a short pause follows it

Cause: Mesh.awake kept the last pause only, and bounded by the clock for how long what came in it may be noticed. A host that goes on after 5 s and is slow at first has a second pause of 160 ms at once.

--- a/share/mesh.go
+++ b/share/mesh.go
@@ -88,9 +88,11 @@
 	// awakeAt is when the process was last seen to run, deafUntil ends what is dropped after a suspension.
 	awakeAt   cherrykeel.Instant
 	deafUntil cherrykeel.Instant
-	// pausedAt and wokeAt are the ends of the last pause in which the process may have stood still.
+	// pausedAt and wokeAt are the ends of the pause in which what is noticed now may have come, ran is how long the process
+	// ran since.
 	pausedAt cherrykeel.Instant
 	wokeAt   cherrykeel.Instant
+	ran      time.Duration
 	spoken   spoken
 	loads    loads
 	workTold map[string]toldWork
@@ -242,9 +244,13 @@
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
 	stood := now.Sub(mesh.awakeAt)
-	if stood >= pauseLeast {
+	// The rest of a pause has passed without the process.
+	mesh.ran += min(stood, busyEvery)
+	if stood >= pauseLeast && (mesh.ran > deafFor || stood >= mesh.wokeAt.Sub(mesh.pausedAt)) {
+		// A shorter pause just after a longer one does not count: what came in that one may not have been noticed yet.
 		mesh.pausedAt = mesh.awakeAt
 		mesh.wokeAt = now
+		mesh.ran = 0
 	}
 	mesh.awakeAt = now
 	if stood > standstill {
@@ -261,7 +267,7 @@
 	mesh.awake(now)
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
-	if mesh.wokeAt != 0 && now.Sub(mesh.wokeAt) <= deafFor {
+	if mesh.wokeAt != 0 && mesh.ran <= deafFor {
 		return mesh.pausedAt
 	}
 	return now
--- a/share/notice_test.go
+++ b/share/notice_test.go
@@ -24,4 +24,17 @@
 		clock.Advance(200 * time.Millisecond)
 		Expect(mesh.Earliest()).To(Equal(begun))
 	})
+
+	// Guards against a host that is slow all the time and dates its signal to long ago: it would refuse all callers at once.
+	It("forgets the long one once it has run for a while, however often it pauses", func() {
+		clock := fakes.NewClock(cherrykeel.Instant(time.Hour))
+		mesh := share.New(cherrykeel.Peer{Name: "host-1"}, clock, zap.NewNop(), &member{}, func() {}, func() {}, func(share.Demand) {}, func(share.Told) {})
+		clock.Advance(5 * time.Second)
+		mesh.Earliest()
+		for range 10 {
+			clock.Advance(200 * time.Millisecond)
+			mesh.Earliest()
+		}
+		Expect(clock.Now().Sub(mesh.Earliest())).To(BeNumerically("<=", time.Second))
+	})
 })
