Trials for whatever the estimate alone rules out

Change: a trial is asked for whenever a request finds no place; it goes where there is room, and only if the request, with all of its time, is ruled out there with what is there now. It may go before requests that wait: what would have had them, has.

Ruled out: the same for requests that wait already (their time is partly gone).

The package's specs pass, unchanged.

--- a/flow/owned.go
+++ b/flow/owned.go
@@ -99,6 +99,9 @@
 	if !known || owner.Moving || !member.reachable(now) || !owned.hasTurn(member, now) || !member.quiet(now) {
 		return nil
 	}
+	if !member.ruledOut(ticket, owned.service.usual(), now) {
+		return nil
+	}
 	return member
 }
 
--- a/flow/service.go
+++ b/flow/service.go
@@ -132,14 +132,12 @@
 		ticket.Wake(service.granted(ticket, place, now))
 		return
 	}
-	reason, refused := service.refuse(ticket, answer, stood, now)
-	if reason == TooLate {
-		member := service.trial(ticket, now)
-		if member != nil {
-			ticket.Wake(service.grantedTrial(ticket, member, now))
-			return
-		}
+	member := service.trial(ticket, now)
+	if member != nil {
+		ticket.Wake(service.grantedTrial(ticket, member, now))
+		return
 	}
+	reason, refused := service.refuse(ticket, answer, stood, now)
 	if refused {
 		ticket.Wake(service.refusal(ticket, reason, now))
 		return
--- a/flow/shared.go
+++ b/flow/shared.go
@@ -238,7 +238,13 @@
 		if !quiet && ticket.outlasts(member.workTime(usual, now), now) {
 			return nil
 		}
-		if !quiet || !member.takes(&shared.service.doubt, now) {
+		if !member.takes(&shared.service.doubt, now) {
+			continue
+		}
+		if !member.ruledOut(ticket, usual, now) {
+			return nil
+		}
+		if !quiet {
 			continue
 		}
 		cost := shared.cost(member, member.expected(usual, now), usual, now)
--- a/flow/trial.go
+++ b/flow/trial.go
@@ -38,17 +38,21 @@
 }
 
 // trial returns the upstream that a ticket is sent to though no answer is expected in time, or nil. Only a request that has
-// all of its time is worth it: one that has waited, or was sent before, is ruled out by the time that it has left.
+// all of its time is worth it: one that was sent before is ruled out by the time that it has left. It may go before requests
+// that wait: what has room for it, and would not rule it out, has been given to them.
 func (service *Service) trial(ticket *Ticket, now cherrykeel.Instant) *member {
 	if now < service.trials.next || len(ticket.Tried) > 0 {
 		return nil
 	}
-	if !service.discipline.hopeless(ticket, ticket.Arrived) || service.overtakes(ticket) {
-		return nil
-	}
 	return service.discipline.trial(ticket, now)
 }
 
+// ruledOut reports whether a ticket that had all of its time left would not be sent to the upstream either, as much as is
+// there now. One that has waited says nothing of the estimate.
+func (member *member) ruledOut(ticket *Ticket, usual time.Duration, now cherrykeel.Instant) bool {
+	return ticket.outlasts(member.expected(usual, now), ticket.Arrived)
+}
+
 // grantedTrial gives a place to a ticket that the estimate rules out.
 func (service *Service) grantedTrial(ticket *Ticket, member *member, now cherrykeel.Instant) Verdict {
 	service.trials.sent(service.random(), now)
