Stop of an entry host: names that say what they are; lock orders as they are

No change of what it does: the earliest moment of the signal was called told, which names messages elsewhere; the grace was read twice; two packages' lock orders were out of date.

--- a/caller/doc.go
+++ b/caller/doc.go
@@ -3,5 +3,6 @@
 // connection while its requests wait or run, works on pipelined requests at
 // once, and answers them in order.
 //
-// Lock order: Server.mutex before conn.mutex; memory.mutex is taken alone.
+// Lock order: conn.mutex before sock.Intake's; Server.mutex and memory.mutex are
+// taken alone.
 package caller
--- a/entry/doc.go
+++ b/entry/doc.go
@@ -2,5 +2,5 @@
 // tables in its store: it follows the store, talks to the other hosts, keeps key
 // spans when that is its turn, and relays callers' requests.
 //
-// Lock order: Host.mutex is taken alone.
+// Lock order: Host.passing, usable.mutex, Host.mutex.
 package entry
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -40,20 +40,20 @@
 	begun := host.clock.Now()
 	host.stopping.Store(true)
 	// The grace counts from the signal. One that comes while the process stands still is noticed late by up to that time.
-	told := min(begun, host.mesh.Earliest())
+	earliest := min(begun, host.mesh.Earliest())
 	grace := host.currentBounds().Grace
-	events.Log(host.logger, events.EntryStopping, zap.Int("Connections", host.server.Open()), zap.Duration("Grace", grace), zap.Duration("Late", begun.Sub(told)))
+	events.Log(host.logger, events.EntryStopping, zap.Int("Connections", host.server.Open()), zap.Duration("Grace", grace), zap.Duration("Late", begun.Sub(earliest)))
 	host.server.Stop()
 	go host.keeper.Resign(ctx)
 	go host.endProcess(begun.Add(grace - exitMargin))
-	end := begun.Add(grace - endMargin)
 	// One end bounds the whole stop. While each wait had a bound of its own, or none, a host that had run out of
 	// descriptors, or was asked to wait by its store, was killed at the end of its grace.
-	ending, cancel := host.until(ctx, end)
+	end := begun.Add(grace - endMargin)
+	draining, cancel := host.contextUntil(ctx, end)
 	defer cancel()
-	within(ending.Done(), func() { host.leave(ending, told, end) })
+	runUntil(draining.Done(), func() { host.drain(draining, earliest, grace, end) })
 	events.Log(host.logger, events.EntryStopped, zap.Int("Cut", host.server.Open()), zap.Duration("Took", host.clock.Now().Sub(begun)))
-	within(host.over, func() { host.finishKeeping(ctx) })
+	runUntil(host.over, func() { host.finishKeeping(ctx) })
 }
 
 // endProcess closes Over at an instant. It outlives the stop, since what follows may hang as well.
@@ -67,15 +67,15 @@
 	return host.over
 }
 
-// leave returns when no connection is left, and the host's record is taken away, or the context has ended. The host may
-// have been told to stop at any time since an instant: from then on its grace counts for what it takes, so that it takes
-// nothing that the end might cut. What it has taken is served until the last moment, since the signal may have come later.
-func (host *Host) leave(ctx context.Context, told, end cherrykeel.Instant) {
-	grace := host.currentBounds().Grace
-	host.waitUntil(ctx, told.Add(part(grace, takeShare)))
-	host.relay.EndAt(told.Add(grace - endMargin))
-	host.waitUntil(ctx, told.Add(part(grace, acceptShare)))
-	serving, cancel := host.until(ctx, end.Add(-withdrawTimeout))
+// drain returns when no connection is left and the host's record is taken away, or the context has ended. Earliest is when
+// the signal may have come at the soonest: the grace counts from then for what is taken, so that nothing is taken that the
+// platform might cut by killing the process. What has been taken is served until the end, since the signal may have come
+// later than that.
+func (host *Host) drain(ctx context.Context, earliest cherrykeel.Instant, grace time.Duration, end cherrykeel.Instant) {
+	host.waitUntil(ctx, earliest.Add(part(grace, takeShare)))
+	host.relay.EndAt(earliest.Add(grace - endMargin))
+	host.waitUntil(ctx, earliest.Add(part(grace, acceptShare)))
+	serving, cancel := host.contextUntil(ctx, end.Add(-withdrawTimeout))
 	defer cancel()
 	withdrawn := make(chan struct{})
 	go func() {
@@ -84,8 +84,9 @@
 		host.withdraw(ctx, end)
 	}()
 	err := host.closeListener(ctx, max(end.Add(-withdrawTimeout), host.clock.Now().Add(acceptTimeout)))
-	events.Log(host.logger, events.EntryClosed, zap.Duration("After", host.clock.Now().Sub(told)), zap.Int("Connections", host.server.Open()), zap.Error(err))
+	events.Log(host.logger, events.EntryClosed, zap.Duration("After", host.clock.Now().Sub(earliest)), zap.Int("Connections", host.server.Open()), zap.Error(err))
 	host.closeConnections(ctx)
+	// With no connection left the record is taken away at once.
 	cancel()
 	<-withdrawn
 }
@@ -93,7 +94,7 @@
 // closeListener returns when the listener is closed: after the connections that are complete were taken, or, if they
 // cannot all be until an instant, as when descriptors have run out, then. What has been taken is served to its end.
 func (host *Host) closeListener(ctx context.Context, at cherrykeel.Instant) error {
-	ctx, cancel := host.until(ctx, at)
+	ctx, cancel := host.contextUntil(ctx, at)
 	defer cancel()
 	err := host.listener.Stop()
 	select {
@@ -113,8 +114,8 @@
 	}
 }
 
-// within returns when a step is done or its time is over, whatever the step waits for.
-func within(over <-chan struct{}, step func()) {
+// runUntil runs a step, and returns when it is done or the channel is closed, whatever the step waits for.
+func runUntil(over <-chan struct{}, step func()) {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -126,8 +127,8 @@
 	}
 }
 
-// until returns a context that ends at an instant of the host's clock, which goes on while the machine is suspended.
-func (host *Host) until(ctx context.Context, end cherrykeel.Instant) (context.Context, context.CancelFunc) {
+// contextUntil returns a context that ends at an instant of the host's clock, which goes on while the machine is suspended.
+func (host *Host) contextUntil(ctx context.Context, end cherrykeel.Instant) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	go func() {
 		host.waitUntil(ctx, end)
