--- a/share/mesh.go
+++ b/share/mesh.go
@@ -27,14 +27,6 @@
 	reportSlowdown = 2
 	// staleAfter is when a silent host's counts are no longer believed.
 	staleAfter = time.Second
-	// standstill is the pause after which this process must have been suspended, since it looks each
-	// busyEvery. Datagrams that came meanwhile wait in the socket and are read at once when it goes on; dated
-	// by their reading, a second-old word of a term would let a keeper grant beside its successor. So what
-	// is read within deafFor after that is dropped, and the next message of each host is waited for.
-	standstill = 500 * time.Millisecond
-	deafFor    = 150 * time.Millisecond
-	// pauseLeast is the pause after which this process may have stood still; shorter ones its timers have on any busy host.
-	pauseLeast = 2 * busyEvery
 	// maxDatagram bounds one message; demand beyond it is cut.
 	maxDatagram = 60 << 10
 )
@@ -85,9 +77,9 @@
 	plan  topo.Plan
 	// watchingSince is when this host last became one that hears from all.
 	watchingSince cherrykeel.Instant
-	// awakeAt is when the process was last seen to run, deafUntil ends what is dropped after a suspension.
-	awakeAt   cherrykeel.Instant
-	deafUntil cherrykeel.Instant
+	// awakeAt is when the process was last seen to run, undatedUntil ends what is dropped after a suspension.
+	awakeAt      cherrykeel.Instant
+	undatedUntil cherrykeel.Instant
 	// pausedAt and wokeAt are the ends of the pause in which what is noticed now may have come, ran is how long the process
 	// ran since.
 	pausedAt cherrykeel.Instant
@@ -239,40 +231,6 @@
 	return mesh.clock.Now().Sub(mesh.watchingSince)
 }
 
-// awake notes that the process runs, and reports whether what is read now can be dated by its reading.
-func (mesh *Mesh) awake(now cherrykeel.Instant) bool {
-	mesh.mutex.Lock()
-	defer mesh.mutex.Unlock()
-	stood := now.Sub(mesh.awakeAt)
-	// The rest of a pause has passed without the process.
-	mesh.ran += min(stood, busyEvery)
-	if stood >= pauseLeast && (mesh.ran > deafFor || stood >= mesh.wokeAt.Sub(mesh.pausedAt)) {
-		// A shorter pause just after a longer one does not count: what came in that one may not have been noticed yet.
-		mesh.pausedAt = mesh.awakeAt
-		mesh.wokeAt = now
-		mesh.ran = 0
-	}
-	mesh.awakeAt = now
-	if stood > standstill {
-		mesh.deafUntil = now.Add(deafFor)
-		events.Log(mesh.logger, events.Suspended, zap.Duration("For", stood))
-	}
-	return now >= mesh.deafUntil
-}
-
-// Earliest returns the earliest instant at which what the process notices now can have come: when it last stood still, if
-// it has just gone on. A signal that was sent meanwhile is noticed after it.
-func (mesh *Mesh) Earliest() cherrykeel.Instant {
-	now := mesh.clock.Now()
-	mesh.awake(now)
-	mesh.mutex.Lock()
-	defer mesh.mutex.Unlock()
-	if mesh.wokeAt != 0 && mesh.ran <= deafFor {
-		return mesh.pausedAt
-	}
-	return now
-}
-
 // Rank returns this host's place among those that are believed and that count, from 0; counts must not ask the mesh.
 func (mesh *Mesh) Rank(counts func(report Report) bool) int {
 	mesh.mutex.Lock()
