--- a/entry/stop.go
+++ b/entry/stop.go
@@ -150,8 +150,8 @@
 	if ctx.Err() != nil {
 		return
 	}
-	host.mesh.Farewell()
-	host.mesh.Farewell()
+	host.mesh.ReportEnd()
+	host.mesh.ReportEnd()
 }
 
 // waitUntil returns at an instant of the host's clock, or when the context has ended.
--- a/flow/trial.go
+++ b/flow/trial.go
@@ -63,7 +63,7 @@
 
 // noteTrial takes note of a trial's answer that came in time. Every estimate that would have ruled it out is forgotten: all
 // were learned at about the same time, likely for one reason, and with a trial for each of hundreds of upstreams it would
-// take minutes until all are used again. One that is as slow as it seemed is learned anew.
+// take minutes until all are used again. One that is as slow as it seemed is learned anew by the answers that come in time.
 func (service *Service) noteTrial(place *Place, now cherrykeel.Instant) {
 	service.trials = trials{}
 	given := place.Deadline.Sub(place.Begun)
--- a/share/mesh.go
+++ b/share/mesh.go
@@ -71,7 +71,7 @@
 	unknown bool
 	// storeless says that the store does not serve this host.
 	storeless bool
-	// ended says that this host has said farewell.
+	// ended says that this host has reported its end.
 	ended bool
 	fleet *topo.Fleet
 	plan  topo.Plan
--- a/share/send.go
+++ b/share/send.go
@@ -74,9 +74,9 @@
 	mesh.send(methodReport, report, mesh.reportTo(now))
 }
 
-// Farewell reports to all hosts once more, whatever was reported before, and says that this host has ended. Each of them
+// ReportEnd reports to all hosts once more, whatever was reported before, and says that this host has ended. Each of them
 // would else warn of its silence: its record stays while the store is away.
-func (mesh *Mesh) Farewell() {
+func (mesh *Mesh) ReportEnd() {
 	mesh.mutex.Lock()
 	mesh.ended = true
 	names := mesh.names()
@@ -87,7 +87,7 @@
 	mesh.send(methodReport, report, names)
 }
 
-// hasEnded reports whether this host has said farewell; a report that is sent still must not take that back.
+// hasEnded reports whether this host has reported its end; a report that is sent still must not take that back.
 func (mesh *Mesh) hasEnded() bool {
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
