A stopping host counts no more than a quarter of its grace as lag

Cause, by reading: a measurement amid which the process stands still (frozen, no processor) shows that time as lag. A host that was told to stop after that would have ended at once, with all its requests, though its whole grace was left.

Change: the lag is a quarter of the grace at the most.

The spec has an entry for it, which failed without the bound; the entry of the lag also asks now that the host does not end before its time.

--- a/entry/stop.go
+++ b/entry/stop.go
@@ -22,6 +22,9 @@
 	endMargin  = 150 * time.Millisecond
 	exitMargin = 50 * time.Millisecond
 	stopPace   = 50 * time.Millisecond
+	// mostLagShare is the most that the lag may be of the grace. A measurement amid which the process stood still seems to
+	// show seconds; taken in full, a host that was told a moment ago would cut all its requests at once.
+	mostLagShare = 0.25
 	// acceptTimeout is what taking the last connections has at the least, however late the stop comes to it; the listener
 	// waits for 200 ms for those that are under way.
 	acceptTimeout = 300 * time.Millisecond
@@ -41,10 +44,11 @@
 	host.stopping.Store(true)
 	// The grace counts from the signal, which a busy process notices late by its lag, and one that stood still by up to the
 	// time of that. A process that notices its signal late is as late with its own end, so it keeps its lag of the grace.
-	lag := host.lag.current()
+	whole := host.currentBounds().Grace
+	lag := min(host.lag.current(), part(whole, mostLagShare))
 	signalled := begun.Add(-lag)
 	earliest := min(signalled, host.mesh.Earliest())
-	grace := host.currentBounds().Grace - lag
+	grace := whole - lag
 	events.Log(host.logger, events.EntryStopping, zap.Int("Connections", host.server.Open()), zap.Duration("Grace", grace), zap.Duration("Late", begun.Sub(earliest)))
 	host.server.Stop()
 	go host.keeper.Resign(ctx)
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -168,23 +168,26 @@
 	})
 
 	// Guards against a host that is too busy to notice at once that it is told to stop, and is killed in the middle of its
-	// stop with requests that it has taken.
-	It("counted from the signal, though it notices that late, and would its end", func() {
-		const lag = time.Second
+	// stop with requests that it has taken; and against one that stood still while it measured how busy it is, and cuts all
+	// requests at once.
+	DescribeTable("counted from the signal, though it notices that late, and would its end", func(measured, counted time.Duration) {
 		stopping := newStoppingHost(noRemoval)
-		stopping.host.lag.yield = func() { stopping.clock.Advance(lag) }
+		stopping.host.lag.yield = func() { stopping.clock.Advance(measured) }
 		stopping.host.lag.measure()
-		measured := make(chan struct{})
-		DeferCleanup(func() { close(measured) })
-		stopping.host.lag.yield = func() { <-measured }
-		begun := stopping.clock.Now()
+		over := make(chan struct{})
+		DeferCleanup(func() { close(over) })
+		stopping.host.lag.yield = func() { <-over }
 		stopping.run()
 		stopping.holdOpen()
 		stopping.begin()
-		stopping.clock.Advance(stopsGrace - 2*lag - endMargin)
+		stopping.clock.Advance(stopsGrace - 2*counted - endMargin - 1)
+		Consistently(stopping.ended, "200ms").ShouldNot(BeClosed())
+		stopping.clock.Advance(1)
 		Eventually(stopping.ended, generous).Should(BeClosed())
-		Expect(stopping.clock.Now().Sub(begun)).To(BeNumerically("<", stopsGrace-2*lag))
-	})
+	},
+		Entry("by a second", time.Second, time.Second),
+		Entry("by more than a quarter of the grace", stopsGrace, stopsGrace/4),
+	)
 
 	It("and not before, while a request is unanswered, if it ran all the while", func() {
 		stopping := newStoppingHost(noRemoval)
