Name the requests that a host's end cuts in its log

Event 602 gives the number of connections that were open at the end, and no request. Two records of a request that was cut in a planned stop could not be told apart by it: whether an upstream was still at work, or the answer was there and waited behind another one on its connection.

A connection keeps the answers that it owes in their order, and the relay records each request's progress with its answer: id, route, the upstream that it is sent to, arrival and deadline. At its end the host writes event 624 for each unanswered request, 32 at the most: with how long after the signal it was taken, what time it had left, whether its answer was complete, and how many requests were ahead of it. The lines go through the log's queue, which never blocks, and the step ends with the process's time at the latest.

Ruled out: reading the exchange's own fields at the end, which its goroutine changes meanwhile. The price is two small records a request; it has not been measured.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -5,6 +5,9 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
+
+	"cherrykeel"
 )
 
 // answer buffers a handler's answer until the answers before it are written to the connection.
@@ -22,6 +25,8 @@
 	acquired int64
 	// closeAfter is set if the connection closes after this answer, as the caller requested or the host decided.
 	closeAfter bool
+	// progress is what the handler has recorded last, or nil.
+	progress atomic.Pointer[cherrykeel.RequestProgress]
 }
 
 func newAnswer(request *http.Request) *answer {
--- a/caller/conn.go
+++ b/caller/conn.go
@@ -33,6 +33,8 @@
 	mutex sync.Mutex
 	// unanswered counts the accepted requests whose answers have not been written.
 	unanswered int
+	// pending holds the answers of the accepted requests, in their order, until they are written.
+	pending []*answer
 	// consumedBytes counts the bytes of the requests that were read whole.
 	consumedBytes int64
 	// idleSince is the time of the last answer, or of the accept if there was none.
--- a/caller/dispatch.go
+++ b/caller/dispatch.go
@@ -15,16 +15,16 @@
 // maxLoggedStack bounds the logged part of a panic's stack, in bytes.
 const maxLoggedStack = 4 << 10
 
-// admit counts a request that was read whole. It reports false if the connection is closing, so that the request must
-// not run.
-func (conn *conn) admit(request *http.Request) bool {
+// admit counts a request that was read whole, and its answer that is to come. It reports false if the connection is
+// closing, so that the request must not run.
+func (conn *conn) admit(answer *answer) bool {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
 	conn.consumedBytes = conn.pump.returnedBytes - int64(conn.reader.Buffered())
 	if conn.closing {
 		return false
 	}
-	if !isSafe(request) {
+	if !isSafe(answer.request) {
 		// A request that may change something waits for all earlier answers: if the connection closed after
 		// one of them, the caller would send this request again while it runs.
 		conn.awaitAnswersLocked()
@@ -33,6 +33,7 @@
 		return false
 	}
 	conn.unanswered++
+	conn.pending = append(conn.pending, answer)
 	return true
 }
 
@@ -43,11 +44,11 @@
 
 // dispatch starts the handler for a request; it reports whether another request may follow.
 func (conn *conn) dispatch(request *http.Request, body body) bool {
-	if !conn.admit(request) {
+	answer := newAnswer(request)
+	if !conn.admit(answer) {
 		conn.server.memory.release(body.acquired)
 		return false
 	}
-	answer := newAnswer(request)
 	answer.acquired = body.acquired
 	closeAfter := request.Close || request.ProtoMinor == 0
 	answer.closeAfter = closeAfter
--- a/caller/write.go
+++ b/caller/write.go
@@ -24,6 +24,7 @@
 	_, err := conn.socket.Write(answer.encode())
 	conn.mutex.Lock()
 	conn.unanswered--
+	conn.removePending(answer)
 	conn.answerCount++
 	conn.idleSince = time.Now()
 	conn.stateChanged.Broadcast()
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -66,6 +66,7 @@
 	defer cancel()
 	runUntil(draining.Done(), func() { host.drain(draining, earliest, grace, end) })
 	events.Log(host.logger, events.EntryStopped, zap.Int("Cut", host.server.OpenConns()), zap.Duration("Took", host.clock.Now().Sub(begun)))
+	runUntil(host.mustExit, func() { host.logCut(signalled) })
 	runUntil(host.mustExit, func() { host.stopGranting(ctx) })
 }
 
--- a/events/events.go
+++ b/events/events.go
@@ -106,6 +106,7 @@
 	ZoneEvacuated       = define(621, zap.WarnLevel, "availability zone is evacuated")
 	ZoneRestored        = define(622, zap.InfoLevel, "availability zone is no longer evacuated")
 	EntryListenerClosed = define(623, zap.InfoLevel, "entry host accepts no more connections")
+	RequestCut          = define(624, zap.WarnLevel, "request was cut by the end of its host")
 	LinesDropped        = define(618, zap.WarnLevel, "log lines were dropped, since they could not be written fast enough")
 )
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -85,6 +85,7 @@
 		timeout = min(timeout, route.Timeout)
 	}
 	exchange.deadline = exchange.arrived.Add(timeout)
+	exchange.recordProgress("")
 	service := route.nextService()
 	exchange.dispatcher = exchange.relay.dispatcher(service)
 	if exchange.dispatcher == nil {
@@ -108,6 +109,17 @@
 	return nil
 }
 
+// recordProgress tells the writer how far the request has come; the upstream is the one that it is sent to, or empty.
+func (exchange *exchange) recordProgress(upstream string) {
+	recorder, ok := exchange.writer.(cherrykeel.ProgressRecorder)
+	if !ok {
+		return
+	}
+	recorder.RecordProgress(cherrykeel.RequestProgress{
+		ID: exchange.headers.ID, Route: exchange.route.Name, Upstream: upstream, Arrived: exchange.arrived, Deadline: exchange.deadline,
+	})
+}
+
 // readBody returns the whole body, without a copy if it has already been read.
 func readBody(request *http.Request) ([]byte, error) {
 	whole, read := request.Body.(interface{ Bytes() []byte })
@@ -166,7 +178,9 @@
 	defer func() {
 		exchange.dispatcher.release(slot, result.slotResult(ctx.Err() != nil), result.load, exchange.relay.clock.Now())
 	}()
+	exchange.recordProgress(slot.Upstream.ID)
 	result = exchange.attempt(ctx, slot)
+	exchange.recordProgress("")
 	return result
 }
 
