Specs: what a stopping host takes and may not live to answer (known red)

A caller whose request comes 4.2 s into a stop with a grace of 10 s is cut at its end, 5.6 s later, though an upstream runs it; so is one whose answer is ready and waits behind another one on its connection, and one that was admitted before the stop and is sent, or sent again, late in it.

--- a/caller/stop_test.go
+++ b/caller/stop_test.go
@@ -1,7 +1,12 @@
 package caller_test
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"syscall"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -10,6 +15,7 @@
 	"cherrykeel/caller"
 	"cherrykeel/drain"
 	"cherrykeel/fakes"
+	"cherrykeel/sock"
 )
 
 var _ = Describe("a host that stops while callers connect all the time", func() {
@@ -40,3 +46,96 @@
 		}
 	})
 })
+
+var _ = Describe("a request behind an unanswered one, on a connection of a stopping host", func() {
+	const first = "GET /first HTTP/1.1\r\nHost: h\r\n\r\n"
+
+	// Guards against a request that is run although its answer must wait for the one before it, which may outlast the
+	// host: then its caller gets none, though the answer is there. The caller sends again what it sent behind the
+	// answer that closes the connection, and must get that answer whole.
+	DescribeTable("is not begun, and the answer before it closes the connection", func(behind string) {
+		begun := make(chan struct{})
+		release := make(chan struct{})
+		var others atomic.Int32
+		server, connect := serve(func(writer http.ResponseWriter, request *http.Request) {
+			if request.URL.Path != "/first" {
+				others.Add(1)
+				return
+			}
+			close(begun)
+			<-release
+			_, _ = io.WriteString(writer, "whole")
+		})
+		socket := connect()
+		send(socket, first)
+		Eventually(begun, testTimeout).Should(BeClosed())
+		server.DisableKeepAlives()
+		send(socket, behind)
+		Eventually(func() bool { return sock.HasUnacknowledged(socket.(*net.TCPConn)) }, testTimeout).Should(BeFalse())
+		Consistently(others.Load, "200ms").Should(BeZero())
+		close(release)
+
+		reader := bufio.NewReader(socket)
+		status, body, header := readAnswer(reader)
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(body).To(Equal("whole"))
+		Expect(header.Get("Connection")).To(Equal("close"))
+		_, err := reader.ReadByte()
+		Expect(err).To(Equal(io.EOF))
+		Eventually(server.OpenConns, testTimeout).Should(BeZero())
+		Expect(others.Load()).To(BeZero())
+	},
+		Entry("one", "GET /second HTTP/1.1\r\nHost: h\r\n\r\n"),
+		Entry("many", strings.Repeat("GET /second HTTP/1.1\r\nHost: h\r\n\r\n", 100)),
+		Entry("one that changes something", "POST /second HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"),
+		Entry("half of one", "GET /second HTT"),
+	)
+
+	// Guards against a stopping host that drops what it has begun: both requests were accepted before the stop.
+	It("is answered if it was accepted before the stop", func() {
+		var begun atomic.Int32
+		release := make(chan struct{})
+		server, connect := serve(func(writer http.ResponseWriter, request *http.Request) {
+			begun.Add(1)
+			<-release
+			_, _ = io.WriteString(writer, request.URL.Path)
+		})
+		socket := connect()
+		send(socket, first+"GET /second HTTP/1.1\r\nHost: h\r\n\r\n")
+		Eventually(begun.Load, testTimeout).Should(Equal(int32(2)))
+		server.DisableKeepAlives()
+		close(release)
+		reader := bufio.NewReader(socket)
+		_, body, header := readAnswer(reader)
+		Expect(body).To(Equal("/first"))
+		Expect(header.Get("Connection")).To(BeEmpty())
+		_, body, header = readAnswer(reader)
+		Expect(body).To(Equal("/second"))
+		Expect(header.Get("Connection")).To(Equal("close"))
+	})
+
+	// Guards against a connection that ends without a sign that the next request was not begun: the answer before it
+	// has left without that sign, and has not been written to its end.
+	It("is answered if the answer before it has left with the connection kept", func() {
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(inner.Close)
+		release := make(chan struct{})
+		server := caller.New(http.HandlerFunc(echo))
+		go server.Serve(&heldListener{Listener: inner, release: release})
+		socket, err := net.Dial("tcp", inner.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(socket.Close)
+		reader := bufio.NewReader(socket)
+		send(socket, first)
+		_, _, header := readAnswer(reader)
+		Expect(header.Get("Connection")).To(BeEmpty())
+		server.DisableKeepAlives()
+		send(socket, "GET /second HTTP/1.1\r\nHost: h\r\n\r\n")
+		Eventually(func() bool { return sock.HasUnacknowledged(socket.(*net.TCPConn)) }, testTimeout).Should(BeFalse())
+		close(release)
+		_, body, header := readAnswer(reader)
+		Expect(body).To(Equal("GET /second "))
+		Expect(header.Get("Connection")).To(Equal("close"))
+	})
+})
--- a/entry/cut_test.go
+++ b/entry/cut_test.go
@@ -13,6 +13,7 @@
 
 	"cherrykeel"
 	"cherrykeel/events"
+	"cherrykeel/sock"
 )
 
 // heldUpstream holds each request until release is closed.
@@ -125,3 +126,52 @@
 		Expect(stopping.logged.FilterMessage(events.RequestCut.Text).All()).To(HaveLen(maxLoggedCuts))
 	})
 })
+
+var _ = Describe("a stopping host takes nothing that it may not live to answer", func() {
+	// Guards against a share of the grace in which everything is taken: 4.2 s into a grace of 10 s a request came that
+	// may take 6 s, and the host ended while an upstream was at work on it.
+	It("although its grace is long", func() {
+		const grace = 10 * time.Second
+		stopping := newStoppingHostWithGrace(grace, noRemoval)
+		stopping.run()
+		stopping.holdOpen()
+		stopping.host.relay.SetRoutes(cherrykeel.RouteSet{
+			Services: map[string]cherrykeel.RoutedService{"s": {Name: "s"}},
+			Routes: []cherrykeel.Route{
+				{Domain: "h", PathPrefix: "/long/", Timeout: 6 * time.Second, SplitTargets: []cherrykeel.SplitTarget{{Service: "s", Weight: 1}}},
+				{Domain: "h", PathPrefix: "/short/", Timeout: 5 * time.Second, SplitTargets: []cherrykeel.SplitTarget{{Service: "s", Weight: 1}}},
+			},
+		})
+		send := func(path string) string {
+			writer := httptest.NewRecorder()
+			stopping.host.relay.ServeHTTP(writer, httptest.NewRequest(http.MethodGet, "http://h"+path, nil))
+			return writer.Body.String()
+		}
+		stopping.begin()
+		stopping.clock.Advance(4200 * time.Millisecond)
+		Eventually(func() string { return send("/long/") }, generous).Should(HavePrefix("stopping"))
+		Expect(send("/short/")).To(HavePrefix("no-upstream"), "admitted, and refused only because there is no upstream")
+		// A longer grace in the settings does not move the end that was promised to requests.
+		bounds := stopping.host.currentBounds()
+		bounds.Grace *= 2
+		stopping.host.Reload(cherrykeel.EntrySettings{Bounds: bounds})
+		Expect(send("/long/")).To(HavePrefix("stopping"))
+	})
+
+	// Guards against a request that comes behind an unanswered one, is run, and whose answer cannot leave before the
+	// host ends, since the earlier one outlasts the host.
+	It("although its own time is short, behind a request that outlasts the host", func() {
+		stopping := newStoppingHost(noRemoval)
+		held := stopping.serveSlowRoute(20 * time.Second)
+		conn := stopping.connect(slowRequest)
+		Eventually(held.reached, generous).Should(Receive())
+		stopping.begin()
+		_, err := conn.Write([]byte(noneRequest))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() bool { return sock.HasUnacknowledged(conn.(*net.TCPConn)) }, generous).Should(BeFalse())
+		Consistently(func() int { return len(stopping.host.server.Unanswered(2)) }, "200ms").Should(Equal(1))
+		stopping.clock.Advance(testGrace)
+		Eventually(stopping.ended, generous).Should(BeClosed())
+		Expect(stopping.logged.FilterMessage(events.RequestCut.Text).All()).To(HaveLen(1))
+	})
+})
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -48,12 +48,17 @@
 }
 
 func newStoppingHost(remove func(ctx context.Context)) *stoppingHost {
+	GinkgoHelper()
+	return newStoppingHostWithGrace(testGrace, remove)
+}
+
+func newStoppingHostWithGrace(grace time.Duration, remove func(ctx context.Context)) *stoppingHost {
 	GinkgoHelper()
 	core, logged := observer.New(zapcore.InfoLevel)
 	clock := fakes.NewClock(cherrykeel.Instant(time.Hour))
 	settings := cherrykeel.EntrySettings{
 		Name: "host-1", CallerAddress: fakes.FreeAddress(), ReadinessAddress: fakes.FreeAddress(), InternalAddress: fakes.FreeAddress(),
-		Bounds: cherrykeel.Bounds{Grace: testGrace, MaxLeaseDuration: 10 * time.Second, RetryWindow: 10 * time.Second, MaxSettingsDelay: 2 * time.Second, Drain: 2 * time.Second},
+		Bounds: cherrykeel.Bounds{Grace: grace, MaxLeaseDuration: 10 * time.Second, RetryWindow: 10 * time.Second, MaxSettingsDelay: 2 * time.Second, Drain: 2 * time.Second},
 	}
 	platform := Platform{Dialect: noDialect{}, Operator: emptyLog{}, Upstreams: emptyLog{}, Spans: emptyLog{}, Hosts: hostsLog{remove: remove}}
 	host := New(settings, platform, WithClock(clock), WithLogger(zap.New(core)))
