A stopping host begins no request behind an unanswered one

Callers that send requests behind each other on one connection could be cut on a stopping host though their answer was there: answers leave in the order of their requests, and an earlier one that outlasts the host holds the rest back. A request was judged by its own time alone.

From the stop on, a request waits until its connection owes no answer, as one that changes something always did. The last answer that is owed closes the connection, whatever has come behind it; that is not begun, and its caller sends it again, on another host. A connection that owes nothing takes one more request. Only an answer whose head had left with the connection kept lets a request follow, once it is written.

No race decides: whether the connection closes and whether a request is accepted are both settled under the connection's lock. What was accepted before the stop is answered in its order.

Ruled out: admitting by the latest deadline of the requests before it on its connection. It would begin work on a connection that is to be closed, for callers who lose nothing by sending it elsewhere at once, and the two judgements would be in two packages.

--- a/caller/dispatch.go
+++ b/caller/dispatch.go
@@ -24,9 +24,11 @@
 	if conn.closing {
 		return false
 	}
-	if !isSafe(answer.request) {
+	if !isSafe(answer.request) || conn.server.isStopping() {
 		// A request that may change something waits for all earlier answers: if the connection closed after
-		// one of them, the caller would send this request again while it runs.
+		// one of them, the caller would send this request again while it runs. On a stopping host each request
+		// waits: its answer would leave after the earlier ones, and these may outlast the host. The last answer
+		// that is owed closes the connection, unless it had left before the stop began.
 		conn.awaitAnswersLocked()
 	}
 	if conn.closing || conn.ctx.Err() != nil {
@@ -47,6 +49,9 @@
 	answer := newAnswer(request)
 	if !conn.admit(answer) {
 		conn.server.memory.release(body.acquired)
+		if !conn.isAccepting() {
+			conn.logRequestAfterClose()
+		}
 		return false
 	}
 	answer.acquired = body.acquired
--- a/caller/server.go
+++ b/caller/server.go
@@ -118,8 +118,8 @@
 	server.mutex.Unlock()
 }
 
-// DisableKeepAlives makes each connection close after its next answer that no other request follows; requests are
-// accepted until then.
+// DisableKeepAlives makes each connection close after the last answer that it owes. Until then a connection without such
+// an answer accepts one more request.
 func (server *Server) DisableKeepAlives() {
 	server.stopping.Store(true)
 }
--- a/caller/write.go
+++ b/caller/write.go
@@ -32,12 +32,13 @@
 	return err == nil && !answer.closeAfter
 }
 
-// decideCloseAfter makes the connection of a stopping host close after this answer if no request has followed yet. A
-// request that was already read keeps the connection open, since it may be running.
+// decideCloseAfter makes the connection of a stopping host close after the last answer that is owed. A request that was
+// accepted before the stop keeps the connection open, since it may be running. What was sent behind is not begun, and its
+// caller sends it again.
 func (conn *conn) decideCloseAfter(answer *answer) {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	if conn.server.isStopping() && conn.unanswered == 1 && !conn.pump.reader.HasMoreThan(conn.consumedBytes) {
+	if conn.server.isStopping() && conn.unanswered == 1 {
 		answer.closeAfter = true
 	}
 	if answer.closeAfter {
