A request that may outlast its stopping host is not sent, also if it was admitted before

A request that waited in its host's queue when the stop began, or that was to be sent to a second upstream, was sent however near the host's end was, and cut there: only its arrival was judged.

Before each send, the first and each repeated one, the deadline is compared with the host's end. A request that waits in the queue or pauses before a further send is woken when the end is set, and refused at once: as not run ("stopping", to be retried at once elsewhere) if no attempt may have run; else with the truthful answer, an upstream's failure if there is one, an unknown outcome if not. The check comes again with the scheduler's decision, so that it does not matter which of the two comes first.

An attempt that is under way goes on: its upstream may be at work.

A request whose deadline is before the host's end keeps waiting, as before.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -43,8 +43,13 @@
 	return cherrykeel.FailUnknown(http.StatusBadGateway, "upstream-broke", "%s", exchange.lastDetail)
 }
 
-// refuseNotRun refuses a request after its last attempt; the detail is that attempt's.
+// refuseNotRun refuses a request after its last attempt; the detail is that attempt's, unless the host's end allows no
+// further one.
 func (exchange *exchange) refuseNotRun(cherrykeel.Instant) *cherrykeel.Failure {
+	failure := exchange.refuseOutlasting()
+	if failure != nil {
+		return failure
+	}
 	return exchange.refuse("not-run", exchange.lastDetail)
 }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -16,8 +16,6 @@
 	callerMargin = 8 * time.Millisecond
 	// defaultTimeout is assumed for callers that send no timeout, on routes with none or a shorter one.
 	defaultTimeout = 2 * time.Second
-	// otherHostRetryAfter makes a caller retry at once, at another host.
-	otherHostRetryAfter = 10 * time.Millisecond
 	// settingsRetryAfter is the time within which a host that has just started has read the routes.
 	settingsRetryAfter = 200 * time.Millisecond
 )
@@ -97,9 +95,8 @@
 	}
 	exchange.body = body
 	exchange.denyRequest = exchange.relay.DenyList.NewRequest(exchange.fingerprintParts())
-	if exchange.outlastsHost() {
-		failure := exchange.refuse("stopping", "this host exits before the request's deadline")
-		failure.RetryAfter = otherHostRetryAfter
+	failure := exchange.refuseOutlasting()
+	if failure != nil {
 		return failure
 	}
 	exchange.dispatcher.recordRequest(exchange.arrived)
@@ -129,14 +126,6 @@
 	return io.ReadAll(request.Body)
 }
 
-// outlastsHost reports whether the host's process may exit before the request's deadline. One search in a hundred takes
-// five times the usual time, so only the whole time until the deadline is enough not to cut it off. A refused caller is
-// served by another host at once.
-func (exchange *exchange) outlastsHost() bool {
-	end := exchange.relay.processEnd.Load()
-	return end != 0 && exchange.deadline > cherrykeel.Instant(end)
-}
-
 // run makes attempts until one brings an answer or no further one is allowed.
 func (exchange *exchange) run() *cherrykeel.Failure {
 	ctx := exchange.request.Context()
@@ -184,10 +173,12 @@
 	return result
 }
 
-// acquireSlot waits for a slot of an upstream, unless the request is denied or becomes denied while it waits.
+// acquireSlot waits for a slot of an upstream, unless the request must not be sent, as when it is denied or may outlast
+// the host; both may become so while it waits.
 func (exchange *exchange) acquireSlot(ctx context.Context) (flow.Decision, *cherrykeel.Failure) {
 	denials := exchange.relay.DenyList.DenialAdded()
-	if failure := exchange.refuseDenied(); failure != nil {
+	endSet := exchange.relay.endSet
+	if failure := exchange.refuseBeforeSend(); failure != nil {
 		return flow.Decision{}, failure
 	}
 	now := exchange.relay.clock.Now()
@@ -208,12 +199,8 @@
 			return exchange.checkDecision(decision)
 		case <-denials:
 			denials = exchange.relay.DenyList.DenialAdded()
-			failure := exchange.refuseDenied()
-			if failure == nil {
-				continue
-			}
-			exchange.dispatcher.cancel(ticket, decisions, exchange.relay.clock.Now())
-			return flow.Decision{}, failure
+		case <-endSet:
+			endSet = nil
 		case <-ctx.Done():
 			exchange.dispatcher.cancel(ticket, decisions, exchange.relay.clock.Now())
 			return flow.Decision{}, exchange.failCallerGone()
@@ -221,17 +208,22 @@
 			exchange.dispatcher.cancel(ticket, decisions, exchange.relay.clock.Now())
 			return flow.Decision{}, exchange.refuse("timeout", "no upstream had a free slot in time")
 		}
+		failure := exchange.refuseBeforeSend()
+		if failure != nil {
+			exchange.dispatcher.cancel(ticket, decisions, exchange.relay.clock.Now())
+			return flow.Decision{}, failure
+		}
 	}
 }
 
-// checkDecision handles the scheduler's decision. A denial of the request may have arrived together with it; then the
-// slot is released.
+// checkDecision handles the scheduler's decision. The request may have been denied, or the host may have begun to stop,
+// together with it; then the slot is released.
 func (exchange *exchange) checkDecision(decision flow.Decision) (flow.Decision, *cherrykeel.Failure) {
 	exchange.inputs = decision.Inputs
 	if decision.Slot == nil {
 		return decision, exchange.refuse(string(decision.Reason), "no upstream can answer in time")
 	}
-	failure := exchange.refuseDenied()
+	failure := exchange.refuseBeforeSend()
 	if failure != nil {
 		exchange.dispatcher.release(decision.Slot, flow.Abandoned, cherrykeel.UpstreamLoad{}, exchange.relay.clock.Now())
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -57,20 +57,15 @@
 	matcher     *matcher
 	dispatchers map[string]*dispatcher
 	upstreams   []cherrykeel.Upstream
-	// processEnd is when the host's process exits, as a cherrykeel.Instant, or 0.
+	// processEnd is when the host's process exits, as a cherrykeel.Instant, or 0; endSet is closed once it is set.
 	processEnd atomic.Int64
+	endSet     chan struct{}
 	// queued has a value once a request has begun to wait.
 	queued chan struct{}
 	// loadLogLimit bounds the log lines on malformed load reports.
 	loadLogLimit *rate.Sometimes
 }
 
-// SetProcessEnd sets when the host's process will have exited: from now on requests are refused that may outlast it and
-// be cut off.
-func (relay *Relay) SetProcessEnd(end cherrykeel.Instant) {
-	relay.processEnd.Store(int64(end))
-}
-
 // New returns a relay without routes, which refuses all requests.
 func New(settings Settings) *Relay {
 	if settings.DenyList == nil {
@@ -84,6 +79,7 @@
 		meter:       newMeter(settings.Scope),
 		dispatchers: map[string]*dispatcher{},
 		queued:      make(chan struct{}, 1),
+		endSet:      make(chan struct{}),
 
 		loadLogLimit: &rate.Sometimes{First: 1, Interval: loadLogInterval},
 	}
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -29,7 +29,7 @@
 // canRetry decides whether the request may be sent again, and waits before that if it must. True means that the retry
 // budget has been charged if the send needs it.
 func (exchange *exchange) canRetry(ctx context.Context, result result, now cherrykeel.Instant) bool {
-	if now >= exchange.deadline {
+	if now >= exchange.deadline || exchange.outlastsHost() {
 		return false
 	}
 	if result.outcome == outcomeUnknown && !exchange.route.Repeatable {
@@ -49,7 +49,7 @@
 	if exchange.attempts >= exchange.route.MaxAttempts || !exchange.dispatcher.trySpendRetry(exchange.relay.HostCount(), now) {
 		return false
 	}
-	return !exchange.needsOwner() || sleep(ctx, exchange.ownerPause(now))
+	return !exchange.needsOwner() || exchange.sleep(ctx, exchange.ownerPause(now))
 }
 
 // canRetryAtNewOwner reports whether an upstream failed the request since the request's key was transferred meanwhile:
@@ -57,7 +57,7 @@
 // attempts and budget allow it, it runs again at the new owner; else the caller gets the upstream's own answer. True
 // means that the retry budget has been charged.
 func (exchange *exchange) canRetryAtNewOwner(result result, now cherrykeel.Instant) bool {
-	if result.status != http.StatusInternalServerError || !exchange.route.Repeatable || !exchange.needsOwner() {
+	if result.status != http.StatusInternalServerError || !exchange.route.Repeatable || !exchange.needsOwner() || exchange.outlastsHost() {
 		return false
 	}
 	owner := exchange.relay.Owner(exchange.dispatcher.name, exchange.headers.Key)
@@ -108,7 +108,7 @@
 	for range exchange.misdirected - 1 {
 		pause *= misdirectedGrowth
 	}
-	return sleep(ctx, pause) && exchange.awaitBudget(ctx)
+	return exchange.sleep(ctx, pause) && exchange.awaitBudget(ctx)
 }
 
 // awaitBudget waits until the budget allows one more send, for a share of the time until the deadline; it reports
@@ -117,22 +117,10 @@
 	now := exchange.relay.clock.Now()
 	until := now.Add(time.Duration(maxPauseShare * float64(exchange.deadline.Sub(now))))
 	for !exchange.dispatcher.trySpendRetry(exchange.relay.HostCount(), now) {
-		if now >= until || !sleep(ctx, budgetRetryInterval) {
+		if now >= until || !exchange.sleep(ctx, budgetRetryInterval) {
 			return false
 		}
 		now = exchange.relay.clock.Now()
 	}
 	return now < exchange.deadline
 }
-
-// sleep reports false if the context ended before the pause.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
