A request that crosses the last answer doesn't cost a slow caller the rest of it

A caller that reads slowly and sends a request behind an answer that closes its connection got a reset in the middle of that answer, though the host had handed all of it to the system: 150 ms after the last byte was handed over the socket was closed, and the system answers what arrives on a closed socket with a reset, also while it still sends.

The connection is read for as long as its caller has not acknowledged the last answer, in steps of 150 ms, up to the 10 s that a write may take. What has been acknowledged lies at the caller, where a reset doesn't reach it. A stopping host ends such a connection at its end, as it does with an idle one whose last answer has not arrived.

Found while a stopping host was made to close a connection behind which requests lie; the fault is older.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -15,7 +15,8 @@
 	writeTimeout = 10 * time.Second
 	// lingeringCloseTimeout is how long a connection is still read after its last answer. A request that arrives
 	// meanwhile would otherwise cause a reset, and the caller could lose that answer; a round trip to a caller takes
-	// some 6 ms. It also bounds how long the sender of such a request waits until it learns that it must send it again.
+	// some 6 ms. It also bounds how long the sender of such a request waits until it learns that it must send it again,
+	// once the last answer has arrived.
 	lingeringCloseTimeout = 150 * time.Millisecond
 )
 
--- a/caller/stop_test.go
+++ b/caller/stop_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -114,6 +115,29 @@
 		Expect(header.Get("Connection")).To(Equal("close"))
 	})
 
+	// Guards against a slow caller that loses the rest of an answer: it sends a request behind the last answer while that
+	// is still on its way, and the closed socket answers with a reset.
+	It("does not cost its caller the rest of the answer before it", func() {
+		const size = 128 << 10
+		server, connect := serve(func(writer http.ResponseWriter, _ *http.Request) { _, _ = writer.Write(make([]byte, size)) })
+		server.DisableKeepAlives()
+		slow := connect().(*net.TCPConn)
+		Expect(slow.SetReadBuffer(4 << 10)).To(Succeed())
+		send(slow, first)
+		reader := bufio.NewReader(slow)
+		answer, err := http.ReadResponse(reader, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Close).To(BeTrue())
+		time.Sleep(500 * time.Millisecond)
+		send(slow, "GET /second HTTP/1.1\r\nHost: h\r\n\r\n")
+		Expect(slow.SetReadBuffer(1 << 20)).To(Succeed())
+		body, err := io.ReadAll(answer.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(HaveLen(size))
+		_, err = reader.ReadByte()
+		Expect(err).To(Equal(io.EOF))
+	})
+
 	// Guards against a connection that ends without a sign that the next request was not begun: the answer before it
 	// has left without that sign, and has not been written to its end.
 	It("is answered if the answer before it has left with the connection kept", func() {
--- a/caller/write.go
+++ b/caller/write.go
@@ -87,12 +87,14 @@
 }
 
 // lingeringClose closes the sending side and discards what arrives until the caller closes its side or the time is up, so
-// that the caller can read the last answer before the socket is closed.
+// that the caller can read the last answer before the socket is closed. The time goes on while a slow caller has not
+// acknowledged that answer, up to writeTimeout: a request that it sends meanwhile would cost it the rest.
 func (conn *conn) lingeringClose() {
 	if conn.ctx.Err() != nil {
 		return
 	}
 	conn.closeWrite()
+	latest := time.Now().Add(writeTimeout)
 	timer := time.NewTimer(lingeringCloseTimeout)
 	defer timer.Stop()
 	for {
@@ -102,7 +104,10 @@
 				return
 			}
 		case <-timer.C:
-			return
+			if !conn.pump.reader.HasUnacknowledged() || time.Now().After(latest) {
+				return
+			}
+			timer.Reset(lingeringCloseTimeout)
 		}
 	}
 }
