A stopping host takes only what ends before it, from the beginning of its stop on

A caller whose request may take 6 s was taken 4.2 s into a grace of 10 s and cut at its end, while an upstream ran it. Until 0.45 of the grace everything was taken, whatever its time: a share that fitted one grace (2.7 s of 6, in which the balancer notices) and says nothing of a request.

The host's end is set for requests as the stop begins, counted from the earliest time at which the signal can have been sent. It is set once, so that settings that are read during the stop don't move it. What an upstream has is served to the end, as before.

The spec "admits nothing that might outlast it if it was suspended at its signal" is unchanged and passes.

A refusal is the truth to its caller where a cut leaves a payment unknown, and needs no number of one balancer.

--- a/entry/stop.go
+++ b/entry/stop.go
@@ -15,9 +15,6 @@
 	// acceptShare is the share of the grace in which new connections are still accepted: the load balancer notices the
 	// stop after two failed health checks, 2 to 3 s of 6, and sends connections until then.
 	acceptShare = 0.6
-	// admitShare is the share in which every request is admitted; after it only those whose deadline is before the
-	// host's end.
-	admitShare = 0.45
 	// endMargin is the last part of the grace, which is reserved for the process to end by itself: for its last
 	// messages, and within exitMargin of the end only for the exit.
 	endMargin  = 150 * time.Millisecond
@@ -57,6 +54,9 @@
 	grace := fullGrace - delay
 	events.Log(host.logger, events.EntryStopping, zap.Int("Connections", host.server.OpenConns()), zap.Duration("Grace", grace), zap.Duration("Late", begun.Sub(earliest)))
 	host.server.DisableKeepAlives()
+	// No request is taken that may outlast the host, from the beginning of the stop on. While a share of the grace
+	// admitted everything, what came late in it and had a long time was cut.
+	host.relay.SetProcessEnd(earliest.Add(grace - endMargin))
 	go host.keeper.Resign(ctx)
 	go host.signalExit(signalled.Add(grace - exitMargin))
 	// One end bounds the whole stop. When each wait had a bound of its own, or none, a host that had run out of
@@ -83,12 +83,10 @@
 }
 
 // drain returns when no connection is left and the host's record is removed, or when the context has ended. Earliest is
-// the earliest time at which the signal can have been sent: for new requests and connections the grace counts from
-// then, so that the platform cannot cut any of them by killing the process. What has been admitted is served until the
-// end, since the signal may have been sent later than that.
+// the earliest time at which the signal can have been sent: for new connections, as for requests that are not sent yet,
+// the grace counts from then, so that the platform cannot cut any of them by killing the process. What an upstream has
+// is served until the end, since the signal may have been sent later than that.
 func (host *Host) drain(ctx context.Context, earliest cherrykeel.Instant, grace time.Duration, end cherrykeel.Instant) {
-	host.waitUntil(ctx, earliest.Add(shareOf(grace, admitShare)))
-	host.relay.SetProcessEnd(earliest.Add(grace - endMargin))
 	host.waitUntil(ctx, earliest.Add(shareOf(grace, acceptShare)))
 	serving, cancel := host.contextUntil(ctx, end.Add(-removeTimeout))
 	defer cancel()
