--- a/caller/write.go
+++ b/caller/write.go
@@ -24,6 +24,7 @@
 	_, err := conn.socket.Write(answer.encode())
 	conn.mutex.Lock()
 	conn.unanswered--
+	conn.removePending(answer)
 	conn.answerCount++
 	conn.idleSince = time.Now()
 	conn.stateChanged.Broadcast()
@@ -31,12 +32,13 @@
 	return err == nil && !answer.closeAfter
 }
 
-// decideCloseAfter makes the connection of a stopping host close after this answer if no request has followed yet. A
-// request that was already read keeps the connection open, since it may be running.
+// decideCloseAfter makes the connection of a stopping host close after the last answer that is owed. A request that was
+// accepted before the stop keeps the connection open, since it may be running. What was sent behind is not begun, and its
+// caller sends it again.
 func (conn *conn) decideCloseAfter(answer *answer) {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	if conn.server.isStopping() && conn.unanswered == 1 && !conn.pump.reader.HasMoreThan(conn.consumedBytes) {
+	if conn.server.isStopping() && conn.unanswered == 1 {
 		answer.closeAfter = true
 	}
 	if answer.closeAfter {
@@ -85,12 +87,14 @@
 }
 
 // lingeringClose closes the sending side and discards what arrives until the caller closes its side or the time is up, so
-// that the caller can read the last answer before the socket is closed.
+// that the caller can read the last answer before the socket is closed. The time goes on while a slow caller has not
+// acknowledged that answer, up to writeTimeout: a request that it sends meanwhile would cost it the rest.
 func (conn *conn) lingeringClose() {
 	if conn.ctx.Err() != nil {
 		return
 	}
 	conn.closeWrite()
+	latest := time.Now().Add(writeTimeout)
 	timer := time.NewTimer(lingeringCloseTimeout)
 	defer timer.Stop()
 	for {
@@ -100,7 +104,10 @@
 				return
 			}
 		case <-timer.C:
-			return
+			if !conn.pump.reader.HasUnacknowledged() || time.Now().After(latest) {
+				return
+			}
+			timer.Reset(lingeringCloseTimeout)
 		}
 	}
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -16,8 +16,6 @@
 	callerMargin = 8 * time.Millisecond
 	// defaultTimeout is assumed for callers that send no timeout, on routes with none or a shorter one.
 	defaultTimeout = 2 * time.Second
-	// otherHostRetryAfter makes a caller retry at once, at another host.
-	otherHostRetryAfter = 10 * time.Millisecond
 	// settingsRetryAfter is the time within which a host that has just started has read the routes.
 	settingsRetryAfter = 200 * time.Millisecond
 )
@@ -85,6 +83,7 @@
 		timeout = min(timeout, route.Timeout)
 	}
 	exchange.deadline = exchange.arrived.Add(timeout)
+	exchange.recordProgress("")
 	service := route.nextService()
 	exchange.dispatcher = exchange.relay.dispatcher(service)
 	if exchange.dispatcher == nil {
@@ -96,9 +95,8 @@
 	}
 	exchange.body = body
 	exchange.denyRequest = exchange.relay.DenyList.NewRequest(exchange.fingerprintParts())
-	if exchange.outlastsHost() {
-		failure := exchange.refuse("stopping", "this host exits before the request's deadline")
-		failure.RetryAfter = otherHostRetryAfter
+	failure := exchange.refuseOutlasting()
+	if failure != nil {
 		return failure
 	}
 	exchange.dispatcher.recordRequest(exchange.arrived)
@@ -108,6 +106,17 @@
 	return nil
 }
 
+// recordProgress tells the writer how far the request has come; the upstream is the one that it is sent to, or empty.
+func (exchange *exchange) recordProgress(upstream string) {
+	recorder, ok := exchange.writer.(cherrykeel.ProgressRecorder)
+	if !ok {
+		return
+	}
+	recorder.RecordProgress(cherrykeel.RequestProgress{
+		ID: exchange.headers.ID, Route: exchange.route.Name, Upstream: upstream, Arrived: exchange.arrived, Deadline: exchange.deadline,
+	})
+}
+
 // readBody returns the whole body, without a copy if it has already been read.
 func readBody(request *http.Request) ([]byte, error) {
 	whole, read := request.Body.(interface{ Bytes() []byte })
@@ -117,14 +126,6 @@
 	return io.ReadAll(request.Body)
 }
 
-// outlastsHost reports whether the host's process may exit before the request's deadline. One search in a hundred takes
-// five times the usual time, so only the whole time until the deadline is enough not to cut it off. A refused caller is
-// served by another host at once.
-func (exchange *exchange) outlastsHost() bool {
-	end := exchange.relay.processEnd.Load()
-	return end != 0 && exchange.deadline > cherrykeel.Instant(end)
-}
-
 // run makes attempts until one brings an answer or no further one is allowed.
 func (exchange *exchange) run() *cherrykeel.Failure {
 	ctx := exchange.request.Context()
@@ -166,14 +167,18 @@
 	defer func() {
 		exchange.dispatcher.release(slot, result.slotResult(ctx.Err() != nil), result.load, exchange.relay.clock.Now())
 	}()
+	exchange.recordProgress(slot.Upstream.ID)
 	result = exchange.attempt(ctx, slot)
+	exchange.recordProgress("")
 	return result
 }
 
-// acquireSlot waits for a slot of an upstream, unless the request is denied or becomes denied while it waits.
+// acquireSlot waits for a slot of an upstream, unless the request must not be sent, as when it is denied or may outlast
+// the host; both may become so while it waits.
 func (exchange *exchange) acquireSlot(ctx context.Context) (flow.Decision, *cherrykeel.Failure) {
 	denials := exchange.relay.DenyList.DenialAdded()
-	if failure := exchange.refuseDenied(); failure != nil {
+	endSet := exchange.relay.endSet
+	if failure := exchange.refuseBeforeSend(); failure != nil {
 		return flow.Decision{}, failure
 	}
 	now := exchange.relay.clock.Now()
@@ -194,12 +199,8 @@
 			return exchange.checkDecision(decision)
 		case <-denials:
 			denials = exchange.relay.DenyList.DenialAdded()
-			failure := exchange.refuseDenied()
-			if failure == nil {
-				continue
-			}
-			exchange.dispatcher.cancel(ticket, decisions, exchange.relay.clock.Now())
-			return flow.Decision{}, failure
+		case <-endSet:
+			endSet = nil
 		case <-ctx.Done():
 			exchange.dispatcher.cancel(ticket, decisions, exchange.relay.clock.Now())
 			return flow.Decision{}, exchange.failCallerGone()
@@ -207,17 +208,22 @@
 			exchange.dispatcher.cancel(ticket, decisions, exchange.relay.clock.Now())
 			return flow.Decision{}, exchange.refuse("timeout", "no upstream had a free slot in time")
 		}
+		failure := exchange.refuseBeforeSend()
+		if failure != nil {
+			exchange.dispatcher.cancel(ticket, decisions, exchange.relay.clock.Now())
+			return flow.Decision{}, failure
+		}
 	}
 }
 
-// checkDecision handles the scheduler's decision. A denial of the request may have arrived together with it; then the
-// slot is released.
+// checkDecision handles the scheduler's decision. The request may have been denied, or the host may have begun to stop,
+// together with it; then the slot is released.
 func (exchange *exchange) checkDecision(decision flow.Decision) (flow.Decision, *cherrykeel.Failure) {
 	exchange.inputs = decision.Inputs
 	if decision.Slot == nil {
 		return decision, exchange.refuse(string(decision.Reason), "no upstream can answer in time")
 	}
-	failure := exchange.refuseDenied()
+	failure := exchange.refuseBeforeSend()
 	if failure != nil {
 		exchange.dispatcher.release(decision.Slot, flow.Abandoned, cherrykeel.UpstreamLoad{}, exchange.relay.clock.Now())
 	}
