Specs of cut requests end the stop before the process must exit

The specs moved the clock by the whole grace in one step, past the moment at which the process must exit whatever it still writes, and the writing of the lines ended there, as it should.

--- a/entry/cut_test.go
+++ b/entry/cut_test.go
@@ -99,7 +99,7 @@
 		}, generous).Should(BeTrue())
 		stopping.clock.Advance(time.Second)
 		stopping.begin()
-		stopping.clock.Advance(testGrace)
+		stopping.clock.Advance(testGrace - endMargin)
 		Eventually(stopping.ended, generous).Should(BeClosed())
 
 		cut := stopping.logged.FilterMessage(events.RequestCut.Text).All()
@@ -121,7 +121,7 @@
 		}
 		Eventually(func() int { return len(stopping.host.server.Unanswered(2 * maxLoggedCuts)) }, generous).Should(Equal(3 * (conns + 1)))
 		stopping.begin()
-		stopping.clock.Advance(testGrace)
+		stopping.clock.Advance(testGrace - endMargin)
 		Eventually(stopping.ended, generous).Should(BeClosed())
 		Expect(stopping.logged.FilterMessage(events.RequestCut.Text).All()).To(HaveLen(maxLoggedCuts))
 	})
@@ -170,7 +170,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		Eventually(func() bool { return sock.HasUnacknowledged(conn.(*net.TCPConn)) }, generous).Should(BeFalse())
 		Consistently(func() int { return len(stopping.host.server.Unanswered(2)) }, "200ms").Should(Equal(1))
-		stopping.clock.Advance(testGrace)
+		stopping.clock.Advance(testGrace - endMargin)
 		Eventually(stopping.ended, generous).Should(BeClosed())
 		Expect(stopping.logged.FilterMessage(events.RequestCut.Text).All()).To(HaveLen(1))
 	})
