A stopping host refuses what its stop could cut (plain log)

Callers saw: a host of `cherrykeel run` that was told to stop went on taking requests whose time ends after StopTimeout, and cut them without an answer when its stop ended; the caller has to take that as unknown. With the defaults it takes a host that can't hand over a keeper's role (the log is away): it serves until StopTimeout and closes its listener and all connections in one step. With a service whose Timeout is over StopTimeout, it is each such request.

Cause: nothing between the listener and the upstream knew that the host stops.

Change: host.stop tells the fleet when the stop ends. What is not sent yet and has a later deadline (less 100 ms for writing the answer) is refused as host-stopping, 503, not run, Retry-After 1 s; unknown if an earlier attempt may have run. Looked at before the body is read, before each attempt, while waiting for a slot (woken by the signal), and when the connection stands.

Why it works: a request's deadline never moves, and an attempt ends at it; so what is sent after the signal has its answer before the end.

Ruled out: requests behind each other (the first answer closes the connection, those behind it are not read). Not mended: a request that was sent before the signal and outlasts the stop is still cut, as documented.

--- a/edge/admission.go
+++ b/edge/admission.go
@@ -16,12 +16,12 @@
 	minRetryAfter = time.Second
 )
 
-// admit waits until the request gets a slot on an upstream, and fails if it is denied, its queue is full or its
-// deadline is too near. tracked is the request as the deny list tracks it. previous names the upstream of the previous
+// admit waits until the request gets a slot on an upstream, and fails if it is refused, its queue is full or its deadline
+// is too near. tracked is the request as the deny list tracks it. previous names the upstream of the previous
 // attempt, which is avoided while there are others.
 func (forward *forward) admit(ctx context.Context, pool *pool, exchange *cherrykeel.Exchange, tracked *deny.Request, previous string) (*slot, *cherrykeel.Failure) {
 	denials := forward.denied.DenialAdded()
-	if failure := denialFailure(tracked); failure != nil {
+	if failure := forward.refusal(exchange, tracked); failure != nil {
 		return nil, failure
 	}
 	notified := make(chan bool, 1)
@@ -57,6 +57,15 @@
 	return forward.acquireSlot(pool, queue, exchange, previous), nil
 }
 
+// refusal returns the failure of a request that is denied or for which this host has no time before it stops, or nil.
+func (forward *forward) refusal(exchange *cherrykeel.Exchange, tracked *deny.Request) *cherrykeel.Failure {
+	failure := denialFailure(tracked)
+	if failure != nil {
+		return failure
+	}
+	return forward.fleet.stop.failure(exchange)
+}
+
 // waiter is a request that waits in an admission queue. notified receives whether it was admitted.
 type waiter struct {
 	pool     *pool
@@ -72,34 +81,37 @@
 	return failure
 }
 
-// awaitTurn waits until the request is admitted. It fails if the queue sheds the request, its deadline passes or it
-// becomes denied meanwhile.
+// awaitTurn waits until the request is admitted. It fails if the queue sheds the request, its deadline passes, or it
+// becomes denied or the host stops meanwhile.
 func (forward *forward) awaitTurn(ctx context.Context, waiter *waiter, tracked *deny.Request, denials <-chan struct{}) *cherrykeel.Failure {
+	stopBegun := forward.fleet.stop.begun
 	for {
 		select {
 		case admitted := <-waiter.notified:
 			if admitted {
-				return waiter.confirmAdmission(tracked)
+				return forward.confirmAdmission(waiter, tracked)
 			}
 			return overloaded("queue-left", waiter.exchange, 0)
 		case <-denials:
 			denials = forward.denied.DenialAdded()
-			failure := denialFailure(tracked)
-			if failure != nil {
-				waiter.cancel()
-				return failure
-			}
+		case <-stopBegun:
+			stopBegun = nil
 		case <-ctx.Done():
 			waiter.cancel()
 			return overloaded("deadline-passed", waiter.exchange, 0)
 		}
+		failure := forward.refusal(waiter.exchange, tracked)
+		if failure != nil {
+			waiter.cancel()
+			return failure
+		}
 	}
 }
 
-// confirmAdmission checks once more whether the request is denied: select may take the admission although a denial
-// arrived at the same time.
-func (waiter *waiter) confirmAdmission(tracked *deny.Request) *cherrykeel.Failure {
-	failure := denialFailure(tracked)
+// confirmAdmission checks once more whether the request is refused: select may take the admission although a denial
+// arrived, or a stop began, at the same time.
+func (forward *forward) confirmAdmission(waiter *waiter, tracked *deny.Request) *cherrykeel.Failure {
+	failure := forward.refusal(waiter.exchange, tracked)
 	if failure != nil {
 		waiter.release()
 	}
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -35,6 +35,7 @@
 	removedPools map[string]*pool
 	setConnLimit func(address string, connections int)
 	slotsNeeded  chan struct{}
+	stop         *stop
 }
 
 // pool is the state of one service and its upstreams.
@@ -80,6 +81,7 @@
 		removedPools: map[string]*pool{},
 		setConnLimit: setConnLimit,
 		slotsNeeded:  make(chan struct{}, 1),
+		stop:         &stop{begun: make(chan struct{})},
 	}
 }
 
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -158,12 +158,15 @@
 	countedInView *cherrykeel.Exchange
 }
 
-// readyToSend sets the request's remaining time and reports whether the request may be written now. Where the upstream
-// checks no fences, a host that was suspended after it chose the upstream must not write once its lease has ended.
+// readyToSend sets the request's remaining time and reports whether the request may be written now. A host that has begun
+// to stop meanwhile may not live to receive the answer. Where the upstream checks no fences, a host that was suspended after it chose the upstream must not write once its lease has ended.
 func (slot *slot) readyToSend(exchange *cherrykeel.Exchange, request *http.Request) bool {
 	now := slot.clock.Now()
 	remaining := slot.deadline.Sub(now)
 	request.Header.Set(cherrykeel.HeaderTimeout, strconv.FormatInt(remaining.Milliseconds(), 10))
+	if !slot.pool.fleet.stop.hasTimeFor(exchange) {
+		return false
+	}
 	if slot.countedInView == nil {
 		return remaining > 0
 	}
--- a/host/serve.go
+++ b/host/serve.go
@@ -33,6 +33,7 @@
 		cherrykeel.WithStage(edge.NewIdentify(), edge.PriorityIdentify),
 		cherrykeel.WithStage(edge.NewMeter(host.scope, host.clock), edge.PriorityMeter),
 		cherrykeel.WithStage(edge.NewMatch(host), edge.PriorityMatch),
+		cherrykeel.WithStage(edge.NewStopCheck(host.fleet), edge.PriorityStopCheck),
 		cherrykeel.WithStage(edge.NewBody(host.clock), edge.PriorityBody),
 		cherrykeel.WithStage(intent.NewStage(host.intentGuard, host.clock), edge.PriorityIdempotency),
 		cherrykeel.WithStage(edge.NewForward(host.fleet, host.connPool, host.denyList, host.clock, host.logger), edge.PriorityForward),
@@ -76,13 +77,15 @@
 	return failed
 }
 
-// stop shuts down gracefully; it aborts only requests that are still in flight after StopTimeout. The host first becomes
+// stop shuts down gracefully; it aborts only requests that are still in flight after StopTimeout, and refuses those that
+// could be by then. The host first becomes
 // unready, still accepts callers while the load balancer notices that, waits until other hosts have taken over its keeper
 // roles, and lets the requests in flight end.
 func (host *Host) stop() {
 	host.stopping.Store(true)
 	host.callerServer.DisableKeepAlives()
 	events.Log(host.logger, events.HostStopping)
+	host.fleet.BeginStop(host.clock.Now().Add(host.config.StopTimeout.Duration))
 	deadline := time.Now().Add(host.config.StopTimeout.Duration)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
--- a/proof/stops_test.go
+++ b/proof/stops_test.go
@@ -1,8 +1,11 @@
 package proof_test
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -65,6 +68,40 @@
 		Expect(leaving.process.command.ProcessState.ExitCode()).To(BeZero())
 	})
 
+	// Guards against running a request that arrives while the host stops, and cutting it at the end of the stop.
+	It("of an entry host refuse as not run a request that the stop could cut", func() {
+		cluster := newCluster(2)
+		cluster.writeSettings("shop/archive.toml", "PathPrefix = \"/archive\"\nTimeout = \"1m\"\n"+cluster.addUpstreams("archive", 1))
+		cluster.publishShop()
+		leaving := cluster.hosts[0]
+		conn, err := net.Dial("tcp", leaving.address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		_, err = io.WriteString(conn, "POST /archive/x HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		reader := bufio.NewReader(conn)
+		began, err := http.ReadResponse(reader, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(began.StatusCode).To(Equal(http.StatusContinue))
+		leaving.process.signal(syscall.SIGTERM)
+		Eventually(func() error {
+			later, err := net.Dial("tcp", leaving.address)
+			if err == nil {
+				_ = later.Close()
+			}
+			return err
+		}, waitTimeout, "50ms").Should(MatchError(syscall.ECONNREFUSED))
+		_, err = io.WriteString(conn, "body")
+		Expect(err).NotTo(HaveOccurred())
+		response, err := http.ReadResponse(reader, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(response.Header.Get(cherrykeel.HeaderOutcome)).To(Equal(string(cherrykeel.NotRun)))
+		Expect(response.Header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(response.Close).To(BeTrue())
+		Expect(cluster.fetchRuns().Requests).To(BeEmpty())
+	})
+
 	It("of an entry host answer operators or refuse their connections", func() {
 		// Guards against resetting or cutting off an operator's connection while the host stops.
 		cluster := newCluster(1)
