Event 105 counts the requests that a stop cut

Operators saw: event 105, "requests were aborted when the stop timeout passed", named too few requests, mostly none.

Cause: the host read its number of requests in flight after the connections had been closed. The close ends their contexts, and the handlers return.

Change: drain counts what its handler works on and notes the number right before it closes; the event takes that.

--- a/drain/closing.go
+++ b/drain/closing.go
@@ -10,10 +10,14 @@
 type closingHandler struct {
 	handler  http.Handler
 	stopping *atomic.Bool
+	// handling is the number of requests that are being answered.
+	handling *atomic.Int64
 }
 
 // ServeHTTP implements http.Handler.
 func (closingHandler *closingHandler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	closingHandler.handling.Add(1)
+	defer closingHandler.handling.Add(-1)
 	answer := &closingWriter{ResponseWriter: writer, stopping: closingHandler.stopping}
 	closingHandler.handler.ServeHTTP(answer, request)
 	answer.finish()
--- a/drain/server.go
+++ b/drain/server.go
@@ -34,6 +34,9 @@
 	stopping atomic.Bool
 	// closedUnused counts the connections that were closed before their first request was read.
 	closedUnused atomic.Int64
+	// handling is the number of requests that are being answered, and aborted its value when Finish closed connections.
+	handling atomic.Int64
+	aborted  atomic.Int64
 
 	mutex sync.Mutex
 	conns map[*conn]connState
@@ -56,7 +59,7 @@
 func New(server *http.Server, listener *Listener) *Server {
 	drained := &Server{server: server, listener: listener, accepted: make(chan struct{}), conns: map[*conn]connState{}}
 	server.ConnState = drained.recordState
-	server.Handler = &closingHandler{handler: server.Handler, stopping: &drained.stopping}
+	server.Handler = &closingHandler{handler: server.Handler, stopping: &drained.stopping, handling: &drained.handling}
 	return drained
 }
 
@@ -131,11 +134,17 @@
 	}
 	err := server.server.Shutdown(ctx)
 	if err != nil {
+		server.aborted.Store(server.handling.Load())
 		_ = server.server.Close()
 	}
 	return errors.WithStack(err)
 }
 
+// Aborted returns how many requests were without a whole answer when Finish closed the connections that were left.
+func (server *Server) Aborted() int64 {
+	return server.aborted.Load()
+}
+
 // ClosedUnused returns how many connections the stop closed before their first request was read; their callers were told
 // so.
 func (server *Server) ClosedUnused() int64 {
--- a/drain/stop_test.go
+++ b/drain/stop_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -25,3 +27,29 @@
 		Eventually(stopped, "30s").Should(Receive())
 	})
 })
+
+var _ = Describe("a server whose stop cuts a request", func() {
+	// Guards against reporting that no request was cut, since its handler has noticed the closed connection and returned.
+	It("counts the request", func() {
+		listener, err := drain.Listen("127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		entered, returned := make(chan struct{}), make(chan struct{})
+		server := drain.New(&http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+			close(entered)
+			<-request.Context().Done()
+			close(returned)
+		})}, listener)
+		go func() { _ = server.Serve() }()
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: any\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(entered, "10s").Should(BeClosed())
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		Expect(server.Stop(ctx)).To(MatchError(context.Canceled))
+		Eventually(returned, "10s").Should(BeClosed())
+		Expect(server.Aborted()).To(BeEquivalentTo(1))
+	})
+})
--- a/host/serve.go
+++ b/host/serve.go
@@ -100,7 +100,7 @@
 	events.Log(host.logger, events.HostListenerClosed, zap.Int64("Requests", host.requests.count.Load()), zap.Error(err))
 	err = host.callerServer.Finish(ctx)
 	if err != nil {
-		events.Log(host.logger, events.HostRequestsAborted, zap.Int64("Requests", host.requests.count.Load()), zap.Error(err))
+		events.Log(host.logger, events.HostRequestsAborted, zap.Int64("Requests", host.callerServer.Aborted()), zap.Error(err))
 	}
 }
 
