--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -83,6 +83,26 @@
 		Expect(counts).To(Equal(map[string]int{"lookup": 27, "search": 3}))
 	})
 
+	// Guards against sending to an upstream that asked for a rest, and against holding what can't wait for its end.
+	It("that is paused admits nothing until the pause ends, and refuses at once what cannot wait for that", func() {
+		queue := admit.NewQueue(1, 4)
+		results := map[string]bool{}
+		submit := func(name string, deadline, now cherrykeel.Instant) admit.Decision {
+			return queue.Submit(&admit.Ticket{Deadline: deadline, Notify: func(admitted bool) { results[name] = admitted }}, now)
+		}
+		Expect(submit("running", 9*second, second)).To(Equal(admit.Admitted))
+		Expect(submit("short", 3*second, second)).To(Equal(admit.Queued))
+		Expect(submit("long", 9*second, second)).To(Equal(admit.Queued))
+		queue.Pause(4 * second)
+		Expect(results).To(Equal(map[string]bool{"short": false}))
+		queue.Done(time.Millisecond, 2*second)
+		Expect(submit("late", 4*second, 2*second)).To(Equal(admit.TooLate))
+		queue.Resize(1, 4, 4*second-1)
+		Expect(results).To(HaveLen(1))
+		queue.Resize(1, 4, 4*second)
+		Expect(results).To(Equal(map[string]bool{"short": false, "long": true}))
+	})
+
 	It("that is full refuses the last request in order in favor of an urgent one", func() {
 		queue := admit.NewQueue(1, 1)
 		refused := false
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"cherrykeel"
@@ -63,6 +64,8 @@
 	maxWaiting int
 	inFlight   int
 	waiting    ticketHeap
+	// pausedUntil is when the queue admits requests again.
+	pausedUntil cherrykeel.Instant
 	// mean is the running mean of the time that a request spends on the upstream.
 	mean time.Duration
 	// admissions counts the requests that were admitted after they waited.
@@ -83,6 +86,27 @@
 	queue.admitWaiting(now)
 }
 
+// Pause makes the queue admit nothing until an instant, and refuses the waiting requests whose deadline is not later. It
+// replaces an earlier pause.
+func (queue *Queue) Pause(until cherrykeel.Instant) {
+	longer := until > queue.pausedUntil
+	queue.pausedUntil = until
+	if !longer {
+		return
+	}
+	for _, ticket := range slices.Clone(queue.waiting) {
+		if ticket.Deadline <= until {
+			queue.remove(ticket)
+			ticket.Notify(false)
+		}
+	}
+}
+
+// PauseRemaining returns for how long the queue admits nothing.
+func (queue *Queue) PauseRemaining(now cherrykeel.Instant) time.Duration {
+	return max(0, queue.pausedUntil.Sub(now))
+}
+
 // InFlight returns how many requests are on the upstream.
 func (queue *Queue) InFlight() int {
 	return queue.inFlight
@@ -100,11 +124,14 @@
 
 // Submit admits a ticket, queues it, or refuses it at once when waiting cannot help.
 func (queue *Queue) Submit(ticket *Ticket, now cherrykeel.Instant) Decision {
-	if queue.inFlight < queue.limit && len(queue.waiting) == 0 {
+	if queue.hasRoom(now) && len(queue.waiting) == 0 {
 		queue.inFlight++
 		return Admitted
 	}
-	if now.Add(queue.EstimateWait(ticket)) >= ticket.Deadline {
+	if now < queue.pausedUntil && queue.pausedUntil >= ticket.Deadline {
+		return TooLate
+	}
+	if max(now, queue.pausedUntil).Add(queue.EstimateWait(ticket)) >= ticket.Deadline {
 		if !queue.isIdle() {
 			return TooLate
 		}
@@ -117,6 +144,11 @@
 	return Queued
 }
 
+// hasRoom reports whether a request may go to the upstream now.
+func (queue *Queue) hasRoom(now cherrykeel.Instant) bool {
+	return queue.inFlight < queue.limit && now >= queue.pausedUntil
+}
+
 // isIdle reports whether no request is on the upstream or waits for it. In that case, one request may wait regardless
 // of the mean. A host that was suspended takes that time for the upstream's processing time; it would refuse all
 // requests, request no slot, and get none while other hosts use them all.
@@ -164,7 +196,7 @@
 	for len(queue.waiting) > 0 {
 		ticket := queue.next()
 		late := now >= ticket.Deadline || !ticket.probe && now.Add(queue.mean) >= ticket.Deadline
-		if !late && queue.inFlight >= queue.limit {
+		if !late && !queue.hasRoom(now) {
 			return
 		}
 		queue.remove(ticket)
--- a/edge/admission.go
+++ b/edge/admission.go
@@ -40,7 +40,11 @@
 	}
 	decision := queue.Submit(ticket, now)
 	wait := queue.EstimateWait(ticket)
+	resting := queue.PauseRemaining(now)
 	pool.mutex.Unlock()
+	if resting > 0 && decision != admit.Queued {
+		return nil, upstreamResting(exchange, resting)
+	}
 	switch decision {
 	case admit.QueueFull:
 		return nil, overloaded("queue-full", exchange, wait)
@@ -66,6 +70,14 @@
 	return forward.fleet.stop.failure(exchange)
 }
 
+// upstreamResting returns the failure of a request that can't be served in the time left, since the upstreams that could
+// serve it asked for a rest.
+func upstreamResting(exchange *cherrykeel.Exchange, remaining time.Duration) *cherrykeel.Failure {
+	failure := cherrykeel.Refuse(statusBusy, "upstream-resting", "the upstreams of %s asked for no requests for the next %v", exchange.Service.Path, remaining.Round(time.Millisecond))
+	failure.RetryAfter = remaining
+	return failure
+}
+
 // waiter is a request that waits in an admission queue. notified receives whether it was admitted.
 type waiter struct {
 	pool     *pool
@@ -91,7 +103,7 @@
 			if admitted {
 				return forward.confirmAdmission(waiter, tracked)
 			}
-			return overloaded("queue-left", waiter.exchange, 0)
+			return waiter.failureOfShed()
 		case <-denials:
 			denials = forward.denied.DenialAdded()
 		case <-stopBegun:
@@ -118,6 +130,17 @@
 	return failure
 }
 
+// failureOfShed returns the failure of a request that its queue has refused while it waited.
+func (waiter *waiter) failureOfShed() *cherrykeel.Failure {
+	waiter.pool.mutex.Lock()
+	resting := waiter.queue.PauseRemaining(waiter.pool.fleet.clock.Now())
+	waiter.pool.mutex.Unlock()
+	if resting > 0 {
+		return upstreamResting(waiter.exchange, resting)
+	}
+	return overloaded("queue-left", waiter.exchange, 0)
+}
+
 // cancel removes the request from its queue. If it was admitted at the same moment, its slot is released for the next
 // request.
 func (waiter *waiter) cancel() {
@@ -162,7 +185,7 @@
 }
 
 // acquireSlot assigns an upstream to an admitted request. The slot has no upstream if the key's owner changed while the
-// request waited in the earlier owner's queue, or if no upstream is eligible.
+// request waited in the earlier owner's queue, if the owner has just asked for a rest, or if no upstream is eligible.
 func (forward *forward) acquireSlot(pool *pool, queue *admit.Queue, exchange *cherrykeel.Exchange, previous string) *slot {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
@@ -173,7 +196,7 @@
 	} else {
 		slot.upstream = pool.choose(now, previous)
 	}
-	if slot.upstream == nil || exchange.Service.Keyed && slot.upstream.queue != queue {
+	if slot.upstream == nil || exchange.Service.Keyed && (slot.upstream.queue != queue || slot.upstream.health.IsResting(now)) {
 		queue.Done(0, now)
 		slot.upstream = nil
 		return slot
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -27,6 +27,9 @@
 // answer breaks off, the caller gets a problem report instead of a truncated answer.
 const maxBufferedAnswer = 256 << 10
 
+// maxRetryAfterSeconds bounds a Retry-After, since a time.Duration can't hold each number.
+const maxRetryAfterSeconds = 3600
+
 // result is the result of one attempt.
 type result struct {
 	retryResult retry.Result
@@ -152,6 +155,7 @@
 		return result
 	}
 	result.ownAnswer = true
+	result.observed.rest = requestedRest(answer)
 	if refusal := answer.Header.Get(cherrykeel.HeaderRefused); refusal != "" && echoed == attemptID {
 		return resultOfRefusal(result, answer, refusal)
 	}
@@ -201,6 +205,18 @@
 	return load
 }
 
+// requestedRest returns the time for which the upstream asked for no requests, or 0.
+func requestedRest(answer *conns.Answer) time.Duration {
+	if answer.Status != http.StatusServiceUnavailable {
+		return 0
+	}
+	seconds, err := strconv.ParseFloat(answer.Header.Get("Retry-After"), 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, maxRetryAfterSeconds) * float64(time.Second))
+}
+
 // observation is what an attempt showed about its upstream.
 type observation struct {
 	duration time.Duration
@@ -211,6 +227,8 @@
 	shed     bool
 	// reportedLoad is -1 if the answer has no valid report of the load.
 	reportedLoad float64
+	// rest is the time for which the upstream asked for no requests.
+	rest time.Duration
 	// callerGone means that the caller went away, so that the attempt shows nothing about the upstream's health.
 	callerGone bool
 	// abandoned means that the upstream may still work on the request.
@@ -233,4 +251,8 @@
 	default:
 		upstream.health.RecordFailure(now)
 	}
+	if observed.rest > 0 {
+		upstream.health.RecordRest(observed.rest, now)
+		pool.resizeQueues(now)
+	}
 }
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -240,14 +240,16 @@
 }
 
 // choose returns the upstream for a request without a key, or nil. It skips the upstream of the previous attempt and
-// those that fail this host's requests. If that leaves none, it chooses among all that are not draining, since an
-// attempt is better than a refusal.
+// those that fail this host's requests. If that leaves none, it chooses among all that are neither draining nor resting,
+// since an attempt is better than a refusal.
 func (pool *pool) choose(now cherrykeel.Instant, previous string) *upstream {
 	choices := pool.eligibleChoices(now, func(upstream *upstream) bool {
 		return upstream.health.IsUsable(now) && upstream.server.Name != previous
 	})
 	if len(choices) == 0 {
-		choices = pool.eligibleChoices(now, func(upstream *upstream) bool { return !upstream.health.IsDraining(now) })
+		choices = pool.eligibleChoices(now, func(upstream *upstream) bool {
+			return !upstream.health.IsDraining(now) && !upstream.health.IsResting(now)
+		})
 	}
 	index := pool.fleet.picker.Pick(pool.fleet.zone, choices, rand.Float64())
 	if index < 0 {
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -181,13 +181,13 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	now := slot.clock.Now()
-	slot.queue.Done(now.Sub(slot.acquiredAt), now)
-	if slot.upstream == nil {
-		return
+	if slot.upstream != nil {
+		slot.upstream.inFlight--
+		slot.finishInView(observed.abandoned)
+		pool.recordObservation(slot.upstream, observed, now)
 	}
-	slot.upstream.inFlight--
-	slot.finishInView(observed.abandoned)
-	pool.recordObservation(slot.upstream, observed, now)
+	// The queue admits the next request only now: the upstream may have asked for a rest.
+	slot.queue.Done(now.Sub(slot.acquiredAt), now)
 }
 
 // finishInView removes the request from the view's requests in flight, where the upstream checks no fences. An
--- a/edge/slots.go
+++ b/edge/slots.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math"
 	"time"
 
 	"cherrykeel"
@@ -26,14 +27,30 @@
 	length := pool.service.QueueLength
 	for name, upstream := range pool.upstreams {
 		limit := pool.slotLimit(upstream, now)
+		upstream.queue.Pause(upstream.health.RestUntil())
 		upstream.queue.Resize(limit, length, now)
-		if !pool.fleet.owners.IsDraining(pool.service, name) {
+		if !pool.fleet.owners.IsDraining(pool.service, name) && !upstream.health.IsResting(now) {
 			total += limit
 		}
 	}
+	pool.queue.Pause(pool.restUntil(now))
 	pool.queue.Resize(total, length*len(pool.upstreams), now)
 }
 
+// restUntil returns when the first of the service's upstreams accepts requests again, which may be in the past.
+func (pool *pool) restUntil(now cherrykeel.Instant) cherrykeel.Instant {
+	first := cherrykeel.Instant(math.MaxInt64)
+	for name, upstream := range pool.upstreams {
+		if !pool.fleet.owners.IsDraining(pool.service, name) && !upstream.health.IsDraining(now) {
+			first = min(first, upstream.health.RestUntil())
+		}
+	}
+	if first == math.MaxInt64 {
+		return 0
+	}
+	return first
+}
+
 // SlotRequests returns the slots that this host requests, by service and upstream, for the services that it used
 // recently.
 func (fleet *Fleet) SlotRequests() map[string]map[string]admit.SlotRequest {
--- a/member/health.go
+++ b/member/health.go
@@ -16,6 +16,8 @@
 	warmupTime = 10 * time.Second
 	// maxDrainingAge is how long an upstream's announcement that it is draining counts.
 	maxDrainingAge = 10 * time.Second
+	// maxRest is the longest rest that an upstream gets: it can't take back one that it asked for by mistake.
+	maxRest = 30 * time.Second
 	// shedWeight is the weight of the newest request in the moving average of shed requests.
 	shedWeight = 0.1
 )
@@ -29,6 +31,7 @@
 	warmSince    cherrykeel.Instant
 	drainedAt    cherrykeel.Instant
 	draining     bool
+	restUntil    cherrykeel.Instant
 	// shed is the moving average of the share of requests that the upstream refused because it was overloaded.
 	shed float64
 }
@@ -87,10 +90,26 @@
 	health.drainedAt = now
 }
 
+// RecordRest records that the upstream asked for a time without requests.
+func (health *Health) RecordRest(length time.Duration, now cherrykeel.Instant) {
+	health.probing = false
+	health.restUntil = max(health.restUntil, now.Add(min(length, maxRest)))
+}
+
+// RestUntil returns the end of the rest that the upstream asked for last, which may be over.
+func (health *Health) RestUntil() cherrykeel.Instant {
+	return health.restUntil
+}
+
+// IsResting reports whether the upstream gets no requests since it asked for a rest.
+func (health *Health) IsResting(now cherrykeel.Instant) bool {
+	return now < health.restUntil
+}
+
 // IsUsable reports whether a request may be sent to the upstream. When an ejection ends, one request is sent first as a
 // probe; a separate probe request would cost several times as much.
 func (health *Health) IsUsable(now cherrykeel.Instant) bool {
-	if health.IsDraining(now) {
+	if health.IsDraining(now) || health.IsResting(now) {
 		return false
 	}
 	if health.ejections == 0 {
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -119,6 +119,19 @@
 		Entry("the upstream was draining", func(health *member.Health, now cherrykeel.Instant) { health.RecordDraining(now) }),
 	)
 
+	// Guards against sending to an upstream that asked for a rest, and against a rest without end.
+	It("keeps an upstream unused for the rest that it asked for, and no longer than 30 s", func() {
+		health := member.NewHealth(0, true)
+		health.RecordRest(3*time.Second, oneSecond)
+		health.RecordRest(time.Second, oneSecond)
+		health.RecordSuccess(2 * oneSecond)
+		Expect(health.IsUsable(4*oneSecond - 1)).To(BeFalse())
+		Expect(health.IsUsable(4 * oneSecond)).To(BeTrue())
+		health.RecordRest(time.Hour, 4*oneSecond)
+		Expect(health.IsResting(34*oneSecond - 1)).To(BeTrue())
+		Expect(health.IsResting(34 * oneSecond)).To(BeFalse())
+	})
+
 	It("lowers the weight of an upstream that sheds, whatever load it reports", func() {
 		health := member.NewHealth(0, true)
 		for range 50 {
