--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -238,6 +238,7 @@
 func (pool *pool) recordObservation(upstream *upstream, observed observation, now cherrykeel.Instant) {
 	if observed.reportedLoad >= 0 {
 		upstream.reportedLoad = observed.reportedLoad
+		upstream.reportedAt = now
 	}
 	switch {
 	case observed.callerGone:
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"cherrykeel"
 	"cherrykeel/admit"
@@ -13,6 +14,10 @@
 	"cherrykeel/views"
 )
 
+// maxReportAge is how long a report of an upstream's load counts. An upstream that reported a high one may get no request
+// that would bring a new one.
+const maxReportAge = 10 * time.Second
+
 // Owners returns the owners of the keys of services whose upstreams check fences, and which upstreams are draining.
 type Owners interface {
 	// Owner returns the name of the upstream that should own the key now, or an empty string.
@@ -61,7 +66,9 @@
 	queue        *admit.Queue
 	health       *member.Health
 	reportedLoad float64
-	inFlight     int
+	// reportedAt is when the upstream reported its load.
+	reportedAt cherrykeel.Instant
+	inFlight   int
 	// grantedSlots is the number of slots that the slot allocator granted until grantedUntil. After that the host uses
 	// its even share.
 	grantedSlots int
@@ -258,6 +265,14 @@
 	return pool.upstreams[choices[index].Name]
 }
 
+// currentLoad returns the load that the upstream reported, or 0 if that was too long ago.
+func (upstream *upstream) currentLoad(now cherrykeel.Instant) float64 {
+	if now.Sub(upstream.reportedAt) >= maxReportAge {
+		return 0
+	}
+	return upstream.reportedLoad
+}
+
 func (pool *pool) eligibleChoices(now cherrykeel.Instant, usable func(upstream *upstream) bool) []cherrykeel.Choice {
 	choices := make([]cherrykeel.Choice, 0, len(pool.upstreams))
 	for _, server := range pool.service.Upstreams {
@@ -270,7 +285,7 @@
 			Zone:         server.Zone,
 			InFlight:     upstream.inFlight,
 			Limit:        pool.slotLimit(upstream, now),
-			ReportedLoad: upstream.reportedLoad,
+			ReportedLoad: upstream.currentLoad(now),
 			Weight:       upstream.health.Weight(now),
 		})
 	}
--- a/edge/rest_test.go
+++ b/edge/rest_test.go
@@ -29,6 +29,8 @@
 	server     *httptest.Server
 	retryAfter atomic.Pointer[string]
 	requests   atomic.Int64
+	// load is its report of its load, or empty.
+	load string
 	// hold, if set, is closed when the answers may be given.
 	hold atomic.Pointer[chan struct{}]
 }
@@ -41,6 +43,9 @@
 		if hold := upstream.hold.Load(); hold != nil {
 			<-*hold
 		}
+		if upstream.load != "" {
+			writer.Header().Set(cherrykeel.HeaderLoad, upstream.load)
+		}
 		if value := *upstream.retryAfter.Load(); value != "" {
 			writer.Header().Set("Retry-After", value)
 			writer.WriteHeader(http.StatusServiceUnavailable)
@@ -221,3 +226,22 @@
 		Entry("after the longest rest if the value is longer", "1e300", 30*time.Second),
 	)
 })
+
+var _ = Describe("an upstream that reported that it is fully loaded", func() {
+	// Guards against an upstream that gets no requests any more, since no answer corrects its last report.
+	It("gets requests again after a while, though no later report says otherwise", func() {
+		loaded, other := newRestingUpstream(""), newRestingUpstream("")
+		loaded.load = "1"
+		test := newRestTest("", loaded, other)
+		for range 60 {
+			test.send(requestTimeout)
+		}
+		before := loaded.requests.Load()
+		Expect(before).To(BeEquivalentTo(1))
+		test.clock.Advance(10 * time.Second)
+		for range 60 {
+			test.send(requestTimeout)
+		}
+		Expect(loaded.requests.Load()).To(BeNumerically(">", before))
+	})
+})
