--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -246,7 +246,7 @@
 	case observed.draining:
 		upstream.health.RecordDraining(now)
 	case observed.shed:
-		upstream.health.RecordShed()
+		upstream.health.RecordShed(now)
 	case observed.reached:
 		upstream.health.RecordSuccess(now)
 	default:
--- a/member/health.go
+++ b/member/health.go
@@ -20,6 +20,9 @@
 	maxRest = 30 * time.Second
 	// shedWeight is the weight of the newest request in the moving average of shed requests.
 	shedWeight = 0.1
+	// shedMemory is how long refusals count while no request follows: an upstream that refused many may get none that
+	// would show that it has room again.
+	shedMemory = 10 * time.Second
 )
 
 // Health is the state of one upstream as the results of this host's own requests show it.
@@ -32,8 +35,9 @@
 	drainedAt    cherrykeel.Instant
 	draining     bool
 	restUntil    cherrykeel.Instant
-	// shed is the moving average of the share of requests that the upstream refused because it was overloaded.
-	shed float64
+	// shed is the moving average, as of shedAt, of the share of requests that the upstream refused because it was overloaded.
+	shed   float64
+	shedAt cherrykeel.Instant
 }
 
 // NewHealth returns the health of an upstream that is first seen at now; a warm one needs no warm-up.
@@ -53,17 +57,30 @@
 	}
 	health.failures = 0
 	health.probing = false
-	health.shed -= shedWeight * health.shed
+	health.recordShedShare(0, now)
 }
 
 // RecordShed records that the upstream refused a request because it was overloaded. It gets fewer requests from now on,
 // whatever load it reports: otherwise an upstream that sheds but reports that it is idle would attract the most
 // requests, since refusals leave the fewest in flight.
-func (health *Health) RecordShed() {
-	health.shed += shedWeight * (1 - health.shed)
+func (health *Health) RecordShed(now cherrykeel.Instant) {
+	health.recordShedShare(1, now)
 	health.probing = false
 }
 
+// recordShedShare adds a request to the moving average: 1 if it was refused, else 0.
+func (health *Health) recordShedShare(share float64, now cherrykeel.Instant) {
+	current := health.currentShed(now)
+	health.shed = current + shedWeight*(share-current)
+	health.shedAt = now
+}
+
+// currentShed returns the moving average of shed requests, which falls to 0 during shedMemory.
+func (health *Health) currentShed(now cherrykeel.Instant) float64 {
+	age := float64(now.Sub(health.shedAt)) / float64(shedMemory)
+	return health.shed * max(0, 1-age)
+}
+
 // RecordFailure records an attempt without an answer; after several in a row, or a failed probe, the upstream is ejected.
 func (health *Health) RecordFailure(now cherrykeel.Instant) {
 	health.failures++
@@ -139,5 +156,5 @@
 // requests, to 1.
 func (health *Health) Weight(now cherrykeel.Instant) float64 {
 	warmth := min(1, float64(now.Sub(health.warmSince))/float64(warmupTime))
-	return warmth * (1 - health.shed)
+	return warmth * (1 - health.currentShed(now))
 }
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -115,7 +115,7 @@
 			Expect(health.IsUsable(now+30*oneSecond)).To(BeFalse(), "one at a time")
 		},
 		Entry("its caller disconnected", func(health *member.Health, _ cherrykeel.Instant) { health.RecordInconclusive() }),
-		Entry("the upstream was overloaded", func(health *member.Health, _ cherrykeel.Instant) { health.RecordShed() }),
+		Entry("the upstream was overloaded", func(health *member.Health, now cherrykeel.Instant) { health.RecordShed(now) }),
 		Entry("the upstream was draining", func(health *member.Health, now cherrykeel.Instant) { health.RecordDraining(now) }),
 	)
 
@@ -135,7 +135,7 @@
 	It("lowers the weight of an upstream that sheds, whatever load it reports", func() {
 		health := member.NewHealth(0, true)
 		for range 50 {
-			health.RecordShed()
+			health.RecordShed(oneSecond)
 		}
 		Expect(health.Weight(oneSecond)).To(BeNumerically("<", 0.05))
 		for range 50 {
@@ -143,4 +143,15 @@
 		}
 		Expect(health.Weight(oneSecond)).To(BeNumerically(">", 0.9))
 	})
+
+	// Guards against an upstream that gets no requests any more since it once refused many.
+	It("forgets with time that an upstream shed", func() {
+		health := member.NewHealth(0, true)
+		for range 50 {
+			health.RecordShed(oneSecond)
+		}
+		Expect(health.Weight(oneSecond)).To(BeNumerically("<", 0.05))
+		Expect(health.Weight(6 * oneSecond)).To(BeNumerically("~", 0.5, 0.05))
+		Expect(health.Weight(11 * oneSecond)).To(BeEquivalentTo(1))
+	})
 })
