A host that can't hand over a role keeps time for its close (plain log)

Callers saw: at the end of a stop during a log outage some new connections ended with EOF and no answer.

Cause: a keeper that stops waits until its roles are handed over. During a log outage nobody can claim, so it waited until StopTimeout was over; then it closed the listener and all connections in one step, without the steps that answer who has just connected.

Change: it waits until 10 s before the end of StopTimeout (half of it at most) and has that time to close as in any other stop.

Price: the roles' leases go on without this host 10 s earlier than they did.

--- a/host/serve.go
+++ b/host/serve.go
@@ -19,6 +19,9 @@
 	headerTimeout    = 10 * time.Second
 	idleTimeout      = 90 * time.Second
 	stopPollInterval = 20 * time.Millisecond
+	// closeReserve is the part of StopTimeout, half of it at most, that is kept for closing the listener and for answering
+	// what has been accepted by then.
+	closeReserve = 10 * time.Second
 )
 
 // requestGauge is the number of callers' requests in flight.
@@ -93,7 +96,8 @@
 	host.announce(ctx)
 	host.sendHellos(ctx)
 	sleepUntil(ctx, time.Now().Add(host.config.StopDelay.Duration))
-	for host.coordinator.holdsAnyRole() && host.hasSuccessor() && ctx.Err() == nil {
+	handoverEnd := deadline.Add(-min(closeReserve, host.config.StopTimeout.Duration/2))
+	for host.coordinator.holdsAnyRole() && host.hasSuccessor() && time.Now().Before(handoverEnd) {
 		sleepUntil(ctx, time.Now().Add(stopPollInterval))
 	}
 	err := host.callerServer.StopAccepting(ctx)
--- a/proof/stops_test.go
+++ b/proof/stops_test.go
@@ -102,6 +102,45 @@
 		Expect(cluster.fetchRuns().Requests).To(BeEmpty())
 	})
 
+	// Guards against closing the listener and all connections in one step, since a role could not be handed over in time.
+	It("of a keeper during a log outage answer callers or refuse their connections", func() {
+		cluster := newCluster(2)
+		for _, entry := range cluster.hosts {
+			entry.process.kill()
+			text, err := os.ReadFile(entry.config)
+			Expect(err).NotTo(HaveOccurred())
+			shorter := strings.Replace(string(text), "StopTimeout = \"30s\"", "StopTimeout = \"16s\"", 1)
+			Expect(os.WriteFile(entry.config, []byte(shorter), 0o600)).To(Succeed())
+			entry.process = startProcess(entry.name, cherrykeelPath, "run", "--config", entry.config)
+			awaitListening(entry.admin)
+		}
+		cluster.publishShop()
+		for name, upstream := range cluster.upstreams {
+			if strings.HasPrefix(name, "plain") {
+				cluster.setFaults(upstream.address+"/standin/faults", fakes.UpstreamFaults{Work: 300 * time.Millisecond, Load: -1})
+			}
+		}
+		leaving := cluster.keeper("shop/keys")
+		cluster.setFaults(cluster.logAddress+"/faults", fakes.LogFaults{Outage: true})
+		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: waitTimeout}
+		callers := fakes.StartCallers(16, func() error {
+			request, _ := http.NewRequest(http.MethodGet, "http://"+leaving.address+"/plain/x", nil)
+			request.Host = "shop.example"
+			response, err := client.Do(request)
+			if err != nil {
+				return err
+			}
+			defer response.Body.Close()
+			_, err = io.Copy(io.Discard, response.Body)
+			return err
+		})
+		Eventually(callers.Answered, waitTimeout).Should(BeNumerically(">", 100))
+		leaving.process.signal(syscall.SIGTERM)
+		Expect(callers.Failures()).To(HaveEach(MatchError(syscall.ECONNREFUSED)))
+		Eventually(leaving.process.done, waitTimeout).Should(BeClosed())
+		Expect(leaving.process.output.text()).NotTo(ContainSubstring("\"Event\":105"))
+	})
+
 	It("of an entry host answer operators or refuse their connections", func() {
 		// Guards against resetting or cutting off an operator's connection while the host stops.
 		cluster := newCluster(1)
