Hosts heed an upstream that says in an answer that it is leaving

Callers' requests reached an upstream for as long as the store was away, although each of its answers said that it leaves: 2.1 s and more after a host had passed one on, with a bound of 2 s.

Cause: a host took an upstream for leaving by its entry in the store alone. The header was not read.

The header is read from any answer, success, failure or refusal, that is the asked upstream's to this request: not from an answer to another request or of another upstream, and from a misdirected one only if it names the upstream. The relay reports it before it passes the answer on. The view of the upstreams keeps it by incarnation, so that it outlives an entry that lapses and comes back, a late record that says "ready" doesn't undo it, and the next incarnation begins anew; it is kept in the entry, so there are no more of them than entries. From the same word the deny list knows that the process's end is no crash.

Ruled out: serving on with every service (nothing is gained where others can serve), and refusing at once as the last of a service or an owner (their callers would be refused for as long as the store is away, from the first moment; the upstream serves for the whole bound).

Event 624 once for each incarnation, with the request; gauge leaving_upstreams.

--- a/dialect.go
+++ b/dialect.go
@@ -26,6 +26,8 @@
 	Misdirected bool
 	// Instance is the ID of the upstream that answered, if the headers give it.
 	Instance string
+	// Leaving is true if the upstream states that it is leaving.
+	Leaving bool
 	// Load is the upstream's report of its load; its field Known is false if there is none.
 	Load UpstreamLoad
 }
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -37,7 +37,8 @@
 		Zone: host.settings.Zone, Bounds: host.currentBounds, Clock: host.clock, Dialect: host.platform.Dialect,
 		Pool:   host.conns,
 		Logger: host.logger, Scope: host.scope, Owner: host.spans.Owner, OnKeyRequest: host.mesh.RecordKeyRequest, HostCount: host.mesh.HostCount,
-		OnMisdirected: host.onMisdirected, OnUpstreamReplaced: func(id string) { host.upstreams.MarkEnded(id) }, DenyList: host.denyList,
+		OnMisdirected: host.onMisdirected, OnUpstreamReplaced: func(id string) { host.upstreams.MarkEnded(id) },
+		OnUpstreamLeaving: func(upstream cherrykeel.Upstream, request string) { host.upstreams.RecordLeaving(upstream, request) }, DenyList: host.denyList,
 	})
 	host.server = caller.New(host.relay, caller.WithLimits(host.limits), caller.WithLogger(host.logger),
 		caller.WithBodyMemoryLimit(int64(bodyShare*float64(host.settings.MemoryBytes))))
--- a/entry/maintain.go
+++ b/entry/maintain.go
@@ -87,14 +87,19 @@
 }
 
 // updateUpstreamGauges shows how many upstreams get no requests because their availability zone is evacuated, how many
-// get a limited rate because they are cold, and how many of this host's requests still run in evacuated zones.
+// have stated in an answer that they are leaving, how many get a limited rate because they are cold, and how many of this
+// host's requests still run in evacuated zones.
 func (host *Host) updateUpstreamGauges() {
 	evacuated := host.zones.Evacuated()
 	var evacuating []string
+	leaving := 0
 	for _, upstream := range host.appliedUpstreams.current() {
 		if upstream.EvacuateAt != 0 {
 			evacuating = append(evacuating, upstream.ID)
 		}
+		if upstream.LeaveAt != 0 {
+			leaving++
+		}
 	}
 	stillRunning := 0
 	if len(evacuating) > 0 {
@@ -106,6 +111,7 @@
 	host.scope.Gauge("evacuated_zones").Update(float64(len(evacuated)))
 	host.scope.Gauge("evacuated_upstreams").Update(float64(len(evacuating)))
 	host.scope.Gauge("evacuated_running").Update(float64(stillRunning))
+	host.scope.Gauge("leaving_upstreams").Update(float64(leaving))
 	host.scope.Gauge("cold_upstreams").Update(float64(host.countColdUpstreams()))
 }
 
--- a/events/events.go
+++ b/events/events.go
@@ -105,6 +105,7 @@
 	PeerDropped         = define(619, zap.WarnLevel, "record of an unreachable host was removed")
 	ZoneEvacuated       = define(621, zap.WarnLevel, "availability zone is evacuated")
 	ZoneRestored        = define(622, zap.InfoLevel, "availability zone is no longer evacuated")
+	UpstreamSaidLeaving = define(624, zap.InfoLevel, "upstream stated in an answer that it is leaving")
 	EntryListenerClosed = define(623, zap.InfoLevel, "entry host accepts no more connections")
 	LinesDropped        = define(618, zap.WarnLevel, "log lines were dropped, since they could not be written fast enough")
 )
--- a/flow/member.go
+++ b/flow/member.go
@@ -91,9 +91,10 @@
 	return float64(member.upstream.Slots) / member.expectedProcessingTime(serviceMean, now).Seconds()
 }
 
-// isClosed reports whether the upstream gets no more requests because its availability zone is evacuated.
+// isClosed reports whether the upstream gets no more requests because its availability zone is evacuated or because it
+// is leaving.
 func (member *member) isClosed(now cherrykeel.Instant) bool {
-	return member.upstream.EvacuateAt != 0 && now >= member.upstream.EvacuateAt
+	return member.upstream.IsEvacuated(now) || member.upstream.HasLeft(now)
 }
 
 // isAvailable reports whether the upstream may get requests. Its capacity is not considered.
--- a/flow/service.go
+++ b/flow/service.go
@@ -99,10 +99,11 @@
 	return running
 }
 
-// HasFullUpstream reports whether an upstream whose availability zone is not evacuated has no free slot.
+// HasFullUpstream reports whether an upstream that is neither leaving nor in an evacuated availability zone has no free
+// slot.
 func (service *Service) HasFullUpstream() bool {
 	for _, member := range service.members {
-		if member.upstream.EvacuateAt == 0 && member.load() >= member.upstream.Slots {
+		if !member.upstream.IsClosing() && member.load() >= member.upstream.Slots {
 			return true
 		}
 	}
@@ -164,7 +165,7 @@
 	case len(service.members) == 0:
 		return NoUpstream, true
 	case service.areAllClosed(now):
-		return Evacuated, true
+		return service.closedReason(now), true
 	case service.discipline.willMissDeadline(ticket, now):
 		return TooLate, true
 	case answerAt > ticket.latestAnswer(standingFor):
@@ -174,8 +175,8 @@
 	}
 }
 
-// areAllClosed reports whether every upstream is in an evacuated availability zone. It is false if there is no
-// upstream.
+// areAllClosed reports whether every upstream is leaving or in an evacuated availability zone. It is false if there is
+// no upstream.
 func (service *Service) areAllClosed(now cherrykeel.Instant) bool {
 	for _, member := range service.members {
 		if !member.isClosed(now) {
@@ -185,6 +186,16 @@
 	return len(service.members) > 0
 }
 
+// closedReason returns why every upstream is closed.
+func (service *Service) closedReason(now cherrykeel.Instant) Reason {
+	for _, member := range service.members {
+		if !member.upstream.IsEvacuated(now) {
+			return Leaving
+		}
+	}
+	return Evacuated
+}
+
 // isOvertaken reports whether a waiting request that competes with the ticket goes before it.
 func (service *Service) isOvertaken(ticket *Ticket) bool {
 	for _, other := range service.waiting {
@@ -244,7 +255,7 @@
 		return service.assignSlot(ticket, member, now), true
 	}
 	if service.areAllClosed(now) {
-		return service.newRefusal(ticket, Evacuated, now), true
+		return service.newRefusal(ticket, service.closedReason(now), now), true
 	}
 	if service.discipline.willMissDeadline(ticket, now) {
 		return service.newRefusal(ticket, TooLate, now), true
--- a/flow/ticket.go
+++ b/flow/ticket.go
@@ -38,6 +38,8 @@
 	NoUpstream Reason = "no-upstream"
 	// Evacuated means that all upstreams of the service are in evacuated availability zones.
 	Evacuated Reason = "evacuated"
+	// Leaving means that each upstream of the service is leaving or in an evacuated availability zone.
+	Leaving Reason = "leaving"
 	// NoOwner means that the key got no owner in time.
 	NoOwner Reason = "no-owner"
 )
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -135,6 +135,9 @@
 	defer answer.Close()
 	reply := exchange.relay.dialect.ReadReply(answer.Status, answer.Header)
 	exchange.logMalformedLoad(slot.Upstream, reply.Load)
+	if reply.Leaving && exchange.isAnswerOf(slot.Upstream, reply) {
+		exchange.relay.OnUpstreamLeaving(slot.Upstream, exchange.headers.ID)
+	}
 	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes+1))
 	result := result{status: answer.Status, header: answer.Header, body: body, load: reply.Load, misdirected: reply.Misdirected}
 	result.unanswered = err != nil && ctx.Err() == nil
@@ -167,6 +170,20 @@
 	return result
 }
 
+// isAnswerOf reports whether an answer shows something about the upstream that was sent the request. One that belongs to
+// another request does not, and neither does one of another upstream at the address. Any upstream at the address answers
+// a misdirected request, so such an answer has to name the upstream.
+func (exchange *exchange) isAnswerOf(upstream cherrykeel.Upstream, reply cherrykeel.ReplyHeaders) bool {
+	switch {
+	case reply.ID != "" && reply.ID != exchange.headers.ID:
+		return false
+	case reply.Instance != "":
+		return reply.Instance == upstream.ID
+	default:
+		return !reply.Misdirected
+	}
+}
+
 // classify decides whether a whole answer may be passed on.
 func (result *result) classify(reply cherrykeel.ReplyHeaders) {
 	encoded := result.header.Get("Content-Encoding") != ""
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -41,6 +41,9 @@
 	OnMisdirected func()
 	// OnUpstreamReplaced is called with the id of an upstream at whose address another one answers.
 	OnUpstreamReplaced func(id string)
+	// OnUpstreamLeaving is called with each upstream that states in an answer that it is leaving, and with the ID of the
+	// answered request, before the answer is passed on.
+	OnUpstreamLeaving func(upstream cherrykeel.Upstream, request string)
 	// DenyList has the requests that were running when upstreams crashed; nil means an empty list.
 	DenyList *deny.List
 }
--- a/routes.go
+++ b/routes.go
@@ -78,6 +78,9 @@
 	// EvacuateAt is the time from which the upstream gets no requests because its availability zone is evacuated; 0 if
 	// the zone is not evacuated.
 	EvacuateAt Instant
+	// LeaveAt is the time from which the upstream gets no requests because it has stated in an answer that it is leaving;
+	// 0 if it has not.
+	LeaveAt Instant
 	// RemainingWarmup is the remaining cold time that the upstream last reported. A cold upstream is slower than usual,
 	// and too many requests make it crash.
 	RemainingWarmup time.Duration
@@ -89,6 +92,21 @@
 	ColdQuota    int
 }
 
+// IsClosing reports whether the upstream gets no requests from some time on, which may have passed.
+func (upstream *Upstream) IsClosing() bool {
+	return upstream.EvacuateAt != 0 || upstream.LeaveAt != 0
+}
+
+// IsEvacuated reports whether the upstream gets no requests at a time because its availability zone is evacuated.
+func (upstream *Upstream) IsEvacuated(now Instant) bool {
+	return upstream.EvacuateAt != 0 && now >= upstream.EvacuateAt
+}
+
+// HasLeft reports whether the upstream gets no requests at a time because it has stated that it is leaving.
+func (upstream *Upstream) HasLeft(now Instant) bool {
+	return upstream.LeaveAt != 0 && now >= upstream.LeaveAt
+}
+
 // IsColdLimited reports whether the upstream is cold at a time and its rate of requests is limited.
 func (upstream *Upstream) IsColdLimited(now Instant) bool {
 	return upstream.HasColdLimit && now < upstream.ColdUntil
--- a/watch/entries.go
+++ b/watch/entries.go
@@ -22,7 +22,7 @@
 	if upstream.RemainingWarmup > 0 {
 		upstream.ColdUntil = upstreams.clock.Now().Add(upstream.RemainingWarmup)
 	}
-	firstOffset := record.Offset
+	firstOffset, leavingSince := record.Offset, cherrykeel.Instant(0)
 	if known {
 		switch {
 		case upstream.StartedAt < old.upstream.StartedAt:
@@ -31,11 +31,11 @@
 		case upstream.StartedAt == old.upstream.StartedAt && old.ended:
 			return false
 		case upstream.StartedAt == old.upstream.StartedAt:
-			firstOffset, fromSnapshot = old.firstOffset, old.fromSnapshot
+			firstOffset, fromSnapshot, leavingSince = old.firstOffset, old.fromSnapshot, old.leavingSince
 		}
 	}
 	upstreams.listValid = false
-	upstreams.entries[record.Key] = &entry{upstream: upstream, offset: record.Offset, firstOffset: firstOffset, fromSnapshot: fromSnapshot}
+	upstreams.entries[record.Key] = &entry{upstream: upstream, offset: record.Offset, firstOffset: firstOffset, fromSnapshot: fromSnapshot, leavingSince: leavingSince}
 	if known && !old.gone && isUnchangedForHosts(old.upstream, upstream) {
 		return false
 	}
--- a/watch/upstreams.go
+++ b/watch/upstreams.go
@@ -63,6 +63,8 @@
 	gone    bool
 	// ended means that the process is known to have ended.
 	ended bool
+	// leavingSince is when this host first received an answer in which this incarnation stated that it is leaving, or 0.
+	leavingSince cherrykeel.Instant
 }
 
 // NewUpstreams returns a view that removes an upstream with a missing entry once the store has been available for so
@@ -196,12 +198,49 @@
 	upstreams.unlockAndNotify(changed)
 }
 
-// IsLeaving reports whether an incarnation of an upstream has announced that it is leaving, also after its end.
+// RecordLeaving records that an incarnation of an upstream has stated in its answer to a request that it is leaving. The
+// statement holds until the incarnation ends, whatever the store lists: entries lapse while the store is unavailable, and
+// a late record may still call the upstream ready.
+func (upstreams *Upstreams) RecordLeaving(upstream cherrykeel.Upstream, request string) {
+	upstreams.mutex.Lock()
+	known, exists := upstreams.entries[upstream.ID]
+	changed := exists && known.upstream.StartedAt == upstream.StartedAt && known.leavingSince == 0
+	if changed {
+		known.leavingSince = upstreams.clock.Now()
+		upstreams.logLeaving(known, request)
+	}
+	upstreams.unlockAndNotify(changed)
+}
+
+// logLeaving logs that an upstream has stated that it is leaving, unless its entry in the store has said so before.
+func (upstreams *Upstreams) logLeaving(entry *entry, request string) {
+	if entry.upstream.Leaving {
+		return
+	}
+	events.Log(upstreams.logger, events.UpstreamSaidLeaving,
+		zap.String("Upstream", entry.upstream.ID), zap.String("Service", entry.upstream.Service), zap.Int64("Born", entry.upstream.StartedAt),
+		zap.String("Request", request), zap.Int64("Offset", entry.offset))
+}
+
+// LeavingSince returns since when this host has known, from an answer, that an incarnation of an upstream is leaving; 0
+// if it has not stated that.
+func (upstreams *Upstreams) LeavingSince(id string, startedAt int64) cherrykeel.Instant {
+	upstreams.mutex.Lock()
+	defer upstreams.mutex.Unlock()
+	known, exists := upstreams.entries[id]
+	if !exists || known.upstream.StartedAt != startedAt {
+		return 0
+	}
+	return known.leavingSince
+}
+
+// IsLeaving reports whether an incarnation of an upstream has announced that it is leaving, in its entry or in an
+// answer, also after its end.
 func (upstreams *Upstreams) IsLeaving(id string, startedAt int64) bool {
 	upstreams.mutex.Lock()
 	defer upstreams.mutex.Unlock()
 	known, exists := upstreams.entries[id]
-	return exists && known.upstream.StartedAt == startedAt && known.upstream.Leaving
+	return exists && known.upstream.StartedAt == startedAt && (known.upstream.Leaving || known.leavingSince != 0)
 }
 
 // InvalidCount returns how many records described no upstream.
