The keeper moves the keys of an owner that says in an answer that it leaves

Callers whose keys belonged to an owner that had said in an answer that it leaves were refused, "too-late" after half of their time, for longer than 30 s after the store's return: hosts send such an owner nothing once 0.9 of the drain bound has passed, and the keeper, on a host that knew as well, left the keys where they were, since the owner's entry said "ready".

The keeper's plan leaves out such an upstream, as one in an evacuated zone: its spans are marked, released and given on when the table can be written, and it gets no new ones. What it holds is renewed until it has released it, so ownership is never shorter by this: a mark changes no owner in the table, and so no grant waits for the outcome of the write. One that has departed does not count as returned because its entry says "ready"; that took a new term, with a pause of all grants, each time.

Ways for other hosts' answers to reach the keeper: - the answers to grants and releases: the keeper has the same from the health checks that it makes each second while the store is away, and can't move a key then; - a field in the hosts' messages: gains something only between the return of the store and the upstream's entry, up to two seconds, in which keys wait; costs a list in each report that old builds must ignore; - nothing (taken): while the store is there, its own word comes within half a second, and while it is away nobody can move a key.

--- a/grants/change.go
+++ b/grants/change.go
@@ -138,7 +138,7 @@
 		mean = total / time.Duration(len(known))
 	}
 	for _, upstream := range upstreams {
-		if upstream.Service != service || upstream.Leaving || upstream.EvacuateAt != 0 || keeper.isUnavailable(upstream.ID, now) {
+		if upstream.Service != service || upstream.Leaving || upstream.IsClosing() || keeper.isUnavailable(upstream.ID, now) {
 			continue
 		}
 		candidates = append(candidates, spans.Candidate{ID: upstream.ID, Address: upstream.Address, StartedAt: upstream.StartedAt, Capacity: keeper.capacity(upstream, mean, now), Cold: upstream.IsColdLimited(now)})
--- a/grants/final.go
+++ b/grants/final.go
@@ -57,7 +57,7 @@
 func (keeper *Keeper) reclaimForReturned(ctx context.Context, table spans.Table, next int64, now cherrykeel.Instant) bool {
 	for _, upstream := range keeper.environment.Upstreams() {
 		contact, known := keeper.contacts[upstream.ID]
-		if !known || !contact.departed || upstream.Leaving || keeper.environment.StoreAvailableFor() == 0 {
+		if !known || !contact.departed || upstream.Leaving || upstream.LeaveAt != 0 || keeper.environment.StoreAvailableFor() == 0 {
 			continue
 		}
 		running := keeper.environment.StoreAvailableFor() >= returnDelay && now.Sub(contact.departedAt) >= returnDelay
