--- a/events/events.go
+++ b/events/events.go
@@ -107,6 +107,7 @@
 	ZoneRestored        = define(622, zap.InfoLevel, "availability zone is no longer evacuated")
 	EntryListenerClosed = define(623, zap.InfoLevel, "entry host accepts no more connections")
 	RequestCut          = define(624, zap.WarnLevel, "request was cut by the end of its host")
+	UpstreamSaidLeaving = define(625, zap.InfoLevel, "upstream stated in an answer that it is leaving")
 	LinesDropped        = define(618, zap.WarnLevel, "log lines were dropped, since they could not be written fast enough")
 )
 
