Specs: an upstream that asked for a rest gets none, all known red

Callers of a key and of a service without keys press an upstream that answered 503 with Retry-After: nothing reads that header.

--- a/dialect.go
+++ b/dialect.go
@@ -28,6 +28,11 @@
 	Instance string
 	// Load is the upstream's report of its load; its field Known is false if there is none.
 	Load UpstreamLoad
+	// RetryAfter is for how long the upstream, which did not take the request, wants no further one from this host; 0 if
+	// it did not ask for that.
+	RetryAfter time.Duration
+	// MalformedRetryAfter is the beginning of such a time that cannot be decoded; empty otherwise.
+	MalformedRetryAfter string
 }
 
 // UpstreamLoad is an upstream's report of its load.
--- a/flow/ticket.go
+++ b/flow/ticket.go
@@ -40,6 +40,8 @@
 	Evacuated Reason = "evacuated"
 	// NoOwner means that the key got no owner in time.
 	NoOwner Reason = "no-owner"
+	// Resting means that every upstream that may serve the request has asked this host for a rest that ends too late.
+	Resting Reason = "resting"
 )
 
 // Decision is the result of scheduling a ticket: a slot at an upstream, or the reason for a refusal.
@@ -67,6 +69,8 @@
 	// ProcessingTime is the expected processing time, TimeToAnswer the expected time until the answer.
 	ProcessingTime time.Duration
 	TimeToAnswer   time.Duration
+	// RestLeft is how long the upstreams that may serve the request are all still at rest; 0 if one is not.
+	RestLeft time.Duration
 }
 
 // Slot is the use of an upstream's capacity by one request, counted until it is released.
