The time for which an upstream wants no request is read from its answer

An answer of 503 may carry Retry-After: the upstream wants nothing from this host for so many seconds. Nothing read it. It is read now, for status 503 alone; zero, negative and unreadable ones count as none, and are logged once a minute (event 520), as malformed load reports are. Nothing heeds it yet.

--- a/events/events.go
+++ b/events/events.go
@@ -78,6 +78,7 @@
 	RequestCleared      = define(510, zap.InfoLevel, "request is no longer denied, since an upstream has served it")
 	RequestPanicked     = define(511, zap.ErrorLevel, "this program panicked while it handled a request")
 	LoadUnreadable      = define(512, zap.WarnLevel, "load reported by an upstream is malformed")
+	RetryAfterMalformed = define(520, zap.WarnLevel, "time for which an upstream wants no request is malformed")
 	RequestAfterClose   = define(513, zap.InfoLevel, "request arrived after its connection had begun to close, and was not handled")
 )
 
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -149,6 +149,18 @@
 	})
 }
 
+// logMalformedRetryAfter logs the time for which an upstream wants no request, if it cannot be parsed: the upstream goes
+// on getting requests.
+func (exchange *exchange) logMalformedRetryAfter(upstream cherrykeel.Upstream, malformed string) {
+	if malformed == "" {
+		return
+	}
+	exchange.relay.retryAfterLogLimit.Do(func() {
+		events.Log(exchange.relay.Logger, events.RetryAfterMalformed, append(exchange.logFields(),
+			zap.String("Upstream", upstream.ID), zap.String("Told", malformed))...)
+	})
+}
+
 // logPanic logs a panic with the request's id and panics again; the server of the connection recovers it.
 func (exchange *exchange) logPanic() {
 	failure := recover()
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -135,6 +135,7 @@
 	defer answer.Close()
 	reply := exchange.relay.dialect.ReadReply(answer.Status, answer.Header)
 	exchange.logMalformedLoad(slot.Upstream, reply.Load)
+	exchange.logMalformedRetryAfter(slot.Upstream, reply.MalformedRetryAfter)
 	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes+1))
 	result := result{status: answer.Status, header: answer.Header, body: body, load: reply.Load, misdirected: reply.Misdirected}
 	result.unanswered = err != nil && ctx.Err() == nil
--- a/relay/load_test.go
+++ b/relay/load_test.go
@@ -30,3 +30,19 @@
 		Expect(lines.All()[0].ContextMap()).To(HaveKeyWithValue("Told", "1,2,3,4,5"))
 	})
 })
+
+// Guards against malformed times to rest that are dropped without a log line, and against a line for each of them.
+var _ = Describe("a malformed time for which an upstream wants no request", func() {
+	It("is logged once, with its text", func() {
+		core, lines := observer.New(zapcore.DebugLevel)
+		relay := New(Settings{Clock: cherrykeel.SystemClock(), Dialect: emptyDialect{}, Logger: zap.New(core), Scope: tally.NoopScope})
+		exchange := &exchange{relay: relay, request: httptest.NewRequest(http.MethodGet, "http://h/", nil)}
+		exchange.logMalformedRetryAfter(cherrykeel.Upstream{ID: "u"}, "")
+		Expect(lines.Len()).To(BeZero())
+		for range 3 {
+			exchange.logMalformedRetryAfter(cherrykeel.Upstream{ID: "u"}, "-3")
+		}
+		Expect(lines.Len()).To(Equal(1))
+		Expect(lines.All()[0].ContextMap()).To(HaveKeyWithValue("Told", "-3"))
+	})
+})
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -17,9 +17,9 @@
 	"cherrykeel/poison"
 )
 
-// loadLogInterval is the interval of log lines on malformed load reports; all upstreams of one version send the same
-// ones.
-const loadLogInterval = time.Minute
+// malformedLogInterval is the interval of log lines on each kind of malformed header; all upstreams of one version send
+// the same ones.
+const malformedLogInterval = time.Minute
 
 // Settings has what a Relay needs from its host.
 type Settings struct {
@@ -61,8 +61,9 @@
 	processEnd atomic.Int64
 	// queued has a value once a request has begun to wait.
 	queued chan struct{}
-	// loadLogLimit bounds the log lines on malformed load reports.
-	loadLogLimit *rate.Sometimes
+	// loadLogLimit and retryAfterLogLimit bound the log lines on malformed headers.
+	loadLogLimit       *rate.Sometimes
+	retryAfterLogLimit *rate.Sometimes
 }
 
 // SetProcessEnd sets when the host's process will have exited: from now on requests are refused that may outlast it and
@@ -85,7 +86,8 @@
 		dispatchers: map[string]*dispatcher{},
 		queued:      make(chan struct{}, 1),
 
-		loadLogLimit: &rate.Sometimes{First: 1, Interval: loadLogInterval},
+		loadLogLimit:       &rate.Sometimes{First: 1, Interval: malformedLogInterval},
+		retryAfterLogLimit: &rate.Sometimes{First: 1, Interval: malformedLogInterval},
 	}
 }
 
