An upstream that asked for a rest is scheduled nothing until the rest ends

Callers' requests reached an upstream all through the time for which it had asked this host to leave it alone: the scheduler knew of no such time. A rest is now a part of an upstream's availability, so that no request, no probe and no first request of a newcomer is given a slot there.

A rest is kept by id and start of the upstream, beside the members, since a member goes when the upstream's entry lapses; ended ones are dropped as the upstreams change. It only grows: answers to requests that were sent before it do not end it.

While all upstreams that may serve a request are at rest (a key has one, its owner), it waits only if its answer can come in time after the first rest, with the queue that is there; otherwise it is refused at once (reason resting, with the rest that is left). What limits a queue otherwise does not count the rest, since it says nothing about the queue's length; with it, every owner at rest would have had a standing queue and refused all after half a second. A request that was turned away may return to the same upstream after the rest. A key that is about to get another owner, by transfer or evacuation, does not wait for the old one's rest.

--- a/flow/discipline.go
+++ b/flow/discipline.go
@@ -34,12 +34,15 @@
 	// countAhead counts the requests that wait before a ticket: those of this host that go before it, and all of the
 	// other hosts.
 	countAhead(ticket *Ticket) int
-	// estimateTimeToAnswer returns the expected time until the answer of a ticket that has to wait.
+	// estimateTimeToAnswer returns the expected time until the answer of a ticket that has to wait, from the end of the
+	// rests on if all upstreams that may get it are at rest: a rest says nothing about the length of a queue.
 	estimateTimeToAnswer(ticket *Ticket, now cherrykeel.Instant) time.Duration
 	// willMissDeadline reports whether even a slot right now would not bring an answer in time.
 	willMissDeadline(ticket *Ticket, now cherrykeel.Instant) bool
 	// chooseProbe returns the upstream that may get a ticket although no answer is expected in time, or nil.
 	chooseProbe(ticket *Ticket, now cherrykeel.Instant) *member
+	// restEnd returns when the first rest ends if all upstreams that may get a ticket are at rest, and 0 if one is not.
+	restEnd(ticket *Ticket, now cherrykeel.Instant) cherrykeel.Instant
 	// queueFor returns the state of the queue that a ticket waits in.
 	queueFor(ticket *Ticket) *standingQueue
 }
--- a/flow/member.go
+++ b/flow/member.go
@@ -73,6 +73,8 @@
 	// connectFailures counts consecutive attempts that could not connect to the upstream.
 	connectFailures int
 	pausedUntil     cherrykeel.Instant
+	// restUntil is until when the upstream wants no request from this host.
+	restUntil cherrykeel.Instant
 }
 
 // load returns the number of requests at the upstream, from all hosts.
@@ -98,7 +100,7 @@
 
 // isAvailable reports whether the upstream may get requests. Its capacity is not considered.
 func (member *member) isAvailable(now cherrykeel.Instant) bool {
-	return now >= member.pausedUntil && !member.isClosed(now)
+	return now >= member.pausedUntil && !member.isResting(now) && !member.isClosed(now)
 }
 
 // setRemoteCounts records the other hosts' counts. A fresh load report of the upstream itself is newer than their count
--- a/flow/rest.go
+++ b/flow/rest.go
@@ -6,5 +6,110 @@
 	"cherrykeel"
 )
 
-// RecordRest records that the upstream of a slot wants no request from this host for some time.
-func (service *Service) RecordRest(*Slot, time.Duration, cherrykeel.Instant) {}
+// incarnation is one life of an upstream.
+type incarnation struct {
+	id        string
+	startedAt int64
+}
+
+func incarnationOf(upstream cherrykeel.Upstream) incarnation {
+	return incarnation{id: upstream.ID, startedAt: upstream.StartedAt}
+}
+
+// rests holds until when upstreams want no request from this host. An upstream's entry may lapse for a moment, and the
+// member that then replaces its member would know nothing of its rest.
+type rests map[incarnation]cherrykeel.Instant
+
+// dropEnded removes the rests that have ended.
+func (rests rests) dropEnded(now cherrykeel.Instant) {
+	for incarnation, until := range rests {
+		if until <= now {
+			delete(rests, incarnation)
+		}
+	}
+}
+
+// RecordRest records that the upstream of a slot wants no request from this host for a time from now on, and reports
+// whether a rest begins with that. A rest is only ever made longer, since the upstream's word on it holds to its end. The
+// caller releases the slot after that.
+func (service *Service) RecordRest(slot *Slot, duration time.Duration, now cherrykeel.Instant) bool {
+	incarnation := incarnationOf(slot.Upstream)
+	before := service.rests[incarnation]
+	until := max(before, now.Add(duration))
+	service.rests[incarnation] = until
+	current, known := service.members[slot.Upstream.ID]
+	if known && incarnationOf(current.upstream) == incarnation {
+		current.restUntil = until
+	}
+	return before <= now
+}
+
+// Resting returns how many of the service's upstreams want no request from this host now.
+func (service *Service) Resting(now cherrykeel.Instant) int {
+	count := 0
+	for _, member := range service.members {
+		if member.isResting(now) {
+			count++
+		}
+	}
+	return count
+}
+
+// isResting reports whether the upstream has asked this host for a rest that has not ended.
+func (member *member) isResting(now cherrykeel.Instant) bool {
+	return now < member.restUntil
+}
+
+// RestsTooLong reports whether all upstreams that may get a ticket are at rest, and a slot after the first of these
+// rests would not bring an answer in time.
+func (service *Service) RestsTooLong(ticket *Ticket, now cherrykeel.Instant) bool {
+	restEnd := service.discipline.restEnd(ticket, now)
+	return restEnd > now && service.discipline.willMissDeadline(ticket, restEnd)
+}
+
+// restsTooLongFor reports whether all upstreams that may get a ticket are at rest, and an answer that is expected some
+// time after the first of these rests would come too late.
+func (service *Service) restsTooLongFor(ticket *Ticket, expected time.Duration, now cherrykeel.Instant) bool {
+	restEnd := service.discipline.restEnd(ticket, now)
+	return restEnd > now && ticket.expiresWithin(expected, restEnd)
+}
+
+// restLeft returns for how long all upstreams that may get a ticket are at rest; 0 if one is not.
+func (service *Service) restLeft(ticket *Ticket, now cherrykeel.Instant) time.Duration {
+	return max(0, service.discipline.restEnd(ticket, now).Sub(now))
+}
+
+// restEnd returns the end of the rest of the key's owner. A key that is about to get another owner does not wait for it.
+func (owned *owned) restEnd(ticket *Ticket, now cherrykeel.Instant) cherrykeel.Instant {
+	if ticket.Key == cherrykeel.NoKey {
+		return owned.keyless.restEnd(ticket, now)
+	}
+	member, open := owned.findOpenOwner(ticket, now)
+	if !open || owned.owner(ticket).InTransfer || !member.isResting(now) || member.isClosed(member.restUntil) {
+		return 0
+	}
+	return member.restUntil
+}
+
+// restEnd returns the end of the first rest.
+func (shared *shared) restEnd(ticket *Ticket, now cherrykeel.Instant) cherrykeel.Instant {
+	first := cherrykeel.Instant(0)
+	for _, member := range shared.members {
+		if member.isClosed(max(now, member.restUntil)) || ticket.excludes(member) {
+			continue
+		}
+		if !member.isResting(now) {
+			return 0
+		}
+		if first == 0 || member.restUntil < first {
+			first = member.restUntil
+		}
+	}
+	return first
+}
+
+// excludes reports whether a request without a key must not be sent to the upstream since it was sent there before. An
+// upstream that has asked for a rest meanwhile may get it again after that: it is then the upstream's own time.
+func (ticket *Ticket) excludes(member *member) bool {
+	return member.restUntil <= ticket.Arrived && ticket.wasTried(member.upstream.ID)
+}
--- a/flow/rest_test.go
+++ b/flow/rest_test.go
@@ -229,4 +229,71 @@
 		Entry("is not at rest with another start", func(upstream *cherrykeel.Upstream) { upstream.StartedAt = 200 }, false),
 		Entry("is not at rest with another id", func(upstream *cherrykeel.Upstream) { upstream.ID = "c" }, false),
 	)
+
+	// Guards against a new life of an upstream that gets nothing since the one before it asked for a rest with its last answer.
+	It("in an earlier life is not at rest in the next one", func() {
+		asking := upstream("a", 3)
+		asking.StartedAt = 100
+		service := flow.New("z", nil, fixedRandom)
+		service.SetUpstreams([]cherrykeel.Upstream{asking}, 0)
+		late := sendTo(service, 0, unchanged)
+		asking.StartedAt = 200
+		service.SetUpstreams([]cherrykeel.Upstream{asking}, instantAt(dispatchInterval))
+		turnAway(service, late, rest, dispatchInterval)
+		Expect(sendTo(service, dispatchInterval, unchanged).Upstream.ID).To(Equal("a"))
+	})
+
+	// Guards against requests for a key that are refused for the sake of an owner that is about to lose it.
+	DescribeTable("as an owner that loses its keys leaves requests to the next owner", func(inTransfer bool, closedAt time.Duration) {
+		owner := flow.Owner{ID: "a"}
+		service := flow.New("z", func(int) flow.Owner { return owner }, fixedRandom)
+		service.SetUpstreams([]cherrykeel.Upstream{upstream("a", 3), upstream("b", 3)}, 0)
+		acquired := sendTo(service, 0, keyed)
+		owner.InTransfer = inTransfer
+		service.SetUpstreams([]cherrykeel.Upstream{closedUpstream("a", closedAt), upstream("b", 3)}, 0)
+		turnAway(service, acquired, rest, 0)
+		_, decisions := submit(service, dispatchInterval, keyed)
+		Expect(*decisions).To(BeEmpty())
+		owner = flow.Owner{ID: "b"}
+		service.Dispatch(instantAt(10 * dispatchInterval))
+		Expect((*decisions)[0].Slot.Upstream.ID).To(Equal("b"))
+	},
+		Entry("in a transfer", true, time.Duration(0)),
+		Entry("in an availability zone that is evacuated before the rest ends", false, rest/2),
+	)
+
+	// Guards against requests that wait for upstreams in an evacuated zone while all others rest.
+	It("leaves no request waiting for evacuated ones", func() {
+		service := flow.New("z", nil, fixedRandom)
+		service.SetUpstreams([]cherrykeel.Upstream{upstream("a", 3), closedUpstream("b", 1)}, 0)
+		turnAway(service, sendTo(service, 1, unchanged), rest, 1)
+		_, decisions := submit(service, dispatchInterval, unchanged)
+		Expect((*decisions)[0].Reason).To(Equal(flow.Resting))
+	})
+
+	// Guards against a queue that grows through the rest beyond what can be answered in time after it.
+	DescribeTable("has no more requests waiting than it can answer in time after it", func(service *flow.Service, change func(*flow.Ticket)) {
+		const (
+			afterRest = time.Second
+			// defaultTime is the processing time of upstreams that have not answered yet, shareOfTime the share of an
+			// expected time that requests must have left.
+			defaultTime = 80 * time.Millisecond
+			shareOfTime = 0.7
+		)
+		turnAway(service, sendTo(service, 0, change), rest, 0)
+		waiting := 0
+		for range 200 {
+			_, decisions := submit(service, 0, patient(change, rest+afterRest))
+			if len(*decisions) == 0 {
+				waiting++
+				continue
+			}
+			Expect((*decisions)[0].Reason).To(Equal(flow.Resting))
+		}
+		Expect(waiting).To(BeNumerically(">", 0))
+		Expect(float64(waiting)).To(BeNumerically("<=", 3*afterRest.Seconds()/defaultTime.Seconds()/shareOfTime))
+	},
+		Entry("without keys", sharedService("a"), unchanged),
+		Entry("as an owner", ownedService(), keyed),
+	)
 })
--- a/flow/service.go
+++ b/flow/service.go
@@ -27,12 +27,14 @@
 	uncertainty uncertainty
 	// probes limits requests that are sent although the estimate rules out an answer in time.
 	probes probes
+	// rests holds until when upstreams want no request from this host.
+	rests rests
 }
 
 // New returns a scheduler for a service on a host in the given availability zone. findOwner returns the owner of a key;
 // it is nil unless the service's keys are divided among its upstreams.
 func New(zone string, findOwner func(key int) Owner, random func() float64) *Service {
-	service := &Service{members: map[string]*member{}, random: random}
+	service := &Service{members: map[string]*member{}, rests: rests{}, random: random}
 	keyless := &shared{service: service, zone: zone}
 	service.discipline = keyless
 	if findOwner != nil {
@@ -43,13 +45,14 @@
 
 // SetUpstreams replaces the upstreams that may get requests. Upstreams that are shutting down must not be among them.
 func (service *Service) SetUpstreams(upstreams []cherrykeel.Upstream, now cherrykeel.Instant) {
+	service.rests.dropEnded(now)
 	members := map[string]*member{}
 	for _, upstream := range upstreams {
 		current, known := service.members[upstream.ID]
 		if !known || current.upstream.StartedAt != upstream.StartedAt {
 			// A new incarnation runs none of the previous one's requests, and nothing learned about that one applies to
 			// it.
-			current = &member{decayedAt: now}
+			current = &member{decayedAt: now, restUntil: service.rests[incarnationOf(upstream)]}
 			if service.hasAnswers() {
 				current.firstSendAt = now.Add(time.Duration(service.random() * float64(firstSendSpread)))
 			}
@@ -158,7 +161,7 @@
 }
 
 // refusalReason reports whether a ticket that gets no slot now is refused instead of queued, and why. Its answer is
-// expected at answerAt, and its queue has been standing for standingFor.
+// expected at answerAt, or later by the rest that is left, and its queue has been standing for standingFor.
 func (service *Service) refusalReason(ticket *Ticket, answerAt cherrykeel.Instant, standingFor time.Duration, now cherrykeel.Instant) (Reason, bool) {
 	switch {
 	case len(service.members) == 0:
@@ -167,6 +170,8 @@
 		return Evacuated, true
 	case service.discipline.willMissDeadline(ticket, now):
 		return TooLate, true
+	case service.restsTooLongFor(ticket, answerAt.Sub(now), now):
+		return Resting, true
 	case answerAt > ticket.latestAnswer(standingFor):
 		return Crowded, true
 	default:
@@ -249,6 +254,9 @@
 	if service.discipline.willMissDeadline(ticket, now) {
 		return service.newRefusal(ticket, TooLate, now), true
 	}
+	if service.RestsTooLong(ticket, now) {
+		return service.newRefusal(ticket, Resting, now), true
+	}
 	return Decision{}, false
 }
 
@@ -265,6 +273,7 @@
 	inputs := service.inputs(ticket, service.members[owner.ID], now)
 	inputs.Ahead = service.discipline.countAhead(ticket)
 	inputs.TimeToAnswer = service.discipline.estimateTimeToAnswer(ticket, now)
+	inputs.RestLeft = service.restLeft(ticket, now)
 	return Decision{Reason: reason, Inputs: inputs}
 }
 
--- a/flow/shared.go
+++ b/flow/shared.go
@@ -116,7 +116,7 @@
 	uncertainty := &shared.service.uncertainty
 	for _, member := range shared.members {
 		switch {
-		case !member.canAccept(uncertainty, now) || ticket.wasTried(member.upstream.ID):
+		case !member.canAccept(uncertainty, now) || ticket.excludes(member):
 		case member.upstream.Zone == shared.zone:
 			near = append(near, member)
 		default:
@@ -223,8 +223,9 @@
 		return serviceMean
 	}
 	rate := 0.0
+	start := max(now, shared.restEnd(ticket, now))
 	for _, member := range shared.members {
-		if member.isAvailable(now) && !member.upstream.IsColdLimited(now) {
+		if member.isAvailable(start) && !member.upstream.IsColdLimited(now) {
 			rate += float64(member.upstream.Slots) / float64(member.expectedProcessingTime(serviceMean, now))
 		}
 	}
