A host heeds the rest that an upstream asks for, until its end

Callers saw a service's requests refused for seconds while one upstream served, since hosts went on sending to the one that had asked to be left alone. The time that the answer names is now given to the scheduler as soon as the answer's headers are there, only if the answer names no other request and no other upstream. A request that has a slot and still waits for its connection (a second at the most) is withheld once a rest has begun, just before its first byte; it may go elsewhere at once, and the upstream does not count as unreachable for that.

Other hosts are not told: the upstream says for how long it wants nothing from this host, not whether it has room for others, and a stray answer would take it from all.

--- a/entry/maintain.go
+++ b/entry/maintain.go
@@ -106,6 +106,7 @@
 	host.scope.Gauge("evacuated_zones").Update(float64(len(evacuated)))
 	host.scope.Gauge("evacuated_upstreams").Update(float64(len(evacuating)))
 	host.scope.Gauge("evacuated_running").Update(float64(stillRunning))
+	host.scope.Gauge("resting_upstreams").Update(float64(host.relay.RestingUpstreams()))
 	host.scope.Gauge("cold_upstreams").Update(float64(host.countColdUpstreams()))
 }
 
--- a/events/events.go
+++ b/events/events.go
@@ -79,6 +79,7 @@
 	RequestPanicked     = define(511, zap.ErrorLevel, "this program panicked while it handled a request")
 	LoadUnreadable      = define(512, zap.WarnLevel, "load reported by an upstream is malformed")
 	RetryAfterMalformed = define(520, zap.WarnLevel, "time for which an upstream wants no request is malformed")
+	RestBegan           = define(521, zap.InfoLevel, "upstream wants no request from this host for a time")
 	RequestAfterClose   = define(513, zap.InfoLevel, "request arrived after its connection had begun to close, and was not handled")
 )
 
--- a/flow/rest.go
+++ b/flow/rest.go
@@ -44,6 +44,11 @@
 	return before <= now
 }
 
+// IsResting reports whether the upstream of a slot wants no request from this host now.
+func (service *Service) IsResting(slot *Slot, now cherrykeel.Instant) bool {
+	return now < service.rests[incarnationOf(slot.Upstream)]
+}
+
 // Resting returns how many of the service's upstreams want no request from this host now.
 func (service *Service) Resting(now cherrykeel.Instant) int {
 	count := 0
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -49,6 +49,8 @@
 	// came.
 	reset     bool
 	abandoned bool
+	// withheld means that the request was not sent since the upstream's rest had begun meanwhile.
+	withheld bool
 }
 
 const (
@@ -125,6 +127,7 @@
 	if !exchange.route.Repeatable {
 		options = conns.SendOptions{MaxIdle: maxIdleUnrepeatable, ResetWait: newConnResetWait}
 	}
+	options.Ready = func() bool { return exchange.isReady(slot) }
 	answer, progress, err := exchange.relay.pool.SendWithOptions(ctx, slot.Upstream.Address, exchange.upstreamRequest(slot.Upstream, remaining), options)
 	if err != nil {
 		result := failedSend(progress, err)
@@ -136,6 +139,7 @@
 	reply := exchange.relay.dialect.ReadReply(answer.Status, answer.Header)
 	exchange.logMalformedLoad(slot.Upstream, reply.Load)
 	exchange.logMalformedRetryAfter(slot.Upstream, reply.MalformedRetryAfter)
+	exchange.recordRest(slot, reply)
 	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes+1))
 	result := result{status: answer.Status, header: answer.Header, body: body, load: reply.Load, misdirected: reply.Misdirected}
 	result.unanswered = err != nil && ctx.Err() == nil
@@ -199,7 +203,10 @@
 // failedSend returns the result of an attempt that got no answer.
 func failedSend(progress conns.Progress, err error) result {
 	if progress == conns.NotSent {
-		return result{outcome: notSent, detail: err.Error(), connectionRefused: errors.Is(err, conns.ErrRefused)}
+		return result{
+			outcome: notSent, detail: err.Error(),
+			connectionRefused: errors.Is(err, conns.ErrRefused), withheld: errors.Is(err, conns.ErrNotReady),
+		}
 	}
 	return result{outcome: outcomeUnknown, detail: err.Error(), reset: errors.Is(err, conns.ErrReset)}
 }
@@ -209,7 +216,7 @@
 	switch {
 	case result.outcome == answered:
 		return flow.Answered
-	case callerGone:
+	case callerGone || result.withheld:
 		return flow.Abandoned
 	case result.outcome == notSent:
 		return flow.Unreachable
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"time"
 
 	"cherrykeel"
 	"cherrykeel/flow"
@@ -83,6 +84,28 @@
 	dispatcher.service.Release(slot, result, load, now)
 }
 
+// recordRest records that the upstream of a slot wants no request from this host for a time, and reports whether its
+// rest begins with that.
+func (dispatcher *dispatcher) recordRest(slot *flow.Slot, duration time.Duration, now cherrykeel.Instant) bool {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	return dispatcher.service.RecordRest(slot, duration, now)
+}
+
+// isResting reports whether the upstream of a slot is at rest.
+func (dispatcher *dispatcher) isResting(slot *flow.Slot, now cherrykeel.Instant) bool {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	return dispatcher.service.IsResting(slot, now)
+}
+
+// restingUpstreams returns how many of the service's upstreams are at rest.
+func (dispatcher *dispatcher) restingUpstreams(now cherrykeel.Instant) int {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	return dispatcher.service.Resting(now)
+}
+
 // recordRequest counts a caller's request in the retry budget.
 func (dispatcher *dispatcher) recordRequest(now cherrykeel.Instant) {
 	dispatcher.mutex.Lock()
--- a/relay/meter.go
+++ b/relay/meter.go
@@ -43,6 +43,11 @@
 	meter.record(meter.taggedScope(service, code), duration)
 }
 
+// recordRest counts a rest that an upstream of a service has asked for.
+func (meter *meter) recordRest(service string) {
+	meter.scope.Tagged(map[string]string{"service": service}).Counter("rests").Inc(1)
+}
+
 func (meter *meter) record(scope tally.Scope, duration time.Duration) {
 	scope.Counter("requests").Inc(1)
 	scope.Histogram("latency", latencyBuckets).RecordDuration(duration)
--- /dev/null
+++ b/relay/rest.go
@@ -0,0 +1,41 @@
+package relay
+
+import (
+	"go.uber.org/zap"
+
+	"cherrykeel"
+	"cherrykeel/events"
+	"cherrykeel/flow"
+)
+
+// recordRest records and logs that an upstream wants no request from this host for a time. An answer that names another
+// request or another upstream says nothing of the one that was asked. It is heeded as soon as its headers are there: its
+// body may come late or never.
+func (exchange *exchange) recordRest(slot *flow.Slot, reply cherrykeel.ReplyHeaders) {
+	isOther := reply.ID != "" && reply.ID != exchange.headers.ID || reply.Instance != "" && reply.Instance != slot.Upstream.ID
+	if reply.RetryAfter <= 0 || isOther {
+		return
+	}
+	if !exchange.dispatcher.recordRest(slot, reply.RetryAfter, exchange.relay.clock.Now()) {
+		return
+	}
+	exchange.relay.meter.recordRest(exchange.dispatcher.name)
+	events.Log(exchange.relay.Logger, events.RestBegan, append(exchange.logFields(),
+		zap.String("Upstream", slot.Upstream.ID), zap.String("Address", slot.Upstream.Address), zap.Duration("Rest", reply.RetryAfter))...)
+}
+
+// isReady reports whether the upstream of a slot may still get its request, once the connection is established: a rest
+// may have begun while the connection was slow to come.
+func (exchange *exchange) isReady(slot *flow.Slot) bool {
+	return !exchange.dispatcher.isResting(slot, exchange.relay.clock.Now())
+}
+
+// RestingUpstreams returns how many upstreams want no request from this host now.
+func (relay *Relay) RestingUpstreams() int {
+	now := relay.clock.Now()
+	count := 0
+	for _, dispatcher := range relay.allDispatchers() {
+		count += dispatcher.restingUpstreams(now)
+	}
+	return count
+}
--- a/relay/rest_test.go
+++ b/relay/rest_test.go
@@ -2,12 +2,21 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 
 	"cherrykeel"
+	"cherrykeel/conns"
+	"cherrykeel/events"
 	"cherrykeel/flow"
 )
 
@@ -63,3 +72,57 @@
 		Expect(request.canRetry(context.Background(), result{outcome: notRun}, now)).To(BeTrue())
 	})
 })
+
+var _ = Describe("an answer that asks for a rest", func() {
+	const rest = 3 * time.Second
+	var (
+		server   *httptest.Server
+		requests atomic.Int64
+		lines    *observer.ObservedLogs
+		current  *exchange
+		slot     *flow.Slot
+	)
+
+	BeforeEach(func() {
+		requests.Store(0)
+		server = httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { requests.Add(1) }))
+		DeferCleanup(server.Close)
+		core, observed := observer.New(zapcore.DebugLevel)
+		lines = observed
+		relay := New(Settings{
+			Zone: "z", Clock: fixedClock{}, Dialect: emptyDialect{}, Logger: zap.New(core), Scope: tally.NoopScope, Pool: conns.NewPool(),
+			Bounds: func() cherrykeel.Bounds { return cherrykeel.Bounds{RetryWindow: 10 * time.Second} },
+		})
+		relay.SetRoutes(cherrykeel.RouteSet{Services: map[string]cherrykeel.RoutedService{"s": {Name: "s"}}})
+		relay.SetUpstreams([]cherrykeel.Upstream{{ID: "a", Service: "s", Address: server.Listener.Addr().String(), Zone: "z", Slots: 3}})
+		now := relay.clock.Now()
+		current = &exchange{
+			relay: relay, dispatcher: relay.dispatcher("s"), headers: cherrykeel.RequestHeaders{ID: "r"},
+			request: httptest.NewRequest(http.MethodGet, "http://h/", nil), route: &weightedRoute{}, deadline: now.Add(time.Minute),
+		}
+		slot = (<-current.dispatcher.submit(&flow.Ticket{Key: cherrykeel.NoKey, Arrived: now, Deadline: now.Add(time.Minute), Target: now.Add(time.Minute)}, now)).Slot
+	})
+
+	// Guards against an upstream that is left alone since another one, or an answer that came late, asked for that.
+	DescribeTable("is heeded only if it belongs to the request and to the upstream that was asked", func(reply cherrykeel.ReplyHeaders, resting int) {
+		current.recordRest(slot, reply)
+		current.recordRest(slot, reply)
+		Expect(current.relay.RestingUpstreams()).To(Equal(resting))
+		Expect(lines.FilterMessage(events.RestBegan.Text).Len()).To(Equal(resting), "a line for each rest")
+	},
+		Entry("with both names", cherrykeel.ReplyHeaders{ID: "r", Instance: "a", RetryAfter: rest}, 1),
+		Entry("with no name", cherrykeel.ReplyHeaders{RetryAfter: rest}, 1),
+		Entry("of another request", cherrykeel.ReplyHeaders{ID: "other", Instance: "a", RetryAfter: rest}, 0),
+		Entry("of another upstream", cherrykeel.ReplyHeaders{ID: "r", Instance: "b", RetryAfter: rest}, 0),
+		Entry("without a time", cherrykeel.ReplyHeaders{ID: "r", Instance: "a"}, 0),
+	)
+
+	// Guards against requests that had a slot before the rest, and reach the upstream long after it began since their connection was slow to come.
+	It("withholds requests that are still waiting for their connection", func() {
+		current.recordRest(slot, cherrykeel.ReplyHeaders{RetryAfter: rest})
+		result := current.attempt(context.Background(), slot)
+		Expect(result.outcome).To(Equal(notSent))
+		Expect(result.slotResult(false)).To(Equal(flow.Abandoned), "it can be reached")
+		Expect(requests.Load()).To(BeZero())
+	})
+})
