A request whose time ends as a rest does is refused at once

Waiting requests get their slots when the host looks at them, each 10 ms, and a busy host later. Such a request is now refused when it arrives; 20 ms after the rest count as not there. The new spec fails without that.

--- a/flow/rest.go
+++ b/flow/rest.go
@@ -6,6 +6,10 @@
 	"cherrykeel"
 )
 
+// maxDispatchDelay is the time after the end of a rest by which waiting requests get their slots: hosts dispatch every
+// 10 ms, and a busy one is late with that. A request without that time would wait through the rest for a refusal.
+const maxDispatchDelay = 20 * time.Millisecond
+
 // incarnation is one life of an upstream.
 type incarnation struct {
 	id        string
@@ -69,14 +73,14 @@
 // rests would not bring an answer in time.
 func (service *Service) RestsTooLong(ticket *Ticket, now cherrykeel.Instant) bool {
 	restEnd := service.discipline.restEnd(ticket, now)
-	return restEnd > now && service.discipline.willMissDeadline(ticket, restEnd)
+	return restEnd > now && service.discipline.willMissDeadline(ticket, restEnd.Add(maxDispatchDelay))
 }
 
 // restsTooLongFor reports whether all upstreams that may get a ticket are at rest, and an answer that is expected some
 // time after the first of these rests would come too late.
 func (service *Service) restsTooLongFor(ticket *Ticket, expected time.Duration, now cherrykeel.Instant) bool {
 	restEnd := service.discipline.restEnd(ticket, now)
-	return restEnd > now && ticket.expiresWithin(expected, restEnd)
+	return restEnd > now && ticket.expiresWithin(expected, restEnd.Add(maxDispatchDelay))
 }
 
 // restLeft returns for how long all upstreams that may get a ticket are at rest; 0 if one is not.
--- a/flow/rest_test.go
+++ b/flow/rest_test.go
@@ -100,6 +100,18 @@
 		Expect(service.HasWaiting()).To(BeFalse())
 	})
 
+	// Guards against a request that waits through the rest and is refused then, since hosts look at waiting requests every 10 ms.
+	It("as the owner of a key has a request refused at once whose time ends just after it", func() {
+		service := ownedService()
+		service.Release(sendTo(service, 0, keyed), flow.Answered, cherrykeel.UpstreamLoad{}, instantAt(time.Millisecond))
+		turnAway(service, sendTo(service, time.Millisecond, keyed), rest, 0)
+		_, decisions := submit(service, rest-500*time.Millisecond+dispatchInterval, keyed)
+		Expect(*decisions).To(HaveLen(1))
+		Expect((*decisions)[0].Reason).To(Equal(flow.Resting))
+		_, decisions = submit(service, rest-500*time.Millisecond+3*dispatchInterval, keyed)
+		Expect(*decisions).To(BeEmpty())
+	})
+
 	// Guards against a request that waits for a free slot when the rest begins and learns only at its deadline that it has none.
 	It("as the owner of a key has waiting requests refused when the rest begins", func() {
 		service := ownedService()
