No repeat is paid for that the upstreams' rest makes impossible

A refused request was sent again within 50 ms to the upstream that had just asked to be left alone, at the cost of a retry that others could have used. Before the budget is charged, the scheduler is now asked whether every upstream that may get the request is at rest for longer than it has time; then the request ends as not run. The same holds for a key's new owner, after a transfer or a 421. A repeat elsewhere, and one that can wait for the end of the rest, go on.

The exchange of retry_test.go needs a scheduler for it, and has a dispatcher as hosts make them in place of one without; its checks are the same.

--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -99,6 +99,13 @@
 	return dispatcher.service.IsResting(slot, now)
 }
 
+// isRestTooLong reports whether all upstreams that may get a ticket are at rest for longer than it has time.
+func (dispatcher *dispatcher) isRestTooLong(ticket *flow.Ticket, now cherrykeel.Instant) bool {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	return dispatcher.service.RestsTooLong(ticket, now)
+}
+
 // restingUpstreams returns how many of the service's upstreams are at rest.
 func (dispatcher *dispatcher) restingUpstreams(now cherrykeel.Instant) int {
 	dispatcher.mutex.Lock()
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -177,14 +177,7 @@
 		return flow.Decision{}, failure
 	}
 	now := exchange.relay.clock.Now()
-	ticket := &flow.Ticket{
-		Priority: exchange.route.Priority,
-		Key:      exchange.headers.Key,
-		Arrived:  exchange.arrived,
-		Target:   min(exchange.arrived.Add(exchange.route.TargetLatency), exchange.deadline),
-		Deadline: exchange.deadline,
-		Tried:    exchange.tried,
-	}
+	ticket := exchange.newTicket()
 	decisions := exchange.dispatcher.submit(ticket, now)
 	timer := time.NewTimer(max(0, exchange.deadline.Sub(now)))
 	defer timer.Stop()
@@ -210,6 +203,18 @@
 	}
 }
 
+// newTicket returns the request as it is scheduled.
+func (exchange *exchange) newTicket() *flow.Ticket {
+	return &flow.Ticket{
+		Priority: exchange.route.Priority,
+		Key:      exchange.headers.Key,
+		Arrived:  exchange.arrived,
+		Target:   min(exchange.arrived.Add(exchange.route.TargetLatency), exchange.deadline),
+		Deadline: exchange.deadline,
+		Tried:    exchange.tried,
+	}
+}
+
 // checkDecision handles the scheduler's decision. A denial of the request may have arrived together with it; then the
 // slot is released.
 func (exchange *exchange) checkDecision(decision flow.Decision) (flow.Decision, *cherrykeel.Failure) {
--- a/relay/rest.go
+++ b/relay/rest.go
@@ -30,6 +30,12 @@
 	return !exchange.dispatcher.isResting(slot, exchange.relay.clock.Now())
 }
 
+// isRestTooLong reports whether all upstreams that the request may be sent to are at rest for longer than it has time.
+// It is then not sent again, and charges no retry to the budget.
+func (exchange *exchange) isRestTooLong(now cherrykeel.Instant) bool {
+	return exchange.dispatcher.isRestTooLong(exchange.newTicket(), now)
+}
+
 // RestingUpstreams returns how many upstreams want no request from this host now.
 func (relay *Relay) RestingUpstreams() int {
 	now := relay.clock.Now()
--- a/relay/rest_test.go
+++ b/relay/rest_test.go
@@ -27,8 +27,9 @@
 	bounds := func() cherrykeel.Bounds {
 		return cherrykeel.Bounds{RetrySlack: 1.5, RetryWindow: 10 * time.Second}
 	}
+	findOwner := func(string, int) flow.Owner { return flow.Owner{ID: "a"} }
 	newDispatcherOf := func(keyed bool, ids ...string) *dispatcher {
-		dispatcher := newDispatcher("s", keyed, "z", func(string, int) flow.Owner { return flow.Owner{ID: "a"} }, bounds, func() {})
+		dispatcher := newDispatcher("s", keyed, "z", findOwner, bounds, func() {})
 		var upstreams []cherrykeel.Upstream
 		for _, id := range ids {
 			upstreams = append(upstreams, cherrykeel.Upstream{ID: id, Zone: "z", Slots: 3})
@@ -42,7 +43,7 @@
 		dispatcher.service.RecordRest(decision.Slot, rest, now)
 		dispatcher.release(decision.Slot, flow.Refused, cherrykeel.UpstreamLoad{}, now)
 		return &exchange{
-			relay:      New(Settings{Clock: fixedClock{}, HostCount: func() int { return 1 }}),
+			relay:      New(Settings{Clock: fixedClock{}, Owner: findOwner, HostCount: func() int { return 1 }, OnMisdirected: func() {}}),
 			route:      &weightedRoute{Route: cherrykeel.Route{Repeatable: true, MaxAttempts: 3}},
 			dispatcher: dispatcher,
 			headers:    cherrykeel.RequestHeaders{Key: 7},
@@ -64,6 +65,16 @@
 		Entry("as a key's owner", true),
 	)
 
+	// Guards against a request that is sent to its key's new owner, which is at rest, at the cost of the retry budget.
+	It("as a key's new owner costs a request no retry either", func() {
+		dispatcher := newDispatcherOf(true, "a")
+		request := turnedAway(dispatcher, rest/2)
+		request.inputs.Owner = "old"
+		Expect(request.canRetryAtNewOwner(result{outcome: answered, status: http.StatusInternalServerError}, now)).To(BeFalse())
+		Expect(request.canRetry(context.Background(), result{outcome: notRun, misdirected: true}, now)).To(BeFalse())
+		Expect(dispatcher.trySpendRetry(1, now)).To(BeTrue(), "the only retry is left")
+	})
+
 	// Guards against a request that is refused although its time reaches beyond the rest, or another upstream may serve it.
 	It("does not hinder retries elsewhere, nor those that may wait for its end", func() {
 		request := turnedAway(newDispatcherOf(false, "a", "b"), rest/2)
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -46,7 +46,10 @@
 		exchange.attempts--
 		return true
 	}
-	if exchange.attempts >= exchange.route.MaxAttempts || !exchange.dispatcher.trySpendRetry(exchange.relay.HostCount(), now) {
+	if exchange.attempts >= exchange.route.MaxAttempts || exchange.isRestTooLong(now) {
+		return false
+	}
+	if !exchange.dispatcher.trySpendRetry(exchange.relay.HostCount(), now) {
 		return false
 	}
 	return !exchange.needsOwner() || sleep(ctx, exchange.ownerPause(now))
@@ -62,7 +65,10 @@
 	}
 	owner := exchange.relay.Owner(exchange.dispatcher.name, exchange.headers.Key)
 	transferred := owner.ID != exchange.inputs.Owner || owner.InTransfer
-	return transferred && exchange.attempts < exchange.route.MaxAttempts && now < exchange.deadline && exchange.dispatcher.trySpendRetry(exchange.relay.HostCount(), now)
+	if !transferred || exchange.attempts >= exchange.route.MaxAttempts || now >= exchange.deadline || exchange.isRestTooLong(now) {
+		return false
+	}
+	return exchange.dispatcher.trySpendRetry(exchange.relay.HostCount(), now)
 }
 
 // fallbackAnswer is an upstream's failure that the caller gets if no better answer comes.
@@ -108,7 +114,7 @@
 	for range exchange.misdirected - 1 {
 		pause *= misdirectedGrowth
 	}
-	return sleep(ctx, pause) && exchange.awaitBudget(ctx)
+	return sleep(ctx, pause) && !exchange.isRestTooLong(exchange.relay.clock.Now()) && exchange.awaitBudget(ctx)
 }
 
 // awaitBudget waits until the budget allows one more send, for a share of the time until the deadline; it reports
--- a/relay/retry_test.go
+++ b/relay/retry_test.go
@@ -33,7 +33,7 @@
 				Owner: func(string, int) flow.Owner { return owner },
 			}),
 			route:      &weightedRoute{Route: cherrykeel.Route{Repeatable: true, MaxAttempts: 2}},
-			dispatcher: &dispatcher{name: "s", keyed: true, budget: newBudget(bounds)},
+			dispatcher: newDispatcher("s", true, "z", func(string, int) flow.Owner { return owner }, bounds, func() {}),
 			headers:    cherrykeel.RequestHeaders{Key: 7},
 			inputs:     flow.Inputs{Owner: "a", Fence: 3, ProcessingTime: 200 * time.Millisecond},
 			deadline:   cherrykeel.Instant(time.Hour + 4*time.Second),
