A caller refused for the sake of a rest is told to come back after it

Refused callers are told to retry after 8 to 30 in 100 of their time, whatever the rest that is left: they came back within it and were refused again. Where the rest ends within what callers wait for, the time is now at random between its end and that bound; else as before. Another host may serve a caller sooner, since rests are a host's own; callers choose their host themselves, so the time that is surely good here is the one to tell. The new spec's first entry fails without the lower bound.

--- a/flow/rest.go
+++ b/flow/rest.go
@@ -83,8 +83,8 @@
 	return restEnd > now && ticket.expiresWithin(expected, restEnd.Add(maxDispatchDelay))
 }
 
-// restLeft returns for how long all upstreams that may get a ticket are at rest; 0 if one is not.
-func (service *Service) restLeft(ticket *Ticket, now cherrykeel.Instant) time.Duration {
+// RestLeft returns for how long all upstreams that may get a ticket are at rest; 0 if one is not.
+func (service *Service) RestLeft(ticket *Ticket, now cherrykeel.Instant) time.Duration {
 	return max(0, service.discipline.restEnd(ticket, now).Sub(now))
 }
 
--- a/flow/service.go
+++ b/flow/service.go
@@ -273,7 +273,7 @@
 	inputs := service.inputs(ticket, service.members[owner.ID], now)
 	inputs.Ahead = service.discipline.countAhead(ticket)
 	inputs.TimeToAnswer = service.discipline.estimateTimeToAnswer(ticket, now)
-	inputs.RestLeft = service.restLeft(ticket, now)
+	inputs.RestLeft = service.RestLeft(ticket, now)
 	return Decision{Reason: reason, Inputs: inputs}
 }
 
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -29,12 +29,22 @@
 		return exchange.failUnknown()
 	}
 	failure := cherrykeel.Refuse(http.StatusServiceUnavailable, code, "%s", detail)
-	remaining := exchange.deadline.Sub(exchange.relay.clock.Now())
-	share := minRetryAfterShare + rand.Float64()*(maxRetryAfterShare-minRetryAfterShare)
-	failure.RetryAfter = max(time.Millisecond, time.Duration(share*float64(remaining)))
+	failure.RetryAfter = max(time.Millisecond, exchange.retryAfter(exchange.relay.clock.Now()))
 	return failure
 }
 
+// retryAfter returns a random time after which a refused caller is to retry. It is not before the end of the rest for
+// whose sake the request cannot be served, if callers wait that long.
+func (exchange *exchange) retryAfter(now cherrykeel.Instant) time.Duration {
+	remaining := exchange.deadline.Sub(now)
+	earliest, latest := minRetryAfterShare*float64(remaining), maxRetryAfterShare*float64(remaining)
+	rest := float64(exchange.restLeft(now))
+	if rest <= latest {
+		earliest = max(earliest, rest)
+	}
+	return time.Duration(earliest + rand.Float64()*(latest-earliest))
+}
+
 // failUnknown returns the failure of a request that may have run.
 func (exchange *exchange) failUnknown() *cherrykeel.Failure {
 	if exchange.relay.clock.Now() >= exchange.deadline {
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -106,6 +106,13 @@
 	return dispatcher.service.RestsTooLong(ticket, now)
 }
 
+// restLeft returns for how long all upstreams that may get a ticket are at rest; 0 if one is not.
+func (dispatcher *dispatcher) restLeft(ticket *flow.Ticket, now cherrykeel.Instant) time.Duration {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	return dispatcher.service.RestLeft(ticket, now)
+}
+
 // restingUpstreams returns how many of the service's upstreams are at rest.
 func (dispatcher *dispatcher) restingUpstreams(now cherrykeel.Instant) int {
 	dispatcher.mutex.Lock()
--- a/relay/rest.go
+++ b/relay/rest.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"cherrykeel"
@@ -36,6 +38,15 @@
 	return exchange.dispatcher.isRestTooLong(exchange.newTicket(), now)
 }
 
+// restLeft returns for how long all upstreams that the request may be sent to are at rest; 0 if one is not, or if the
+// request's service is unknown.
+func (exchange *exchange) restLeft(now cherrykeel.Instant) time.Duration {
+	if exchange.dispatcher == nil {
+		return 0
+	}
+	return exchange.dispatcher.restLeft(exchange.newTicket(), now)
+}
+
 // RestingUpstreams returns how many upstreams want no request from this host now.
 func (relay *Relay) RestingUpstreams() int {
 	now := relay.clock.Now()
--- a/relay/rest_test.go
+++ b/relay/rest_test.go
@@ -75,6 +75,21 @@
 		Expect(dispatcher.trySpendRetry(1, now)).To(BeTrue(), "the only retry is left")
 	})
 
+	// Guards against callers who come back before the rest has ended, are refused again and have no try left.
+	DescribeTable("makes refused callers come back after it if they wait that long", func(left time.Duration, waitsForRest bool) {
+		request := turnedAway(newDispatcherOf(true, "a"), left)
+		for range 50 {
+			retryAfter := request.refuseNotRun(now).RetryAfter
+			Expect(retryAfter).To(And(BeNumerically(">=", left*8/100), BeNumerically("<=", left*30/100)))
+			if waitsForRest {
+				Expect(retryAfter).To(BeNumerically(">=", rest))
+			}
+		}
+	},
+		Entry("of a third of their time", 4*rest, true),
+		Entry("of more", 3*rest, false),
+	)
+
 	// Guards against a request that is refused although its time reaches beyond the rest, or another upstream may serve it.
 	It("does not hinder retries elsewhere, nor those that may wait for its end", func() {
 		request := turnedAway(newDispatcherOf(false, "a", "b"), rest/2)
