--- a/entry/maintain.go
+++ b/entry/maintain.go
@@ -112,6 +112,7 @@
 	host.scope.Gauge("evacuated_upstreams").Update(float64(len(evacuating)))
 	host.scope.Gauge("evacuated_running").Update(float64(stillRunning))
 	host.scope.Gauge("leaving_upstreams").Update(float64(leaving))
+	host.scope.Gauge("resting_upstreams").Update(float64(host.relay.RestingUpstreams()))
 	host.scope.Gauge("cold_upstreams").Update(float64(host.countColdUpstreams()))
 }
 
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -29,12 +29,22 @@
 		return exchange.failUnknown()
 	}
 	failure := cherrykeel.Refuse(http.StatusServiceUnavailable, code, "%s", detail)
-	remaining := exchange.deadline.Sub(exchange.relay.clock.Now())
-	share := minRetryAfterShare + rand.Float64()*(maxRetryAfterShare-minRetryAfterShare)
-	failure.RetryAfter = max(time.Millisecond, time.Duration(share*float64(remaining)))
+	failure.RetryAfter = max(time.Millisecond, exchange.retryAfter(exchange.relay.clock.Now()))
 	return failure
 }
 
+// retryAfter returns a random time after which a refused caller is to retry. It is not before the end of the rest for
+// whose sake the request cannot be served, if callers wait that long.
+func (exchange *exchange) retryAfter(now cherrykeel.Instant) time.Duration {
+	remaining := exchange.deadline.Sub(now)
+	earliest, latest := minRetryAfterShare*float64(remaining), maxRetryAfterShare*float64(remaining)
+	rest := float64(exchange.restLeft(now))
+	if rest <= latest {
+		earliest = max(earliest, rest)
+	}
+	return time.Duration(earliest + rand.Float64()*(latest-earliest))
+}
+
 // failUnknown returns the failure of a request that may have run.
 func (exchange *exchange) failUnknown() *cherrykeel.Failure {
 	if exchange.relay.clock.Now() >= exchange.deadline {
@@ -100,7 +110,7 @@
 		zap.String("Detail", failure.Detail), zap.Int("Attempts", exchange.attempts), zap.Strings("Tried", exchange.tried),
 		zap.String("Owner", exchange.inputs.Owner), zap.Bool("Moving", exchange.inputs.InTransfer), zap.Int64("Fence", exchange.inputs.Fence),
 		zap.Int("Load", exchange.inputs.Load), zap.Int("Others", exchange.inputs.RemoteLoad), zap.Int("Ahead", exchange.inputs.Ahead),
-		zap.Duration("Work", exchange.inputs.ProcessingTime), zap.Duration("Wait", exchange.inputs.TimeToAnswer),
+		zap.Duration("Work", exchange.inputs.ProcessingTime), zap.Duration("Wait", exchange.inputs.TimeToAnswer), zap.Duration("RestLeft", exchange.inputs.RestLeft),
 		zap.Duration("RetryAfter", failure.RetryAfter), zap.Duration("Took", took))...)
 	header := exchange.writer.Header()
 	header.Set(cherrykeel.HeaderOutcome, string(failure.Outcome))
@@ -154,6 +164,18 @@
 	})
 }
 
+// logMalformedRetryAfter logs the time for which an upstream wants no request, if it cannot be parsed: the upstream goes
+// on getting requests.
+func (exchange *exchange) logMalformedRetryAfter(upstream cherrykeel.Upstream, malformed string) {
+	if malformed == "" {
+		return
+	}
+	exchange.relay.retryAfterLogLimit.Do(func() {
+		events.Log(exchange.relay.Logger, events.RetryAfterMalformed, append(exchange.logFields(),
+			zap.String("Upstream", upstream.ID), zap.String("Told", malformed))...)
+	})
+}
+
 // logPanic logs a panic with the request's id and panics again; the server of the connection recovers it.
 func (exchange *exchange) logPanic() {
 	failure := recover()
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"time"
 
 	"cherrykeel"
 	"cherrykeel/flow"
@@ -83,6 +84,42 @@
 	dispatcher.service.Release(slot, result, load, now)
 }
 
+// recordRest records that an upstream wants no request from this host for a time, and reports whether its rest begins
+// with that.
+func (dispatcher *dispatcher) recordRest(upstream cherrykeel.Upstream, duration time.Duration, now cherrykeel.Instant) bool {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	return dispatcher.service.RecordRest(upstream, duration, now)
+}
+
+// isResting reports whether an upstream is at rest.
+func (dispatcher *dispatcher) isResting(upstream cherrykeel.Upstream, now cherrykeel.Instant) bool {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	return dispatcher.service.IsResting(upstream, now)
+}
+
+// isRestTooLong reports whether all upstreams that may get a ticket are at rest for longer than it has time.
+func (dispatcher *dispatcher) isRestTooLong(ticket *flow.Ticket, now cherrykeel.Instant) bool {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	return dispatcher.service.RestsTooLong(ticket, now)
+}
+
+// restLeft returns for how long all upstreams that may get a ticket are at rest; 0 if one is not.
+func (dispatcher *dispatcher) restLeft(ticket *flow.Ticket, now cherrykeel.Instant) time.Duration {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	return dispatcher.service.RestLeft(ticket, now)
+}
+
+// restingUpstreams returns how many of the service's upstreams are at rest.
+func (dispatcher *dispatcher) restingUpstreams(now cherrykeel.Instant) int {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	return dispatcher.service.Resting(now)
+}
+
 // recordRequest counts a caller's request in the retry budget.
 func (dispatcher *dispatcher) recordRequest(now cherrykeel.Instant) {
 	dispatcher.mutex.Lock()
