Spec: a slot that was got as the host's end was set is given back

The scheduler's decision and the end may come together; the check after the decision refuses the request and gives its slot back.

--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -121,6 +121,21 @@
 		}),
 	)
 
+	// Guards against a request that is sent, or a slot that stays taken, since the end was set together with the
+	// scheduler's decision.
+	It("gives back a slot that it got as the end was set", func() {
+		relay := newStoppingRelay(cherrykeel.NoKey, cherrykeel.Upstream{ID: "a", Service: "s", Address: "127.0.0.1:1", Slots: 1})
+		current := &exchange{relay: relay, request: httptest.NewRequest(http.MethodGet, "http://h/x", nil), writer: httptest.NewRecorder(), arrived: relay.clock.Now(), headers: cherrykeel.RequestHeaders{Key: cherrykeel.NoKey}}
+		Expect(current.prepare()).To(BeNil())
+		decisions := current.dispatcher.submit(&flow.Ticket{Key: cherrykeel.NoKey, Arrived: current.arrived, Target: current.deadline, Deadline: current.deadline}, current.arrived)
+		Expect(relay.OwnCounts().Running).To(HaveKeyWithValue("a", 1))
+		relay.SetProcessEnd(relay.clock.Now().Add(30 * time.Second))
+		_, failure := current.checkDecision(<-decisions)
+		Expect(failure).NotTo(BeNil())
+		Expect(failure.Code).To(Equal("stopping"))
+		Expect(relay.OwnCounts().Running["a"]).To(BeZero())
+	})
+
 	// Guards against a request that pauses before a further send while its host begins to stop.
 	It("is woken from the pause before it is sent to its owner again", func() {
 		relay := newStoppingRelay(7)
