--- a/caller/idle_test.go
+++ b/caller/idle_test.go
@@ -131,6 +131,25 @@
 		Expect(logged.FilterMessage(events.RequestAfterClose.Text).All()).To(BeEmpty())
 	})
 
+	// Guards against a host that runs out of memory, since each of its idle connections keeps its last answer.
+	It("keep no answer that was written", func() {
+		const conns, size = 64, 1 << 20
+		server, connect := serve(func(writer http.ResponseWriter, _ *http.Request) { _, _ = writer.Write(make([]byte, size)) })
+		for range conns {
+			socket := connect()
+			sendGet(socket)
+			expectAnswer(socket)
+		}
+		heapBytes := func() uint64 {
+			runtime.GC()
+			var memory runtime.MemStats
+			runtime.ReadMemStats(&memory)
+			return memory.HeapAlloc
+		}
+		Eventually(heapBytes, testTimeout).Should(BeNumerically("<", conns*size/2))
+		Expect(server.OpenConns()).To(Equal(conns))
+	})
+
 	// Guards against dropping the first request of a connection that was accepted just before the close.
 	It("answers the first request of a connection that it has just accepted", func() {
 		useOneProcessor()
--- a/caller/unanswered.go
+++ b/caller/unanswered.go
@@ -60,6 +60,8 @@
 // removePending removes an answer that was written. conn.mutex must be held.
 func (conn *conn) removePending(answer *answer) {
 	if len(conn.pending) > 0 && conn.pending[0] == answer {
+		// The array stays with the connection; an answer that it kept would hold its body while the connection is idle.
+		conn.pending[0] = nil
 		conn.pending = conn.pending[1:]
 	}
 }
