A rest outlasts the change of a service between keyed and not keyed

Such a change of the operator's settings replaces the service's scheduler, and the new one knew no rest: its upstreams got requests within it. The new one now takes the rests over before it gets its upstreams. The new spec failed before.

--- a/flow/rest.go
+++ b/flow/rest.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"maps"
 	"time"
 
 	"cherrykeel"
@@ -48,6 +49,11 @@
 	return before <= now
 }
 
+// InheritRests takes over the rests of the scheduler that this one replaces, before it gets its upstreams.
+func (service *Service) InheritRests(old *Service) {
+	maps.Copy(service.rests, old.rests)
+}
+
 // IsResting reports whether an upstream wants no request from this host now.
 func (service *Service) IsResting(upstream cherrykeel.Upstream, now cherrykeel.Instant) bool {
 	return now < service.rests[incarnationOf(upstream)]
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -113,6 +113,14 @@
 	return dispatcher.service.RestLeft(ticket, now)
 }
 
+// inheritRests takes over the rests that upstreams have asked for from the dispatcher that this one, which is not in use
+// yet, replaces.
+func (dispatcher *dispatcher) inheritRests(old *dispatcher) {
+	old.mutex.Lock()
+	defer old.mutex.Unlock()
+	dispatcher.service.InheritRests(old.service)
+}
+
 // restingUpstreams returns how many of the service's upstreams are at rest.
 func (dispatcher *dispatcher) restingUpstreams(now cherrykeel.Instant) int {
 	dispatcher.mutex.Lock()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -115,7 +115,11 @@
 		if known && old.keyed == service.Keyed {
 			continue
 		}
-		relay.dispatchers[name] = newDispatcher(name, service.Keyed, relay.Zone, relay.Owner, relay.Bounds, relay.signalQueued)
+		next := newDispatcher(name, service.Keyed, relay.Zone, relay.Owner, relay.Bounds, relay.signalQueued)
+		if known {
+			next.inheritRests(old)
+		}
+		relay.dispatchers[name] = next
 	}
 	relay.matcher = matcher
 	relay.assignUpstreams()
--- a/relay/rest_test.go
+++ b/relay/rest_test.go
@@ -143,6 +143,14 @@
 		Entry("without a time", cherrykeel.ReplyHeaders{ID: "r", Instance: "a"}, 0),
 	)
 
+	// Guards against a rest that is forgotten as the operator divides the service's keys among its upstreams, or no longer does.
+	It("is heeded by the scheduler that follows when the service's kind changes", func() {
+		current.recordRest(slot, cherrykeel.ReplyHeaders{RetryAfter: rest})
+		current.relay.SetRoutes(cherrykeel.RouteSet{Version: 1, Services: map[string]cherrykeel.RoutedService{"s": {Name: "s", Keyed: true}}})
+		Expect(current.relay.dispatcher("s")).NotTo(BeIdenticalTo(current.dispatcher))
+		Expect(current.relay.RestingUpstreams()).To(Equal(1))
+	})
+
 	// Guards against requests that had a slot before the rest, and reach the upstream long after it began since their connection was slow to come.
 	It("withholds requests that are still waiting for their connection", func() {
 		current.recordRest(slot, cherrykeel.ReplyHeaders{RetryAfter: rest})
