A request that waits for its connection as the host begins to stop is not sent late

What callers would see: a request that has its slot when the stop begins, and whose connection is slow to come, is sent late in the stop and cut by its end. Cause: the deadline was compared with the host's end as the slot was given, and not again before the first byte. The check that comes just before it, for rests, asks for both now; nothing was sent, so the request is refused as not run.

--- a/relay/rest.go
+++ b/relay/rest.go
@@ -27,9 +27,9 @@
 }
 
 // isReady reports whether the upstream of a slot may still get its request, once the connection is established: a rest
-// may have begun while the connection was slow to come.
+// or the host's stop may have begun while the connection was slow to come.
 func (exchange *exchange) isReady(slot *flow.Slot) bool {
-	return !exchange.dispatcher.isResting(slot.Upstream, exchange.relay.clock.Now())
+	return !exchange.outlastsHost() && !exchange.dispatcher.isResting(slot.Upstream, exchange.relay.clock.Now())
 }
 
 // isRestTooLong reports whether all upstreams that the request may be sent to are at rest for longer than it has time.
