A request that waits behind one that outlasts its stopping host is not sent

What callers would see: two requests sent behind each other and accepted before the stop; the second waits for a busy upstream, is sent in the stop, answered, and its answer is lost, since the first one's has to leave before it and the host ends. Cause: before a send the request's own deadline was compared with the host's end, and its answer may leave later than that. The connection tells the latest deadline of the incomplete answers ahead, which its log of cut requests knows, and the later of both counts. After the stop has begun no request starts behind an unanswered one, so this is about those accepted before it. Ruled out: refusing by the order alone; most answers ahead leave in time.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -12,6 +12,7 @@
 
 // answer buffers a handler's answer until the answers before it are written to the connection.
 type answer struct {
+	conn   *conn
 	header http.Header
 	status int
 	body   bytes.Buffer
@@ -29,8 +30,8 @@
 	progress atomic.Pointer[cherrykeel.RequestProgress]
 }
 
-func newAnswer(request *http.Request) *answer {
-	return &answer{header: http.Header{}, done: make(chan struct{}), request: request}
+func (conn *conn) newAnswer(request *http.Request) *answer {
+	return &answer{conn: conn, header: http.Header{}, done: make(chan struct{}), request: request}
 }
 
 // Header implements http.ResponseWriter.
--- a/caller/dispatch.go
+++ b/caller/dispatch.go
@@ -46,7 +46,7 @@
 
 // dispatch starts the handler for a request; it reports whether another request may follow.
 func (conn *conn) dispatch(request *http.Request, body body) bool {
-	answer := newAnswer(request)
+	answer := conn.newAnswer(request)
 	if !conn.admit(answer) {
 		conn.server.memory.release(body.acquired)
 		if !conn.isAccepting() {
@@ -97,7 +97,7 @@
 // refuse answers a request that could not be read whole; the connection closes after that answer. It returns false, since
 // no further request may be read.
 func (conn *conn) refuse(err error) bool {
-	answer := newAnswer(nil)
+	answer := conn.newAnswer(nil)
 	answer.closeAfter = true
 	switch {
 	case errors.Is(err, ErrMalformed):
--- a/caller/unanswered.go
+++ b/caller/unanswered.go
@@ -18,6 +18,27 @@
 	answer.progress.Store(&progress)
 }
 
+// LatestDeadlineAhead implements cherrykeel.ProgressRecorder.
+func (answer *answer) LatestDeadlineAhead() cherrykeel.Instant {
+	return answer.conn.latestDeadlineBefore(answer)
+}
+
+// latestDeadlineBefore returns the latest deadline of the requests before an answer whose own answers are incomplete.
+func (conn *conn) latestDeadlineBefore(answer *answer) cherrykeel.Instant {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	latest := cherrykeel.Instant(0)
+	for _, earlier := range conn.pending {
+		if earlier == answer {
+			break
+		}
+		if !earlier.isReady() {
+			latest = max(latest, earlier.currentProgress().Deadline)
+		}
+	}
+	return latest
+}
+
 // Unanswered returns the unanswered requests, at most as many as the limit.
 func (server *Server) Unanswered(limit int) []Unanswered {
 	var unanswered []Unanswered
--- a/progress.go
+++ b/progress.go
@@ -14,5 +14,9 @@
 // ProgressRecorder is a response writer that is told of its request's progress, so that a host that cuts the request
 // can name it.
 type ProgressRecorder interface {
+	// RecordProgress replaces what was recorded before.
 	RecordProgress(progress RequestProgress)
+	// LatestDeadlineAhead returns the latest deadline of the requests whose answers have to leave before this one's; 0
+	// if there is none.
+	LatestDeadlineAhead() Instant
 }
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -18,12 +18,21 @@
 	}
 }
 
-// outlastsHost reports whether the host's process may exit before the request's deadline. One search in a hundred takes
-// five times the usual time, so only the whole time until the deadline is enough not to cut it off. A refused caller is
-// served by another host at once.
+// outlastsHost reports whether the host's process may exit before the request's answer has left. One search in a hundred
+// takes five times the usual time, so only the whole time until the deadline is enough not to cut it off. A refused caller
+// is served by another host at once.
 func (exchange *exchange) outlastsHost() bool {
 	end := exchange.relay.processEnd.Load()
-	return end != 0 && exchange.deadline > cherrykeel.Instant(end)
+	return end != 0 && exchange.latestAnswer() > cherrykeel.Instant(end)
+}
+
+// latestAnswer returns when the request's answer has left at the latest: answers leave in the order of their requests.
+func (exchange *exchange) latestAnswer() cherrykeel.Instant {
+	recorder, ok := exchange.writer.(cherrykeel.ProgressRecorder)
+	if !ok {
+		return exchange.deadline
+	}
+	return max(exchange.deadline, recorder.LatestDeadlineAhead())
 }
 
 // refuseOutlasting refuses a request that may outlast the host, and returns nil for any other. It is asked before each
