--- a/entry/bare_test.go
+++ b/entry/bare_test.go
@@ -44,6 +44,11 @@
 
 // unstartedHost returns a host that follows no topic yet; change may give it other topics and decoders.
 func unstartedHost(change func(platform *Platform)) *Host {
+	return unstartedHostAt(cherrykeel.SystemClock(), change)
+}
+
+// unstartedHostAt returns an unstartedHost with a clock.
+func unstartedHostAt(clock cherrykeel.Clock, change func(platform *Platform)) *Host {
 	platform := Platform{
 		Dialect: noDialect{}, Operator: emptyLog{}, Upstreams: emptyLog{}, Hosts: emptyLog{}, Spans: emptyLog{},
 		RoutesKey: "routes", EvacuationPrefix: "evacuate/",
@@ -65,5 +70,5 @@
 		change(&platform)
 	}
 	settings := cherrykeel.EntrySettings{Name: "host-0", Zone: "zone-0", InternalAddress: "127.0.0.1:7000"}
-	return New(settings, platform, WithClock(cherrykeel.SystemClock()), WithLogger(events.NewLogger(zapcore.AddSync(io.Discard), zapcore.InfoLevel)))
+	return New(settings, platform, WithClock(clock), WithLogger(events.NewLogger(zapcore.AddSync(io.Discard), zapcore.InfoLevel)))
 }
