A changed bound applies to upstreams that are closing already

When the platform shortened its drain bound, callers' requests could reach an owner that had said that it leaves for as long as the bound before allowed: the time after which a host sends it nothing was computed when the answer came, and again only with the next change of an upstream. The same holds for evacuations.

New bounds now pass the upstreams on anew.

--- a/entry/host.go
+++ b/entry/host.go
@@ -181,6 +181,8 @@
 func (host *Host) Reload(settings cherrykeel.EntrySettings) {
 	host.bounds.Store(&settings.Bounds)
 	events.Log(host.logger, events.SettingsReread, zap.Any("Bounds", settings.Bounds), zap.String("Store", settings.StoreURL))
+	// Upstreams that leave, or whose availability zone is evacuated, get nothing any more after a share of a bound.
+	host.applyUpstreams()
 }
 
 func (host *Host) currentBounds() cherrykeel.Bounds {
--- a/entry/leaving_test.go
+++ b/entry/leaving_test.go
@@ -86,6 +86,14 @@
 		Expect(leaveAt("a")).To(Equal(heardAt))
 	})
 
+	// Guards against a bound that stays as long as it was when the answer came, though the platform has made it shorter.
+	It("is bound by the present bound", func() {
+		leaving := add("a", keyedService)
+		host.upstreams.RecordLeaving(leaving, "r")
+		host.Reload(cherrykeel.EntrySettings{Bounds: cherrykeel.Bounds{Drain: drain / 2}})
+		Expect(leaveAt("a")).To(And(BeNumerically(">", heardAt), BeNumerically("<", heardAt.Add(drain/2))))
+	})
+
 	// Guards against a late record that says "ready" and undoes what the upstream has said.
 	It("stays leaving whatever its entry says", func() {
 		leaving := add("a", plainService)
