--- a/entry/cut_test.go
+++ b/entry/cut_test.go
@@ -114,10 +114,11 @@
 	// Guards against a log that is flooded by a host that ends with thousands of requests.
 	It("names only so many", func() {
 		stopping := newStoppingHost(noRemoval)
-		stopping.serveSlowRoute(20 * time.Second)
+		held := stopping.serveSlowRoute(20 * time.Second)
 		const conns = maxLoggedCuts / 3
 		for range conns + 1 {
 			stopping.connect(slowRequest + noneRequest + noneRequest)
+			Eventually(held.reached, generous).Should(Receive())
 		}
 		Eventually(func() int { return len(stopping.host.server.Unanswered(2 * maxLoggedCuts)) }, generous).Should(Equal(3 * (conns + 1)))
 		stopping.begin()
