A rest that a restarted upstream asked for holds once its restart is known

Cause: a rest belongs to an incarnation, and an answer doesn't say which incarnation gave it. A host takes it for the one that it knows. The rest now passes to the next incarnation if it was asked for less than 2 s before the restart became known; an older one ends with its incarnation as before. Evidence: the spec "soon is still at rest" failed before and passes. Ruled out: keeping every rest, which would leave an upstream alone that was restarted to mend it; comparing its start with this host's time of day, since clocks differ. What remains: a restart that is known later than 2 s, as while the store is slow or away.

--- a/flow/rest.go
+++ b/flow/rest.go
@@ -11,6 +11,10 @@
 // 10 ms, and a busy one is late with that. A request without that time would wait through the rest for a refusal.
 const maxDispatchDelay = 20 * time.Millisecond
 
+// restartLag is how late this host may learn that an upstream was restarted under its ID. Until then it takes what the new
+// incarnation answers for the previous one's.
+const restartLag = 2 * time.Second
+
 // incarnation is one life of an upstream.
 type incarnation struct {
 	id        string
@@ -21,27 +25,43 @@
 	return incarnation{id: upstream.ID, startedAt: upstream.StartedAt}
 }
 
-// rests holds until when upstreams want no request from this host. An upstream's entry may lapse for a moment, and the
-// member that then replaces its member would know nothing of its rest.
-type rests map[incarnation]cherrykeel.Instant
+// rest is a time in which an upstream wants no request from this host.
+type rest struct {
+	// askedAt is when the upstream asked for it last.
+	askedAt cherrykeel.Instant
+	until   cherrykeel.Instant
+}
+
+// rests holds the rests of upstreams. An upstream's entry may lapse for a moment, and the member that then replaces its
+// member would know nothing of its rest.
+type rests map[incarnation]rest
 
 // dropEnded removes the rests that have ended.
 func (rests rests) dropEnded(now cherrykeel.Instant) {
-	for incarnation, until := range rests {
-		if until <= now {
+	for incarnation, rest := range rests {
+		if rest.until <= now {
 			delete(rests, incarnation)
 		}
 	}
 }
 
+// carryOver gives the rest of an incarnation to the next one if it may be that one's: asked for so recently that this host
+// could not know yet that the upstream was restarted. An older one ends with its incarnation.
+func (rests rests) carryOver(from, to incarnation, now cherrykeel.Instant) {
+	rest, known := rests[from]
+	if known && now.Sub(rest.askedAt) < restartLag {
+		rests[to] = rest
+	}
+}
+
 // RecordRest records that an upstream wants no request from this host for a time from now on, and reports whether a rest
 // begins with that. A rest is only ever made longer, since the upstream's word on it holds to its end. A slot there is
 // released after that.
 func (service *Service) RecordRest(upstream cherrykeel.Upstream, duration time.Duration, now cherrykeel.Instant) bool {
 	incarnation := incarnationOf(upstream)
-	before := service.rests[incarnation]
+	before := service.rests[incarnation].until
 	until := max(before, now.Add(duration))
-	service.rests[incarnation] = until
+	service.rests[incarnation] = rest{askedAt: now, until: until}
 	current, known := service.members[upstream.ID]
 	if known && incarnationOf(current.upstream) == incarnation {
 		current.restUntil = until
@@ -56,7 +76,7 @@
 
 // IsResting reports whether an upstream wants no request from this host now.
 func (service *Service) IsResting(upstream cherrykeel.Upstream, now cherrykeel.Instant) bool {
-	return now < service.rests[incarnationOf(upstream)]
+	return now < service.rests[incarnationOf(upstream)].until
 }
 
 // Resting returns how many of the service's upstreams want no request from this host now.
--- a/flow/rest_test.go
+++ b/flow/rest_test.go
@@ -242,6 +242,24 @@
 		Entry("is not at rest with another id", func(upstream *cherrykeel.Upstream) { upstream.ID = "c" }, false),
 	)
 
+	// Guards against requests within a rest that a restarted upstream asked for before this host knew of its restart, and
+	// against a restarted upstream that is left alone for the sake of the life before it.
+	DescribeTable("and whose restart this host learns of", func(learnedAt time.Duration, atRest bool) {
+		asking := upstream("a", 3)
+		asking.StartedAt = 100
+		service := flow.New("z", nil, fixedRandom)
+		service.SetUpstreams([]cherrykeel.Upstream{asking}, 0)
+		turnAway(service, sendTo(service, 0, unchanged), 2*rest, 0)
+		asking.StartedAt = 200
+		service.SetUpstreams([]cherrykeel.Upstream{asking}, instantAt(learnedAt))
+		_, decisions := submit(service, 2*rest-500*time.Millisecond, unchanged)
+		Expect(*decisions).To(HaveLen(1))
+		Expect((*decisions)[0].Slot == nil).To(Equal(atRest))
+	},
+		Entry("soon is still at rest", 500*time.Millisecond, true),
+		Entry("long after is not", rest, false),
+	)
+
 	// Guards against a new life of an upstream that gets nothing since the one before it asked for a rest with its last answer.
 	It("in an earlier life is not at rest in the next one", func() {
 		asking := upstream("a", 3)
--- a/flow/service.go
+++ b/flow/service.go
@@ -52,7 +52,10 @@
 		if !known || current.upstream.StartedAt != upstream.StartedAt {
 			// A new incarnation runs none of the previous one's requests, and nothing learned about that one applies to
 			// it.
-			current = &member{decayedAt: now, restUntil: service.rests[incarnationOf(upstream)]}
+			if known {
+				service.rests.carryOver(incarnationOf(current.upstream), incarnationOf(upstream), now)
+			}
+			current = &member{decayedAt: now, restUntil: service.rests[incarnationOf(upstream)].until}
 			if service.hasAnswers() {
 				current.firstSendAt = now.Add(time.Duration(service.random() * float64(firstSendSpread)))
 			}
