An upstream that leaves is used on for what no other one accepts

What callers would see: refusals for up to 0.9 of the drain bound by a host whose other upstreams of a service without keys can't serve, though the one that leaves still does. Cause: whether another one can serve was judged by the list, which can't change while the store is away and knows no rest. The scheduler judges it now, request by request: it takes a leaving upstream only if no other may get the request, and the host sets the same end for keys and for services without them. So the load of those that leave no longer falls on one that stays and is full either. Ruled out: telling hosts of crashes, which they find by themselves as connections are refused.

--- a/entry/upstreams.go
+++ b/entry/upstreams.go
@@ -16,7 +16,7 @@
 	transferShare = 0.3
 	// servesOnShare is the share of the bound on leaving upstreams in which one that has stated that it is leaving still
 	// gets the requests that no other upstream can serve: those for its keys, until the keeper has transferred them, and
-	// all if it is the last of its service. The upstream serves for at least that bound, and what this host receives after
+	// those without a key while no other one accepts any. The upstream serves for at least that bound, and what this host receives after
 	// the share was sent by its caller before the bound.
 	servesOnShare = 0.9
 	// longAgo is how long ago an order counts as given that a host finds at its start: its real time is unknown, and
@@ -51,10 +51,9 @@
 	}
 	listed := host.upstreams.Current()
 	list := make([]cherrykeel.Upstream, len(listed))
-	staying := host.servicesThatStay(listed)
 	for i, upstream := range listed {
 		upstream.EvacuateAt = host.evacuateAt(upstream)
-		upstream.LeaveAt = host.leaveAt(upstream, staying[upstream.Service])
+		upstream.LeaveAt = host.leaveAt(upstream)
 		host.setColdLimit(&upstream)
 		list[i] = upstream
 	}
@@ -82,29 +81,12 @@
 	return max(evacuateAt, 1)
 }
 
-// servicesThatStay returns the services that have an upstream which is neither leaving nor in an evacuated availability
-// zone.
-func (host *Host) servicesThatStay(upstreams []cherrykeel.Upstream) map[string]bool {
-	staying := map[string]bool{}
-	for _, upstream := range upstreams {
-		if !host.upstreams.IsLeaving(upstream.ID, upstream.StartedAt) && host.evacuateAt(upstream) == 0 {
-			staying[upstream.Service] = true
-		}
-	}
-	return staying
-}
-
 // leaveAt returns from when the upstream gets no requests because it has stated in an answer that it is leaving, or 0.
-// Any other upstream can serve the requests of a service without keys at once; those for a key need its next owner.
-func (host *Host) leaveAt(upstream cherrykeel.Upstream, othersStay bool) cherrykeel.Instant {
+func (host *Host) leaveAt(upstream cherrykeel.Upstream) cherrykeel.Instant {
 	leavingSince := host.upstreams.LeavingSince(upstream.ID, upstream.StartedAt)
 	if leavingSince == 0 {
 		return 0
 	}
-	routes, _ := host.routes.Current()
-	if othersStay && !routes.Services[upstream.Service].Keyed {
-		return leavingSince
-	}
 	return leavingSince.Add(shareOf(host.currentBounds().Drain, servesOnShare))
 }
 
--- a/flow/leaving_test.go
+++ b/flow/leaving_test.go
@@ -65,4 +65,24 @@
 		_, decisions = submit(service, leftAt/2, unchanged)
 		Expect((*decisions)[0].Slot).NotTo(BeNil())
 	})
+
+	// Guards against requests to an upstream that leaves although another one can serve them, and against callers that
+	// are refused although it still serves and no other one does.
+	It("get a request only while no other one may get it, and none once they have left", func() {
+		chosen := func(service *flow.Service, now time.Duration) string {
+			_, decisions := submit(service, now, unchanged)
+			if len(*decisions) == 0 || (*decisions)[0].Slot == nil {
+				return ""
+			}
+			return (*decisions)[0].Slot.Upstream.ID
+		}
+		service := flow.New("z", nil, fixedRandom)
+		service.SetUpstreams([]cherrykeel.Upstream{leavingUpstream("a", leftAt), upstream("b", 1)}, 0)
+		Expect(chosen(service, 0)).To(Equal("b"))
+		Expect(chosen(service, 0)).To(Equal("b"))
+		Expect(chosen(service, 0)).To(Equal("a"), "the other one is full")
+		service.SetUpstreams([]cherrykeel.Upstream{leavingUpstream("a", leftAt), closedUpstream("b", 1)}, instantAt(1))
+		Expect(chosen(service, leftAt-1)).To(Equal("a"), "the other one is closed")
+		Expect(chosen(service, leftAt)).To(BeEmpty())
+	})
 })
--- a/flow/member.go
+++ b/flow/member.go
@@ -99,6 +99,11 @@
 	return member.upstream.IsEvacuated(now) || member.upstream.HasLeft(now)
 }
 
+// isLeaving reports whether the upstream has stated that it is leaving.
+func (member *member) isLeaving() bool {
+	return member.upstream.LeaveAt != 0
+}
+
 // isAvailable reports whether the upstream may get requests. Its capacity is not considered.
 func (member *member) isAvailable(now cherrykeel.Instant) bool {
 	return now >= member.pausedUntil && !member.isResting(now) && !member.isClosed(now)
--- a/flow/shared.go
+++ b/flow/shared.go
@@ -111,12 +111,22 @@
 	return latest
 }
 
-// candidates returns the upstreams that may get the ticket, in this host's availability zone and in other zones.
+// candidates returns the upstreams that may get the ticket, in this host's availability zone and in other zones. Those
+// that are leaving are among them only if no other may get it.
 func (shared *shared) candidates(ticket *Ticket, now cherrykeel.Instant) (near, far []*member) {
+	near, far = shared.candidatesThat(false, ticket, now)
+	if len(near)+len(far) > 0 {
+		return near, far
+	}
+	return shared.candidatesThat(true, ticket, now)
+}
+
+// candidatesThat returns the candidates that are leaving, or those that are not.
+func (shared *shared) candidatesThat(leave bool, ticket *Ticket, now cherrykeel.Instant) (near, far []*member) {
 	uncertainty := &shared.service.uncertainty
 	for _, member := range shared.members {
 		switch {
-		case !member.canAccept(uncertainty, now) || ticket.excludes(member):
+		case member.isLeaving() != leave || !member.canAccept(uncertainty, now) || ticket.excludes(member):
 		case member.upstream.Zone == shared.zone:
 			near = append(near, member)
 		default:
