--- a/entry/stop.go
+++ b/entry/stop.go
@@ -53,10 +53,10 @@
 	earliest := min(signalled, host.mesh.EarliestEventTime())
 	grace := fullGrace - delay
 	events.Log(host.logger, events.EntryStopping, zap.Int("Connections", host.server.OpenConns()), zap.Duration("Grace", grace), zap.Duration("Late", begun.Sub(earliest)))
-	host.server.DisableKeepAlives()
 	// No request is taken that may outlast the host, from the beginning of the stop on. While a share of the grace
 	// admitted everything, what came late in it and had a long time was cut.
 	host.relay.SetProcessEnd(earliest.Add(grace - endMargin))
+	host.server.DisableKeepAlives()
 	go host.keeper.Resign(ctx)
 	go host.signalExit(signalled.Add(grace - exitMargin))
 	// One end bounds the whole stop. When each wait had a bound of its own, or none, a host that had run out of
@@ -66,8 +66,8 @@
 	defer cancel()
 	runUntil(draining.Done(), func() { host.drain(draining, earliest, grace, end) })
 	events.Log(host.logger, events.EntryStopped, zap.Int("Cut", host.server.OpenConns()), zap.Duration("Took", host.clock.Now().Sub(begun)))
-	runUntil(host.mustExit, func() { host.logCut(signalled) })
 	runUntil(host.mustExit, func() { host.stopGranting(ctx) })
+	runUntil(host.mustExit, func() { host.logCut(signalled) })
 }
 
 // signalExit closes mustExit at an instant. It outlives the stop, since what follows may hang as well.
