--- a/grants/probe.go
+++ b/grants/probe.go
@@ -58,7 +58,7 @@
 			if errors.As(err, &restError) {
 				keeper.environment.RecordRest(upstream.ID, restError.Rest)
 			}
-			if err != nil || contact.leaving == leaving || contact.startedAt != startedAt {
+			if err != nil && !leaving || contact.leaving == leaving || contact.startedAt != startedAt {
 				return
 			}
 			contact.leaving = leaving
--- a/keyspan.go
+++ b/keyspan.go
@@ -69,6 +69,7 @@
 	// handover token for the next owner.
 	Release(ctx context.Context, upstream Upstream, span KeySpan, fence int64) (string, error)
 	// IsLeaving queries the upstream's health path for whether it is leaving; ErrNoAnswer if no answer shows it, and a
-	// RestError, which wraps ErrNoAnswer, if the upstream turned the query away and wants no more for a time.
+	// RestError, which wraps ErrNoAnswer, if the upstream turned the query away and wants no more for a time. It may state
+	// together with that that it is leaving.
 	IsLeaving(ctx context.Context, upstream Upstream, healthPath string) (bool, error)
 }
