--- a/caller/stop_test.go
+++ b/caller/stop_test.go
@@ -51,9 +51,7 @@
 var _ = Describe("a request behind an unanswered one, on a connection of a stopping host", func() {
 	const first = "GET /first HTTP/1.1\r\nHost: h\r\n\r\n"
 
-	// Guards against a request that is run although its answer must wait for the one before it, which may outlast the
-	// host: then its caller gets none, though the answer is there. The caller sends again what it sent behind the
-	// answer that closes the connection, and must get that answer whole.
+	// Guards against an answer that was there and is cut, since it waited for one that outlasts the host.
 	DescribeTable("is not begun, and the answer before it closes the connection", func(behind string) {
 		begun := make(chan struct{})
 		release := make(chan struct{})
@@ -115,8 +113,7 @@
 		Expect(header.Get("Connection")).To(Equal("close"))
 	})
 
-	// Guards against a slow caller that loses the rest of an answer: it sends a request behind the last answer while that
-	// is still on its way, and the closed socket answers with a reset.
+	// Guards against a reset that costs a slow caller the rest of its answer, since it has sent a further request.
 	It("does not cost its caller the rest of the answer before it", func() {
 		const size = 128 << 10
 		server, connect := serve(func(writer http.ResponseWriter, _ *http.Request) { _, _ = writer.Write(make([]byte, size)) })
@@ -138,8 +135,7 @@
 		Expect(err).To(Equal(io.EOF))
 	})
 
-	// Guards against a connection that ends without a sign that the next request was not begun: the answer before it
-	// has left without that sign, and has not been written to its end.
+	// Guards against a connection that closes although its last answer did not say so.
 	It("is answered if the answer before it has left with the connection kept", func() {
 		inner, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -159,7 +159,8 @@
 }
 
 // readyToSend sets the request's remaining time and reports whether the request may be written now. A host that has begun
-// to stop meanwhile may not live to receive the answer. Where the upstream checks no fences, a host that was suspended after it chose the upstream must not write once its lease has ended.
+// to stop meanwhile may not live to receive the answer. Where the upstream checks no fences, a host that was suspended
+// after it chose the upstream must not write once its lease has ended.
 func (slot *slot) readyToSend(exchange *cherrykeel.Exchange, request *http.Request) bool {
 	now := slot.clock.Now()
 	remaining := slot.deadline.Sub(now)
--- a/entry/cut_queued_test.go
+++ b/entry/cut_queued_test.go
@@ -14,8 +14,7 @@
 )
 
 var _ = Describe("a request that was accepted before the stop and waits for an upstream", func() {
-	// Guards against a request that is sent late in the stop, and whose answer cannot leave before the host ends, since
-	// an earlier request of its connection outlasts the host.
+	// Guards against a send late in the stop whose answer must wait for an earlier one that outlasts the host.
 	It("is not sent behind a request that outlasts the host", func() {
 		stopping := newStoppingHost(noRemoval)
 		held := stopping.serveSlowRoute(20 * time.Second)
--- a/entry/cut_test.go
+++ b/entry/cut_test.go
@@ -86,8 +86,7 @@
 )
 
 var _ = Describe("a host that ends with requests unanswered", func() {
-	// Guards against a cut that nobody can trace: the log says how many connections were cut, and neither which requests
-	// were on them nor that an answer was there and waited for the one before it.
+	// Guards against cuts that nobody can trace: a number of connections, and no request.
 	It("names each of them, and the answer that waits behind another one", func() {
 		stopping := newStoppingHost(noRemoval)
 		held := stopping.serveSlowRoute(20 * time.Second)
@@ -129,8 +128,7 @@
 })
 
 var _ = Describe("a stopping host takes nothing that it may not live to answer", func() {
-	// Guards against a share of the grace in which everything is taken: 4.2 s into a grace of 10 s a request came that
-	// may take 6 s, and the host ended while an upstream was at work on it.
+	// Guards against a request that is taken though it may last longer than the host.
 	It("although its grace is long", func() {
 		const grace = 10 * time.Second
 		stopping := newStoppingHostWithGrace(grace, noRemoval)
@@ -159,8 +157,7 @@
 		Expect(send("/long/")).To(HavePrefix("stopping"))
 	})
 
-	// Guards against a request that comes behind an unanswered one, is run, and whose answer cannot leave before the
-	// host ends, since the earlier one outlasts the host.
+	// Guards against a request that is run behind one that outlasts the host, so that its answer is lost.
 	It("although its own time is short, behind a request that outlasts the host", func() {
 		stopping := newStoppingHost(noRemoval)
 		held := stopping.serveSlowRoute(20 * time.Second)
--- a/entry/leaving_test.go
+++ b/entry/leaving_test.go
@@ -65,8 +65,7 @@
 		Expect(leaveAt("a")).To(And(BeNumerically(">", heardAt), BeNumerically("<", heardAt.Add(drain))))
 	})
 
-	// Guards against callers that are refused although the upstream still serves and others that are listed do not, and
-	// against requests to it after the bound.
+	// Guards against refusals while the upstream still serves, and against requests to it after the bound.
 	It("may get requests without a key until shortly before the bound", func() {
 		leaving := add("a", plainService)
 		add("b", plainService)
--- a/flow/leaving_test.go
+++ b/flow/leaving_test.go
@@ -66,8 +66,7 @@
 		Expect((*decisions)[0].Slot).NotTo(BeNil())
 	})
 
-	// Guards against requests to an upstream that leaves although another one can serve them, and against callers that
-	// are refused although it still serves and no other one does.
+	// Guards against requests that others can serve, and refusals of those that only the leaving one can.
 	It("get a request only while no other one may get it, and none once they have left", func() {
 		chosen := func(service *flow.Service, now time.Duration) string {
 			_, decisions := submit(service, now, unchanged)
--- a/flow/rest_test.go
+++ b/flow/rest_test.go
@@ -242,8 +242,7 @@
 		Entry("is not at rest with another id", func(upstream *cherrykeel.Upstream) { upstream.ID = "c" }, false),
 	)
 
-	// Guards against requests within a rest that a restarted upstream asked for before this host knew of its restart, and
-	// against a restarted upstream that is left alone for the sake of the life before it.
+	// Guards against a rest that is lost with a late known restart, and one that outlives its incarnation.
 	DescribeTable("and whose restart this host learns of", func(learnedAt time.Duration, atRest bool) {
 		asking := upstream("a", 3)
 		asking.StartedAt = 100
--- a/grants/leaving_test.go
+++ b/grants/leaving_test.go
@@ -38,8 +38,7 @@
 		Expect(store.ownerOf(0)()).To(Equal("u1"))
 	})
 
-	// Guards against a second owner of its keys: while the table can't be written, no other upstream may get them, and its
-	// own grants must not end.
+	// Guards against a second owner of its keys while the table can't be written.
 	It("keeps its keys and has its grants renewed while the store is away, and releases them when it is back", func() {
 		store.set(func() { store.unavailable = true })
 		setLeaving()
@@ -53,8 +52,7 @@
 		Expect(granter.released).To(ContainElement("u2"))
 	})
 
-	// Guards against a new term, and the pause in all grants that comes with it, for a departed owner whose entry still
-	// says that it is ready.
+	// Guards against a new term, with a pause of all grants, since a departed owner's entry says ready.
 	It("does not count as returned once it has departed", func() {
 		granter.set(func() { granter.leaving = map[string]bool{"u2": true} })
 		store.set(func() { store.unavailable = true })
--- a/host/serve.go
+++ b/host/serve.go
@@ -81,9 +81,8 @@
 }
 
 // stop shuts down gracefully; it aborts only requests that are still in flight after StopTimeout, and refuses those that
-// could be by then. The host first becomes
-// unready, still accepts callers while the load balancer notices that, waits until other hosts have taken over its keeper
-// roles, and lets the requests in flight end.
+// could be by then. The host first becomes unready, still accepts callers while the load balancer notices that, waits
+// until other hosts have taken over its keeper roles, and lets the requests in flight end.
 func (host *Host) stop() {
 	host.stopping.Store(true)
 	host.callerServer.DisableKeepAlives()
--- a/relay/leaving_test.go
+++ b/relay/leaving_test.go
@@ -57,8 +57,7 @@
 		return leaving
 	}
 
-	// Guards against statements that are heeded in successes only, and against those of others: of a late answer to
-	// another request, and of another upstream that has the address now.
+	// Guards against a statement that counts only in a success, or counts though it is another upstream's.
 	DescribeTable("is heeded whatever its status, if it is the upstream's answer to this request", func(status int, reply cherrykeel.ReplyHeaders, heeded bool) {
 		reply.Leaving = true
 		if !heeded {
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -121,8 +121,7 @@
 		}),
 	)
 
-	// Guards against a request that is sent, or a slot that stays taken, since the end was set together with the
-	// scheduler's decision.
+	// Guards against a send, or a slot that stays taken, when the end is set together with the decision.
 	It("gives back a slot that it got as the end was set", func() {
 		relay := newStoppingRelay(cherrykeel.NoKey, cherrykeel.Upstream{ID: "a", Service: "s", Address: "127.0.0.1:1", Slots: 1})
 		current := &exchange{relay: relay, request: httptest.NewRequest(http.MethodGet, "http://h/x", nil), writer: httptest.NewRecorder(), arrived: relay.clock.Now(), headers: cherrykeel.RequestHeaders{Key: cherrykeel.NoKey}}
