A rest is carried over a restart however late the host learns of it

The log: the upstream's incarnation was 4.3 s old when it asked, and the host learned of it 3.4 s after that (609 after 521), since the store had been down; the rest was taken for the incarnation before, and dropped. A rest is carried over whatever the lag now, and lasts 10 s at most from when it was asked for, so that one of an hour does not outlive the incarnation that a restart has replaced. Ruled out: the upstream's start against this host's time of day, which would need that time in the scheduler.

--- a/flow/rest.go
+++ b/flow/rest.go
@@ -11,9 +11,10 @@
 // 10 ms, and a busy one is late with that. A request without that time would wait through the rest for a refusal.
 const maxDispatchDelay = 20 * time.Millisecond
 
-// restartLag is how late this host may learn that an upstream was restarted under its ID. Until then it takes what the new
-// incarnation answers for the previous one's.
-const restartLag = 2 * time.Second
+// maxCarriedRest is how long a rest may last, from when it was asked for, if the upstream turns out to have been restarted
+// under its ID. Until this host learns that, it takes what the new incarnation answers for the previous one's, and while
+// the store is unavailable it learns nothing for seconds.
+const maxCarriedRest = 10 * time.Second
 
 // incarnation is one life of an upstream.
 type incarnation struct {
@@ -45,13 +46,15 @@
 	}
 }
 
-// carryOver gives the rest of an incarnation to the next one if it may be that one's: asked for so recently that this host
-// could not know yet that the upstream was restarted. An older one ends with its incarnation.
-func (rests rests) carryOver(from, to incarnation, now cherrykeel.Instant) {
-	rest, known := rests[from]
-	if known && now.Sub(rest.askedAt) < restartLag {
-		rests[to] = rest
+// carryOver gives the rest of an incarnation to the next one, which may have asked for it. A longer one may be the reason
+// for the restart, and ends early.
+func (rests rests) carryOver(from, to incarnation) {
+	carried, known := rests[from]
+	if !known {
+		return
 	}
+	carried.until = min(carried.until, carried.askedAt.Add(maxCarriedRest))
+	rests[to] = carried
 }
 
 // RecordRest records that an upstream wants no request from this host for a time from now on, and reports whether a rest
--- a/flow/service.go
+++ b/flow/service.go
@@ -53,7 +53,7 @@
 			// A new incarnation runs none of the previous one's requests, and nothing learned about that one applies to
 			// it.
 			if known {
-				service.rests.carryOver(incarnationOf(current.upstream), incarnationOf(upstream), now)
+				service.rests.carryOver(incarnationOf(current.upstream), incarnationOf(upstream))
 			}
 			current = &member{decayedAt: now, restUntil: service.rests[incarnationOf(upstream)].until}
 			if service.hasAnswers() {
