A host that has just started is not ended by SIGHUP

What callers saw: nothing was cut (the host took no requests yet), but a host that was told of new settings within milliseconds of its start, on a busy machine within half a second, ended and was away until it was started again.

Cause: from exec until the program handles SIGHUP the default action holds, which ends the process. The handler of the package hangup is installed as packages are initialised, and most of the time lies before that.

Change: a C constructor of the package ignores SIGHUP, if its action is the default one, before the runtime starts. The runtime keeps an ignored SIGHUP ignored until signal.Notify. A signal lost in between announces settings that the program reads later, so nothing is lost. The other commands restore what they have inherited.

What is left: without cgo (no C compiler at build time) nothing changes. A SIGHUP in the first milliseconds of another command, such as publish, is lost, and the command goes on as under nohup.

--- a/hangup/doc.go
+++ b/hangup/doc.go
@@ -1,2 +1,3 @@
-// Package hangup receives SIGHUP for a process that rereads its settings on that signal.
+// Package hangup receives SIGHUP for a process that rereads its settings on that signal. With cgo the signal is ignored
+// from the end of dynamic loading until it is received; without cgo it ends the process until then.
 package hangup
--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -75,9 +75,17 @@
 
 // startProcess starts a program, which is killed at the end of the spec.
 func startProcess(name, program string, arguments ...string) *process {
-	started := &process{name: name, command: exec.Command(program, arguments...), output: &transcript{}, done: make(chan struct{})}
-	started.command.Stdout = started.output
-	started.command.Stderr = started.output
+	return startCommand(name, exec.Command(program, arguments...))
+}
+
+// startCommand starts a command, which is killed at the end of the spec. Its standard error goes to the transcript if
+// the command names no other file.
+func startCommand(name string, command *exec.Cmd) *process {
+	started := &process{name: name, command: command, output: &transcript{}, done: make(chan struct{})}
+	command.Stdout = started.output
+	if command.Stderr == nil {
+		command.Stderr = started.output
+	}
 	Expect(started.command.Start()).To(Succeed())
 	go func() {
 		_ = started.command.Wait()
@@ -87,10 +95,25 @@
 	return started
 }
 
+// textWhileRunning returns the program's output. It fails for good when the program has ended.
+func (process *process) textWhileRunning() (string, error) {
+	select {
+	case <-process.done:
+		return "", StopTrying("the program has ended: " + process.command.ProcessState.String())
+	default:
+		return process.output.text(), nil
+	}
+}
+
 func (process *process) signal(signal syscall.Signal) {
 	_ = process.command.Process.Signal(signal)
 }
 
+// waitStatus returns how the program has ended.
+func (process *process) waitStatus() syscall.WaitStatus {
+	return process.command.ProcessState.Sys().(syscall.WaitStatus)
+}
+
 // kill ends the program with SIGKILL, and adds its output to the report if the spec has failed.
 func (process *process) kill() {
 	process.signal(syscall.SIGKILL)
