A host that is told to stop while it opens its sockets stops gracefully

A host of either kind (entry, run) that got SIGTERM or Ctrl-C after it had opened its sockets and before it received these signals was ended by them: callers that had connected meanwhile were reset, and the host's ends were no exit of its own.

Both commands asked for the signals after Listen; callers can connect from the first listening socket on.

Change: serve, which both commands use, asks for the signals and then listens. A host that is told to stop before Run begins stops in Run as one that serves.

Evidence: the specs start a process that gets the signal within listen; with the order as before both failed, with "signal: terminated" and "signal: interrupt". Before the sockets are open both signals still end the process, which is what they ask for: no caller has been taken.

Ruled out as the same fault: SIGPIPE and the runtime's own signals (the runtime handles them before it runs any package).

--- a/cmd/cherrykeel/entry.go
+++ b/cmd/cherrykeel/entry.go
@@ -4,9 +4,7 @@
 	"context"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -69,20 +67,22 @@
 		_ = closer.Close()
 		sink.Close()
 	}
-	err = host.Listen()
-	if err != nil {
-		closeOutputs()
-		return &opctl.ExitError{Code: opctl.ExitInvalid, Err: err}
+	listen := func() error {
+		err := host.Listen()
+		if err != nil {
+			closeOutputs()
+		}
+		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	go command.watchSettings(ctx, hangup.Signals(), logger, func(settings cherrykeel.EntrySettings) {
-		store.SetURL(settings.StoreURL)
-		host.Reload(settings)
-	})
-	return runUntil(host.MustExit(), func() error {
-		defer closeOutputs()
-		return host.Run(ctx)
+	return serve(listen, func(ctx context.Context) error {
+		go command.watchSettings(ctx, hangup.Signals(), logger, func(settings cherrykeel.EntrySettings) {
+			store.SetURL(settings.StoreURL)
+			host.Reload(settings)
+		})
+		return runUntil(host.MustExit(), func() error {
+			defer closeOutputs()
+			return host.Run(ctx)
+		})
 	})
 }
 
--- a/cmd/cherrykeel/run.go
+++ b/cmd/cherrykeel/run.go
@@ -41,13 +41,7 @@
 	scope, handler, closer := newMetrics()
 	defer closer.Close()
 	entry := host.New(config, host.WithLogger(logger), host.WithMetrics(scope, handler))
-	err = entry.Listen()
-	if err != nil {
-		return &opctl.ExitError{Code: opctl.ExitInvalid, Err: err}
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	return entry.Run(ctx)
+	return serve(entry.Listen, entry.Run)
 }
 
 // newLogger returns a logger that writes JSON lines of a level and above.
