--- a/grants/standin_test.go
+++ b/grants/standin_test.go
@@ -50,6 +50,23 @@
 func (smallEnvironment) ApplyOwnWrite([]byte, int64)                          {}
 func (smallEnvironment) IsCorrupt() bool                                      { return false }
 
+// storelessEnvironment is a smallEnvironment whose store is unavailable.
+type storelessEnvironment struct {
+	smallEnvironment
+}
+
+func (storelessEnvironment) StoreAvailableFor() time.Duration { return 0 }
+
+// reportingMesh has received one report.
+type reportingMesh struct {
+	smallEnvironment
+	report share.ReceivedReport
+}
+
+func (mesh reportingMesh) Reports(time.Duration) []share.ReceivedReport {
+	return []share.ReceivedReport{mesh.report}
+}
+
 // newSteppedKeeper returns a keeper whose clock and results the spec controls.
 func newSteppedKeeper(name string, clock cherrykeel.Clock, log cherrykeel.KeyedLog, environment Environment, granter cherrykeel.SpanGranter) *Keeper {
 	bounds := func() cherrykeel.Bounds { return cherrykeel.Bounds{MaxLeaseDuration: 10 * time.Second} }
--- a/grants/successor_test.go
+++ b/grants/successor_test.go
@@ -11,10 +11,12 @@
 
 	"cherrykeel"
 	"cherrykeel/fakes"
+	"cherrykeel/share"
 	"cherrykeel/spans"
 )
 
-// countingGranter records until when each upstream holds its keys, and for how long two of them hold keys at once.
+// countingGranter records until when each upstream holds its keys, and for how long two of them hold keys at once. Its
+// upstreams keep the longer of two leases.
 type countingGranter struct {
 	clock   cherrykeel.Clock
 	mutex   sync.Mutex
@@ -31,7 +33,7 @@
 			granter.overlap = max(granter.overlap, until.Sub(now))
 		}
 	}
-	granter.until[upstream.ID] = now.Add(grant.LeaseDuration)
+	granter.until[upstream.ID] = max(granter.until[upstream.ID], now.Add(grant.LeaseDuration))
 	return nil
 }
 
@@ -112,4 +114,64 @@
 			return granter.overlap
 		}, "500ms").Should(BeZero(), "time for which two upstreams hold the keys")
 	})
+
+	// The store is slow, and an owner is granted a long lease. The next keeper grants it short ones, which it answers,
+	// and stops; its last report says when its grants end. To a third keeper the owner answers nothing, and its keys are
+	// transferred. While a short grant that was answered replaced a longer lease in the ledger, the report ended with
+	// the short one, and two upstreams worked on the same keys.
+	It("waits for the long lease of a keeper before the one that it succeeds", func() {
+		ctx := context.Background()
+		clock := fakes.NewClock(cherrykeel.Instant(time.Hour))
+		granter := &countingGranter{clock: clock, until: map[string]cherrykeel.Instant{}}
+		log := &unansweredLog{values: make(chan []byte, 8)}
+		table := spans.Table{Version: 1, Term: 1, Keeper: "host-1", Incarnation: "life", Services: map[string][]spans.Owned{
+			service: {{First: 0, Last: cherrykeel.MaxKey, Owner: "u1", Address: "u1", Fence: 1}},
+		}}
+		renew := func(keeper *Keeper, table spans.Table) {
+			clock.Advance(renewInterval)
+			keeper.renewGrants(ctx, table, clock.Now())
+			processResult(keeper)
+		}
+		enter := func(keeper *Keeper, table spans.Table) {
+			keeper.enterTerm(table, clock.Now())
+			Expect(keeper.isConfirmed(table.Term, clock.Now())).To(BeTrue())
+			keeper.boundEarlierLeases(clock.Now())
+		}
+
+		first := newSteppedKeeper("host-1", clock, log, storelessEnvironment{}, granter)
+		enter(first, table)
+		first.recordStoreState(clock.Now())
+		renew(first, table)
+		clock.Advance(takeoverBarredAfter)
+		first.recordStoreState(clock.Now())
+		renew(first, table)
+		heldUntil := granter.until["u1"]
+		Expect(heldUntil).To(Equal(clock.Now().Add(10 * time.Second)))
+
+		second := newSteppedKeeper("host-2", clock, log, smallEnvironment{}, granter)
+		table = table.ClaimedBy("host-2", "life", 2)
+		enter(second, table)
+		renew(second, table)
+		second.publishTermEnd()
+
+		third := newSteppedKeeper("host-3", clock, log, smallEnvironment{}, granter)
+		third.mesh = reportingMesh{report: share.ReceivedReport{Report: share.Report{FinalGrants: second.FinalGrants()}, ReceivedAt: clock.Now()}}
+		third.recordFinalReports(table)
+		third.lastClaim = claimAttempt{offset: 3, replacedTerm: 2}
+		table = table.ClaimedBy("host-3", "life", 3)
+		third.enterTerm(table, clock.Now())
+		for !third.writing {
+			clock.Advance(retryInterval)
+			third.contact("u1").recordMiss(clock.Now())
+			third.updateTable(ctx, table, 4, clock.Now())
+		}
+		var written []byte
+		Eventually(log.values, "20s").Should(Receive(&written))
+		transferred, err := spans.Decode(written, 4)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(transferred.Services[service][0].Owner).To(Equal("u2"))
+		third.renewGrants(ctx, transferred, clock.Now())
+		Expect(granter.isGrantedSoon("u2")).To(BeTrue())
+		Expect(granter.overlap).To(BeZero(), "time for which two upstreams hold the keys")
+	})
 })
