--- a/grants/successor_test.go
+++ b/grants/successor_test.go
@@ -62,6 +62,21 @@
 var _ = Describe("a successor", func() {
 	const service = "halls"
 	whole := cherrykeel.KeySpan{First: 0, Last: cherrykeel.MaxKey}
+	var (
+		clock   *fakes.Clock
+		granter *countingGranter
+		log     *unansweredLog
+		table   spans.Table
+	)
+
+	BeforeEach(func() {
+		clock = fakes.NewClock(cherrykeel.Instant(time.Hour))
+		granter = &countingGranter{clock: clock, until: map[string]cherrykeel.Instant{}}
+		log = &unansweredLog{values: make(chan []byte, 8)}
+		table = spans.Table{Version: 1, Term: 1, Keeper: "host-1", Incarnation: "life", Services: map[string][]spans.Owned{
+			service: {{First: 0, Last: cherrykeel.MaxKey, Owner: "u1", Address: "u1", Fence: 1}},
+		}}
+	})
 
 	// An owner does not answer for some seconds and its lease expires. The keeper writes a table that transfers its
 	// keys, and the store does not answer. 5 s after it became unavailable the owner is granted its keys again,
@@ -70,12 +85,6 @@
 	// holds them.
 	It("does not grant keys by an unconfirmed write whose previous owner was granted them again", func() {
 		ctx := context.Background()
-		clock := fakes.NewClock(cherrykeel.Instant(time.Hour))
-		granter := &countingGranter{clock: clock, until: map[string]cherrykeel.Instant{}}
-		log := &unansweredLog{values: make(chan []byte, 8)}
-		table := spans.Table{Version: 1, Term: 1, Keeper: "host-1", Incarnation: "life", Services: map[string][]spans.Owned{
-			service: {{First: 0, Last: cherrykeel.MaxKey, Owner: "u1", Address: "u1", Fence: 1}},
-		}}
 		first := newSteppedKeeper("host-1", clock, log, smallEnvironment{}, granter)
 		first.enterTerm(table, clock.Now())
 		Expect(first.isConfirmed(1, clock.Now())).To(BeTrue())
@@ -121,12 +130,6 @@
 	// the short one, and two upstreams worked on the same keys.
 	It("waits for the long lease of a keeper before the one that it succeeds", func() {
 		ctx := context.Background()
-		clock := fakes.NewClock(cherrykeel.Instant(time.Hour))
-		granter := &countingGranter{clock: clock, until: map[string]cherrykeel.Instant{}}
-		log := &unansweredLog{values: make(chan []byte, 8)}
-		table := spans.Table{Version: 1, Term: 1, Keeper: "host-1", Incarnation: "life", Services: map[string][]spans.Owned{
-			service: {{First: 0, Last: cherrykeel.MaxKey, Owner: "u1", Address: "u1", Fence: 1}},
-		}}
 		renew := func(keeper *Keeper, table spans.Table) {
 			clock.Advance(renewInterval)
 			keeper.renewGrants(ctx, table, clock.Now())
--- a/proof/start_test.go
+++ b/proof/start_test.go
@@ -17,9 +17,10 @@
 )
 
 const (
+	// pipeBytes is the capacity of a pipe, and freeBytes how much of it is free: enough for the trace of one package at
+	// most.
 	pipeBytes = 4096
-	// heldBytes is room for the trace of one initialized package at most, far less than there are packages.
-	heldBytes = 64
+	freeBytes = 64
 )
 
 // heldStart is a program that is held in the initialization of its first package: it traces each package to a pipe
@@ -37,14 +38,14 @@
 	DeferCleanup(reader.Close)
 	_, err = unix.FcntlInt(writer.Fd(), unix.F_SETPIPE_SZ, pipeBytes)
 	Expect(err).NotTo(HaveOccurred())
-	_, err = writer.Write(bytes.Repeat([]byte("."), pipeBytes-heldBytes))
+	_, err = writer.Write(bytes.Repeat([]byte("."), pipeBytes-freeBytes))
 	Expect(err).NotTo(HaveOccurred())
 	command := exec.Command(program, arguments...)
 	command.Env = append(os.Environ(), "GODEBUG=inittrace=1")
 	command.Stderr = writer
 	held := &heldStart{process: startCommand(filepath.Base(program), command), trace: reader}
 	Expect(writer.Close()).To(Succeed())
-	Eventually(held.traced, waitTimeout, "1ms").Should(BeNumerically(">", pipeBytes-heldBytes))
+	Eventually(held.traced, waitTimeout, "1ms").Should(BeNumerically(">", pipeBytes-freeBytes))
 	return held
 }
 
