--- a/grants/successor_test.go
+++ b/grants/successor_test.go
@@ -124,10 +124,7 @@
 		}, "500ms").Should(BeZero(), "time for which two upstreams hold the keys")
 	})
 
-	// The store is slow, and an owner is granted a long lease. The next keeper grants it short ones, which it answers,
-	// and stops; its last report says when its grants end. To a third keeper the owner answers nothing, and its keys are
-	// transferred. While a short grant that was answered replaced a longer lease in the ledger, the report ended with
-	// the short one, and two upstreams worked on the same keys.
+	// Guards against a keeper that reports an earlier end of a lease than the keeper before it had granted.
 	It("waits for the long lease of a keeper before the one that it succeeds", func() {
 		ctx := context.Background()
 		renew := func(keeper *Keeper, table spans.Table) {
