--- a/cmd/cherrykeel/entry.go
+++ b/cmd/cherrykeel/entry.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	// dialTimeout and userTimeout bound calls to a peer that does not answer at all: the connection setup, and the time
+	// dialTimeout and userTimeout bound calls to a store that does not answer at all: the connection setup, and the time
 	// for which sent bytes stay unacknowledged. The store is 1 ms away.
 	dialTimeout = 500 * time.Millisecond
 	userTimeout = 700 * time.Millisecond
@@ -50,10 +50,12 @@
 	logger := events.NewLogger(sink, zapcore.InfoLevel)
 	scope, handler, closer := newMetrics()
 	clock := cherrykeel.BootTimeClock()
-	store := adapter.NewStore(settings.StoreURL, newTransport(storeIdleTimeout))
+	store := adapter.NewStore(settings.StoreURL, newTransport(conns.NewDialer(dialTimeout, userTimeout).DialContext, storeIdleTimeout))
 	host := entry.New(settings, entry.Platform{
-		Dialect:          adapter.Dialect(),
-		Granter:          adapter.NewGranter(newTransport(grantIdleTimeout), clock),
+		Dialect: adapter.Dialect(),
+		NewGranter: func(dial conns.DialFunc) cherrykeel.SpanGranter {
+			return adapter.NewGranter(newTransport(dial, grantIdleTimeout), clock)
+		},
 		Operator:         store.Topic(adapter.OperatorTopic),
 		Upstreams:        store.Topic(adapter.ServersTopic),
 		Hosts:            store.Topic(adapter.HostsTopic),
@@ -129,11 +131,11 @@
 	}
 }
 
-// newTransport returns a transport for calls to the store or for grants. Its connections are reset when they are closed,
+// newTransport returns a transport for calls to the store or for grants, over connections that dial opens. Its connections are reset when they are closed,
 // so that a call that was given up is not delivered later.
-func newTransport(idleTimeout time.Duration) *http.Transport {
+func newTransport(dial conns.DialFunc, idleTimeout time.Duration) *http.Transport {
 	return &http.Transport{
-		DialContext:         conns.ResetOnClose(conns.NewDialer(dialTimeout, userTimeout)),
+		DialContext:         conns.ResetOnClose(dial),
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 8,
 		IdleConnTimeout:     idleTimeout,
--- a/cmd/cherrykeel/transport_test.go
+++ b/cmd/cherrykeel/transport_test.go
@@ -30,7 +30,7 @@
 			}
 			ended <- err
 		}()
-		granter := adapter.NewGranter(newTransport(grantIdleTimeout), cherrykeel.BootTimeClock())
+		granter := adapter.NewGranter(newTransport((&net.Dialer{}).DialContext, grantIdleTimeout), cherrykeel.BootTimeClock())
 		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 		defer cancel()
 		grant := cherrykeel.SpanGrant{Span: cherrykeel.KeySpan{First: 1, Last: 2}, Fence: 1, LeaseDuration: time.Second}
--- a/conns/dialer.go
+++ b/conns/dialer.go
@@ -1,6 +1,7 @@
 package conns
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -35,3 +36,6 @@
 	}
 	return dialer
 }
+
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -37,6 +37,7 @@
 	dialTimeout         time.Duration
 	idleTimeout         time.Duration
 	userTimeout         time.Duration
+	dialFunc            DialFunc
 	allowCloseDelimited bool
 	mutex               sync.Mutex
 	addresses           map[string]*addressPool
@@ -80,6 +81,13 @@
 	}
 }
 
+// WithDial sets how connections are opened, in place of a dialer with the pool's timeouts.
+func WithDial(dial DialFunc) Option {
+	return func(pool *Pool) {
+		pool.dialFunc = dial
+	}
+}
+
 // WithCloseDelimited accepts answers that have no length and end with an orderly close of their connection.
 func WithCloseDelimited() Option {
 	return func(pool *Pool) {
@@ -93,6 +101,9 @@
 	for _, option := range options {
 		option(pool)
 	}
+	if pool.dialFunc == nil {
+		pool.dialFunc = NewDialer(pool.dialTimeout, pool.userTimeout).DialContext
+	}
 	return pool
 }
 
@@ -187,8 +198,7 @@
 
 // dial establishes a connection that reserve has counted; with a wait above 0, it must stay open for that long.
 func (pool *Pool) dial(ctx context.Context, address string, wait time.Duration) (*conn, error) {
-	dialer := NewDialer(pool.dialTimeout, pool.userTimeout)
-	socket, err := dialer.DialContext(ctx, "tcp", address)
+	socket, err := pool.dialFunc(ctx, "tcp", address)
 	if err != nil {
 		pool.countClosed(address)
 		return nil, errors.Wrap(connectError(err), err.Error())
--- a/conns/probe.go
+++ b/conns/probe.go
@@ -21,8 +21,7 @@
 	if pool.hasOpenIdleConn(address) {
 		return false
 	}
-	dialer := NewDialer(pool.dialTimeout, pool.userTimeout)
-	socket, err := dialer.DialContext(context.Background(), "tcp", address)
+	socket, err := pool.dialFunc(context.Background(), "tcp", address)
 	if err != nil {
 		return errors.Is(connectError(err), ErrRefused)
 	}
--- a/conns/reset.go
+++ b/conns/reset.go
@@ -5,13 +5,13 @@
 	"net"
 )
 
-// ResetOnClose returns a dial function whose connections are reset when they are closed, so that bytes that were sent but
+// ResetOnClose returns a DialFunc whose connections are reset when they are closed, so that bytes that were sent but
 // not delivered never arrive. Otherwise the kernel would go on retransmitting them, and an order that its sender has given
 // up would be executed when the network recovers within the user timeout. Likewise, a write to the store that was given
 // up is less likely to be executed late.
-func ResetOnClose(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+func ResetOnClose(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, address)
+		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
--- a/entry/bare_test.go
+++ b/entry/bare_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"cherrykeel"
+	"cherrykeel/conns"
 	"cherrykeel/events"
 )
 
@@ -42,6 +43,8 @@
 
 func (emptyLog) PutAt(context.Context, string, []byte, int64) error { return nil }
 
+func noGranter(conns.DialFunc) cherrykeel.SpanGranter { return nil }
+
 // unstartedHost returns a host that follows no topic yet; change may give it other topics and decoders.
 func unstartedHost(change func(platform *Platform)) *Host {
 	return unstartedHostAt(cherrykeel.SystemClock(), change)
@@ -50,7 +53,7 @@
 // unstartedHostAt returns an unstartedHost with a clock.
 func unstartedHostAt(clock cherrykeel.Clock, change func(platform *Platform)) *Host {
 	platform := Platform{
-		Dialect: noDialect{}, Operator: emptyLog{}, Upstreams: emptyLog{}, Hosts: emptyLog{}, Spans: emptyLog{},
+		Dialect: noDialect{}, NewGranter: noGranter, Operator: emptyLog{}, Upstreams: emptyLog{}, Hosts: emptyLog{}, Spans: emptyLog{},
 		RoutesKey: "routes", EvacuationPrefix: "evacuate/",
 		DecodeRoutes: func([]byte) (cherrykeel.RouteSet, error) {
 			services := map[string]cherrykeel.RoutedService{}
--- a/entry/host.go
+++ b/entry/host.go
@@ -41,8 +41,8 @@
 type Platform struct {
 	// Dialect reads and writes the platform's headers.
 	Dialect cherrykeel.Dialect
-	// Granter grants key spans to upstreams.
-	Granter cherrykeel.SpanGranter
+	// NewGranter returns what grants key spans to upstreams, over connections that the given function opens.
+	NewGranter func(dial conns.DialFunc) cherrykeel.SpanGranter
 	// Operator, Upstreams, Hosts and Spans are the store's topics: the operator's settings and orders, the entries of
 	// upstreams, the records of hosts, and the table of key spans.
 	Operator  cherrykeel.KeyedLog
@@ -69,6 +69,8 @@
 	logger   *zap.Logger
 	scope    tally.Scope
 	metrics  http.Handler
+	// dial opens connections to upstreams.
+	dial conns.DialFunc
 
 	relay            *relay.Relay
 	denyList         *deny.List
@@ -150,6 +152,13 @@
 	}
 }
 
+// WithDial replaces how connections to upstreams are opened, which is a dialer with the timeouts for upstreams.
+func WithDial(dial conns.DialFunc) Option {
+	return func(host *Host) {
+		host.dial = dial
+	}
+}
+
 // New returns a host that does not run yet.
 func New(settings cherrykeel.EntrySettings, platform Platform, options ...Option) *Host {
 	host := &Host{
@@ -160,6 +169,7 @@
 		logger:         zap.NewNop(),
 		scope:          tally.NoopScope,
 		metrics:        http.NotFoundHandler(),
+		dial:           conns.NewDialer(dialTimeout, userTimeout).DialContext,
 		incarnations:   map[string]string{},
 		missingChanges: map[string]*missingChange{},
 
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -60,7 +60,7 @@
 		Name: "host-1", CallerAddress: fakes.FreeAddress(), ReadinessAddress: fakes.FreeAddress(), InternalAddress: fakes.FreeAddress(),
 		Bounds: cherrykeel.Bounds{Grace: grace, MaxLeaseDuration: 10 * time.Second, RetryWindow: 10 * time.Second, MaxSettingsDelay: 2 * time.Second, Drain: 2 * time.Second},
 	}
-	platform := Platform{Dialect: noDialect{}, Operator: emptyLog{}, Upstreams: emptyLog{}, Spans: emptyLog{}, Hosts: hostsLog{remove: remove}}
+	platform := Platform{Dialect: noDialect{}, NewGranter: noGranter, Operator: emptyLog{}, Upstreams: emptyLog{}, Spans: emptyLog{}, Hosts: hostsLog{remove: remove}}
 	host := New(settings, platform, WithClock(clock), WithLogger(zap.New(core)))
 	Expect(host.Listen()).To(Succeed())
 	return &stoppingHost{host: host, clock: clock, ended: make(chan struct{}), logged: logged}
