Upstreams that a host does not reach are reached through another host

Cause: a host opened connections to upstreams itself or not at all, and took what it saw of them for their own state: a refused connection for the end of a process, a reset idle connection for an upstream that drops those.

Change: a connection that does not come directly within some round trips, or is refused, is asked of other hosts, which open it and copy its bytes (tunnel/); reach/ decides, pure: by host and upstream, when the direct way counts as lost, when it is tried again, who is asked. Grants, releases and health checks go the same way, so the keeper keeps its role. A refusal is the end of a process only if other hosts are refused as well. An overdue answer opens a connection ahead, which shows whether the link works; idle connections of a silent link are closed, and what may be repeated is broken off. A host that was suspended resets what it copies for others before another byte: a grant in it must not arrive late.

Why it works: everything that decides stays at the host that took the request; only how its connection is opened changes.

--- a/cmd/cherrykeel/docs_test.go
+++ b/cmd/cherrykeel/docs_test.go
@@ -45,7 +45,7 @@
 		used := ""
 		for _, pattern := range []string{
 			"../../host/*.go", "../../edge/*.go", "../../caller/*.go", "../../relay/*.go", "../../watch/*.go",
-			"../../share/*.go", "../../grants/*.go", "../../entry/*.go", "../../deny/*.go", "../../cmd/cherrykeel/*.go",
+			"../../share/*.go", "../../tunnel/*.go", "../../grants/*.go", "../../entry/*.go", "../../deny/*.go", "../../cmd/cherrykeel/*.go",
 		} {
 			files, _ := filepath.Glob(pattern)
 			for _, file := range files {
--- a/conns/conn.go
+++ b/conns/conn.go
@@ -20,6 +20,8 @@
 	writer  *bufio.Writer
 	// writtenBytes counts the bytes of the current request that were handed to the socket.
 	writtenBytes int
+	// broken means that the connection must not be used again; Pool.mutex guards it.
+	broken bool
 	// idleSince is when the last request ended; zero for a new connection.
 	idleSince time.Time
 	// idleLimit is how long the connection may be idle and still be reused.
@@ -44,6 +46,21 @@
 	return writer.conn.socket.Write(data)
 }
 
+// via returns the name of the host through which the connection goes, or "" if it is a direct one.
+func (conn *conn) via() string {
+	tunneled, ok := conn.socket.(interface{ Via() string })
+	if !ok {
+		return ""
+	}
+	return tunneled.Via()
+}
+
+// isStale reports whether the connection goes another way than new ones should.
+func (conn *conn) isStale() bool {
+	stale, ok := conn.socket.(interface{ IsStale() bool })
+	return ok && stale.IsStale()
+}
+
 // idleTime returns how long the connection has been idle, or 0 for a new one.
 func (conn *conn) idleTime() time.Duration {
 	if conn.idleSince.IsZero() {
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -49,6 +49,11 @@
 	answer.onClose = call
 }
 
+// Via returns the name of the host through which the answer came, or "" if it came directly.
+func (answer *Answer) Via() string {
+	return answer.conn.via()
+}
+
 // Send writes the request and reads the head of its answer; the end of the context makes the connection fail. If Send
 // returns an error, Progress is how far the request got, and a connection on which it was sent is closed.
 func (pool *Pool) Send(ctx context.Context, address string, request *http.Request) (*Answer, Progress, error) {
@@ -63,6 +68,11 @@
 	// ResetWait is how long a new connection must stay open before the first byte is sent; 0 sends at once. An upstream
 	// with too many connections accepts one more and resets it, and a request sent by then may have run.
 	ResetWait time.Duration
+	// Repeatable requests are broken off when the link to their address turns out to be silent (Pool.BreakSilent).
+	Repeatable bool
+	// AnswerWithin is the time within which an answer is expected on a connection that was used before; 0 means no
+	// expectation. When it is over, the pool opens another connection, which shows whether the link still works.
+	AnswerWithin time.Duration
 	// Ready, if not nil, is called once the connection is established, just before the first byte is sent. It may change
 	// the request, or return false to cancel it: the conditions for sending may have changed during a slow connect or
 	// while the process was suspended.
@@ -86,18 +96,23 @@
 	}
 	conn.writtenBytes = 0
 	idle := conn.idleTime()
+	defer pool.watchForAnswer(conn, options)()
 	stop := context.AfterFunc(ctx, func() {
 		_ = conn.socket.SetDeadline(pastTime)
 	})
 	answer, progress, err := conn.exchange(request, pool.allowCloseDelimited)
 	if err != nil {
 		stop()
+		if conn.via() != "" {
+			err = errors.WithMessage(err, "through "+conn.via())
+		}
 		pool.discard(conn)
-		if progress == Sent && ctx.Err() == nil {
+		if progress == Sent && ctx.Err() == nil && !pool.isBroken(conn) {
 			pool.recordLoss(idle)
 		}
 		return nil, progress, err
 	}
+	pool.recordArrival(conn)
 	answer.pool = pool
 	answer.stopCancel = stop
 	return answer, AnswerBegun, nil
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -47,6 +47,8 @@
 	freshLosses    int
 	lastLoss       time.Time
 	reducedMaxIdle time.Duration
+	// arrivedAt is when the head of an answer last arrived on a direct connection.
+	arrivedAt time.Time
 }
 
 // addressPool holds the connections to one address.
@@ -54,6 +56,11 @@
 	limit int
 	open  int
 	idle  []*conn
+	// used are the connections that carry a request, and whether it is repeatable.
+	used map[*conn]bool
+	// opensAhead is set while a connection is opened that no request needs yet, and openedAheadAt when the last one was.
+	opensAhead    bool
+	openedAheadAt time.Time
 }
 
 // Option changes a Pool under construction.
@@ -124,7 +131,7 @@
 func (pool *Pool) addressPool(address string) *addressPool {
 	found, exists := pool.addresses[address]
 	if !exists {
-		found = &addressPool{limit: defaultLimit}
+		found = &addressPool{limit: defaultLimit, used: map[*conn]bool{}}
 		pool.addresses[address] = found
 	}
 	return found
@@ -151,6 +158,14 @@
 	}
 }
 
+// ForgetLosses makes the pool reuse connections as before the losses that it has seen, since they have another cause
+// than upstreams that drop idle connections.
+func (pool *Pool) ForgetLosses() {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	pool.idleLosses, pool.freshLosses, pool.reducedMaxIdle = 0, 0, 0
+}
+
 // allowedIdle returns how long a connection may have been idle before it is reused.
 func (pool *Pool) allowedIdle(maxIdle time.Duration) time.Duration {
 	pool.mutex.Lock()
@@ -165,14 +180,14 @@
 func (pool *Pool) acquire(ctx context.Context, address string, options SendOptions) (*conn, error) {
 	maxIdle := pool.allowedIdle(options.MaxIdle)
 	for {
-		idle, err := pool.reserve(address)
+		idle, err := pool.reserve(address, options.Repeatable)
 		if err != nil {
 			return nil, err
 		}
 		if idle == nil {
-			return pool.dial(ctx, address, options.ResetWait)
+			return pool.dialForUse(ctx, address, options)
 		}
-		if time.Since(idle.idleSince) < min(maxIdle, idle.idleLimit) && idle.isOpenAndQuiet() {
+		if time.Since(idle.idleSince) < min(maxIdle, idle.idleLimit) && !idle.isStale() && idle.isOpenAndQuiet() {
 			return idle, nil
 		}
 		pool.discard(idle)
@@ -180,13 +195,14 @@
 }
 
 // reserve returns an idle connection, or nil after counting a new one that the caller must establish.
-func (pool *Pool) reserve(address string) (*conn, error) {
+func (pool *Pool) reserve(address string, repeatable bool) (*conn, error) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	pooled := pool.addressPool(address)
 	if last := len(pooled.idle) - 1; last >= 0 {
 		conn := pooled.idle[last]
 		pooled.idle = pooled.idle[:last]
+		pooled.used[conn] = repeatable
 		return conn, nil
 	}
 	if pooled.open >= pooled.limit {
@@ -196,7 +212,20 @@
 	return nil, nil
 }
 
-// dial establishes a connection that reserve has counted; with a wait above 0, it must stay open for that long.
+// dialForUse is dial for a connection that carries a request at once.
+func (pool *Pool) dialForUse(ctx context.Context, address string, options SendOptions) (*conn, error) {
+	conn, err := pool.dial(ctx, address, options.ResetWait)
+	if err != nil {
+		return nil, err
+	}
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	pool.addressPool(address).used[conn] = options.Repeatable
+	return conn, nil
+}
+
+// dial establishes a connection that reserve has counted; with a wait above 0, it must stay open for that long, and for
+// twice as long if it goes through another host, since what the upstream does is seen later.
 func (pool *Pool) dial(ctx context.Context, address string, wait time.Duration) (*conn, error) {
 	socket, err := pool.dialFunc(ctx, "tcp", address)
 	if err != nil {
@@ -205,6 +234,9 @@
 	}
 	conn := newConn(address, socket)
 	conn.idleLimit = pool.idleTimeout
+	if conn.via() != "" {
+		wait *= 2
+	}
 	if wait > 0 && !conn.staysOpen(wait) {
 		pool.discard(conn)
 		return nil, errors.Wrap(ErrConnect, "the upstream closed the new connection")
@@ -220,7 +252,11 @@
 
 func (pool *Pool) discard(conn *conn) {
 	_ = conn.socket.Close()
-	pool.countClosed(conn.address)
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	pooled := pool.addressPool(conn.address)
+	pooled.open--
+	delete(pooled.used, conn)
 }
 
 // release makes a connection available to other requests, or closes it if its address has more than its limit allows.
@@ -229,7 +265,8 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	pooled := pool.addressPool(conn.address)
-	if pooled.open > pooled.limit {
+	delete(pooled.used, conn)
+	if pooled.open > pooled.limit || conn.broken {
 		pooled.open--
 		_ = conn.socket.Close()
 		return
@@ -250,7 +287,8 @@
 	}
 }
 
-// CloseExpired closes the connections that have been idle for longer than the idle timeout.
+// CloseExpired closes the connections that have been idle for longer than the idle timeout, and those that go another
+// way than new ones do.
 func (pool *Pool) CloseExpired() {
 	for _, conn := range pool.removeExpired() {
 		pool.discard(conn)
@@ -264,7 +302,7 @@
 	for _, pooled := range pool.addresses {
 		var kept []*conn
 		for _, conn := range pooled.idle {
-			if time.Since(conn.idleSince) < pool.idleTimeout {
+			if time.Since(conn.idleSince) < pool.idleTimeout && !conn.isStale() {
 				kept = append(kept, conn)
 				continue
 			}
--- a/conns/reset.go
+++ b/conns/reset.go
@@ -15,8 +15,8 @@
 		if err != nil {
 			return nil, err
 		}
-		socket, plain := conn.(*net.TCPConn)
-		if plain {
+		socket, ok := conn.(interface{ SetLinger(seconds int) error })
+		if ok {
 			err = socket.SetLinger(0)
 		}
 		if err != nil {
--- a/entry/announce.go
+++ b/entry/announce.go
@@ -80,6 +80,7 @@
 	peers := host.peers.Current()
 	newcomers := host.recordIncarnations(peers)
 	host.mesh.SetPeers(peers)
+	host.dialer.SetPeers(peers)
 	if host.countColdUpstreams() > 0 {
 		host.applyUpstreams()
 	}
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -24,7 +24,8 @@
 	host.schedulingDelay = newSchedulingDelay(host.clock)
 	host.spans = watch.NewSpans(host.clock, host.logger, host.onSpansChange, host.announceSpans)
 	host.mesh = share.New(host.self, host.clock, host.logger, &state{host: host}, host.reportsThrottle.trigger, host.countsThrottle.trigger, func(demand share.Demand) { host.keeper.RecordDemand(demand) }, host.receive)
-	host.conns = conns.NewPool(conns.WithDial(host.dial), conns.WithIdleTimeout(idleTimeout), conns.WithCloseDelimited())
+	host.newTunnels()
+	host.conns = conns.NewPool(conns.WithDial(host.dialer.DialContext), conns.WithIdleTimeout(idleTimeout), conns.WithCloseDelimited())
 	host.pendingDenials = deny.NewPendingRecords()
 	host.denyList = deny.New(deny.Settings{
 		Clock: host.clock, Logger: host.logger, IsConnectionRefused: host.conns.IsRefused,
@@ -54,7 +55,7 @@
 	host.spans.SetMaxLeaseDuration(func() time.Duration { return host.currentBounds().MaxLeaseDuration })
 	host.upstreams.SetTopicAvailability(host.topics.upstreams.AvailableFor)
 	host.keeper = grants.New(host.self, host.clock, host.logger, host.platform.Spans, watch.SpansKey, &ownTable{host: host},
-		&environment{host: host}, host.mesh, host.platform.NewGranter(host.dial), host.currentBounds, grants.WithMetrics(host.scope))
+		&environment{host: host}, host.mesh, host.platform.NewGranter(host.dialer.DialOrder), host.currentBounds, grants.WithMetrics(host.scope))
 }
 
 // onSpansChange passes a new table's keeper to the mesh, and dispatches requests that waited for an owner.
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -46,6 +46,7 @@
 	report.Offsets = host.offsets()
 	report.Ages = host.ages()
 	report.FinalGrants = host.keeper.FinalGrants()
+	host.fillReach(report)
 }
 
 // FillLoad implements share.StateSource.
@@ -131,6 +132,7 @@
 // checkReports triggers reads of the topics for which other hosts report newer changes whose announcements have not
 // arrived in time.
 func (host *Host) checkReports() {
+	host.updateStatuses()
 	known := host.completeOffsets()
 	newest := maps.Clone(known)
 	for _, received := range host.mesh.FreshReports() {
--- a/entry/host.go
+++ b/entry/host.go
@@ -22,6 +22,7 @@
 	"cherrykeel/grants"
 	"cherrykeel/relay"
 	"cherrykeel/share"
+	"cherrykeel/tunnel"
 	"cherrykeel/watch"
 )
 
@@ -76,6 +77,8 @@
 	denyList         *deny.List
 	pendingDenials   *deny.PendingRecords
 	conns            *conns.Pool
+	dialer           *tunnel.Dialer
+	tunnels          *tunnel.Server
 	server           *caller.Server
 	mesh             *share.Mesh
 	keeper           *grants.Keeper
@@ -113,6 +116,8 @@
 	// missingChanges tracks, by topic or by one of the keys beside the topics, changes that other hosts have and this
 	// one lacks.
 	missingChanges map[string]*missingChange
+	// shownTunnels has the gauges of connections through hosts that were ever above 0.
+	shownTunnels map[string]bool
 }
 
 // topics holds the followers of the store's topics.
@@ -172,6 +177,7 @@
 		dial:           conns.NewDialer(dialTimeout, userTimeout).DialContext,
 		incarnations:   map[string]string{},
 		missingChanges: map[string]*missingChange{},
+		shownTunnels:   map[string]bool{},
 
 		upstreamsThrough: -1,
 		acceptEnded:      make(chan struct{}),
@@ -210,6 +216,10 @@
 	if err != nil {
 		return err
 	}
+	err = host.listenForTunnels()
+	if err != nil {
+		return err
+	}
 	readiness, err := net.Listen("tcp", host.settings.ReadinessAddress)
 	if err != nil {
 		return errors.WithStack(err)
--- a/entry/maintain.go
+++ b/entry/maintain.go
@@ -58,6 +58,7 @@
 			host.checkReports()
 			host.updateUnreadableGauges()
 			host.updateUpstreamGauges()
+			host.updateReachGauges()
 			// A host that has become unreachable is left out of the sums without a message.
 			host.updateOtherCounts()
 		case <-remove.C:
--- /dev/null
+++ b/entry/reach.go
@@ -0,0 +1,126 @@
+package entry
+
+import (
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"cherrykeel"
+	"cherrykeel/events"
+	"cherrykeel/reach"
+	"cherrykeel/share"
+	"cherrykeel/tunnel"
+)
+
+const (
+	// tunnelShare is the share of the descriptors that connections for other hosts may take.
+	tunnelShare = 0.25
+	// tunnelDescriptors is how many descriptors a connection for another host takes.
+	tunnelDescriptors = 2
+	// minTunnels is how many connections for other hosts are possible at least.
+	minTunnels = 16
+)
+
+// newTunnels creates what opens connections to upstreams, for this host and for others.
+func (host *Host) newTunnels() {
+	host.dialer = tunnel.NewDialer(tunnel.Settings{
+		Self: host.self, Clock: host.clock, Logger: host.logger, Scope: host.scope, Dial: host.dial, UserTimeout: userTimeout,
+		FindUpstream: host.appliedUpstreams.findAddress, ShortName: share.ShortName,
+		OnLost: host.handleLostLink,
+	})
+	descriptors := tunnelShare * float64(host.settings.MaxDescriptors)
+	host.tunnels = tunnel.NewServer(host.dialer, max(minTunnels, int(descriptors)/tunnelDescriptors))
+}
+
+// handleLostLink makes the pool let go of what a lost link explains.
+func (host *Host) handleLostLink(address string, silent bool) {
+	host.conns.ForgetLosses()
+	if silent {
+		host.conns.BreakSilent(address)
+	}
+}
+
+// listenForTunnels opens the socket for connections of other hosts to upstreams, beside that for their messages.
+func (host *Host) listenForTunnels() error {
+	listener, err := net.Listen("tcp", host.self.InternalAddress)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	go host.tunnels.Serve(listener)
+	return nil
+}
+
+// fillReach reports which upstreams this host does not reach itself, and whether it stops.
+func (host *Host) fillReach(report *share.Report) {
+	report.Unreached, report.UnreachedCount = host.dialer.Unreached()
+	report.Stopping = host.stopping.Load()
+}
+
+// updateStatuses passes on what the other hosts have reported of their links.
+func (host *Host) updateStatuses() {
+	statuses := map[string]reach.Status{}
+	for _, received := range host.mesh.FreshReports() {
+		report := received.Report
+		statuses[report.Host] = reach.Status{
+			Stopping: report.Stopping || report.Stopped, Unreached: report.Unreached, Overflow: report.UnreachedCount > len(report.Unreached),
+		}
+	}
+	host.dialer.SetStatuses(statuses)
+}
+
+// updateReachGauges shows how many upstreams this host does not reach itself, and the connections to upstreams that go
+// through each other host, or through this one for each.
+func (host *Host) updateReachGauges() {
+	host.dialer.Retain()
+	_, unreached := host.dialer.Unreached()
+	host.scope.Gauge("unreached_upstreams").Update(float64(unreached))
+	host.updateTunnelGauges("tunnels_through", host.dialer.Tunnels())
+	host.updateTunnelGauges("tunnels_for", host.tunnels.Tunnels())
+}
+
+// updateTunnelGauges shows a count for each other host, 0 for those that have none any more.
+func (host *Host) updateTunnelGauges(name string, counts map[string]int) {
+	for _, peer := range host.peers.Current() {
+		count := counts[peer.Name]
+		if count == 0 && !host.shownTunnels[name+peer.Name] {
+			continue
+		}
+		host.shownTunnels[name+peer.Name] = true
+		host.scope.Tagged(map[string]string{"host": peer.Name}).Gauge(name).Update(float64(count))
+	}
+}
+
+// findAddress returns the upstream with an address.
+func (upstreamList *upstreamList) findAddress(address string) (cherrykeel.Upstream, bool) {
+	index := upstreamList.byAddress.Load()
+	if index == nil {
+		return cherrykeel.Upstream{}, false
+	}
+	upstream, listed := (*index)[address]
+	return upstream, listed
+}
+
+// store replaces the list.
+func (upstreamList *upstreamList) store(list []cherrykeel.Upstream) {
+	byAddress := make(map[string]cherrykeel.Upstream, len(list))
+	for _, upstream := range list {
+		byAddress[upstream.Address] = upstream
+	}
+	upstreamList.list.Store(&list)
+	upstreamList.byAddress.Store(&byAddress)
+}
+
+// awaitTunnels returns when no connection of another host goes through this one any more, or the channel is closed.
+func (host *Host) awaitTunnels(end <-chan struct{}) {
+	for host.tunnels.Total() > 0 {
+		select {
+		case <-end:
+			events.Log(host.logger, events.TunnelsLeft, zap.Int("Tunnels", host.tunnels.Total()))
+			return
+		default:
+			time.Sleep(stopPollInterval)
+		}
+	}
+}
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -44,6 +44,8 @@
 func (host *Host) stop(ctx context.Context) {
 	begun := host.clock.Now()
 	host.stopping.Store(true)
+	host.tunnels.Stop()
+	host.mesh.ReportNow()
 	// The grace counts from the signal. A busy process notices the signal late by its scheduling delay, a suspended one
 	// by up to the time of its suspension. A process that notices its signal late also exits late, so the delay is
 	// taken off the grace.
@@ -65,6 +67,7 @@
 	draining, cancel := host.contextUntil(ctx, end)
 	defer cancel()
 	runUntil(draining.Done(), func() { host.drain(draining, earliest, grace, end) })
+	host.awaitTunnels(draining.Done())
 	events.Log(host.logger, events.EntryStopped, zap.Int("Cut", host.server.OpenConns()), zap.Duration("Took", host.clock.Now().Sub(begun)))
 	runUntil(host.mustExit, func() { host.stopGranting(ctx) })
 	runUntil(host.mustExit, func() { host.logCut(signalled) })
--- a/entry/upstreams.go
+++ b/entry/upstreams.go
@@ -29,6 +29,8 @@
 	// mutex serializes the updates.
 	mutex sync.Mutex
 	list  atomic.Pointer[[]cherrykeel.Upstream]
+	// byAddress has the same upstreams by their addresses.
+	byAddress atomic.Pointer[map[string]cherrykeel.Upstream]
 }
 
 // current returns the upstreams that were last passed on; callers must not modify the list.
@@ -59,7 +61,7 @@
 	}
 	names := newShortNames(list)
 	host.shortNames.Store(&names)
-	host.appliedUpstreams.list.Store(&list)
+	host.appliedUpstreams.store(list)
 	host.relay.SetUpstreams(list)
 }
 
--- /dev/null
+++ b/reach/peers_test.go
@@ -0,0 +1,93 @@
+package reach_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cherrykeel"
+	"cherrykeel/reach"
+)
+
+func hostList(zones ...string) []cherrykeel.Peer {
+	var list []cherrykeel.Peer
+	for i, zone := range zones {
+		list = append(list, cherrykeel.Peer{Name: fmt.Sprintf("host-%d", i), Incarnation: "a", Zone: zone})
+	}
+	return list
+}
+
+func names(list []cherrykeel.Peer) []string {
+	var names []string
+	for _, peer := range list {
+		names = append(names, peer.Name)
+	}
+	return names
+}
+
+var _ = Describe("the hosts to ask", func() {
+	var peers *reach.Peers
+	now := cherrykeel.Instant(time.Hour)
+	BeforeEach(func() {
+		random := rand.New(rand.NewPCG(1, 2))
+		peers = reach.NewPeers("z1", random.Float64)
+		peers.Set(hostList("z1", "z1", "z2", "z2", "z2"))
+	})
+	order := func() []string { return names(peers.Order(first, "u", now)) }
+
+	It("are three, those of the own zone first", func() {
+		Expect(order()).To(HaveLen(3))
+		Expect(order()[:2]).To(ConsistOf("host-0", "host-1"))
+	})
+
+	// Guards against a host that carries all connections of a zone that has lost its links, while others carry none.
+	It("are spread", func() {
+		peers.Set(hostList("z2", "z2", "z2", "z2"))
+		asked := map[string]int{}
+		for range 400 {
+			asked[order()[0]]++
+		}
+		for _, count := range asked {
+			Expect(count).To(BeNumerically("~", 100, 40))
+		}
+		Expect(asked).To(HaveLen(4))
+	})
+
+	// Guards against asking hosts that have lost the same links: a zone of hosts is cut at one moment.
+	It("are not first those that report the upstream as out of their reach", func() {
+		peers.SetStatuses(map[string]reach.Status{"host-0": {Unreached: []string{"u"}}, "host-1": {Overflow: true}})
+		Expect(order()).To(ConsistOf("host-2", "host-3", "host-4"))
+		peers.SetStatuses(map[string]reach.Status{"host-0": {Unreached: []string{"another"}}})
+		Expect(order()[:2]).To(ConsistOf("host-0", "host-1"))
+	})
+
+	It("are not first those that could not open it a moment ago, for that address only", func() {
+		peers.Record("host-0", first, reach.Unreached, now)
+		Expect(order()[0]).To(Equal("host-1"))
+		Expect(names(peers.Order(second, "v", now))[:2]).To(ConsistOf("host-0", "host-1"))
+		now = now.Add(time.Second)
+		Expect(order()[:2]).To(ConsistOf("host-0", "host-1"))
+	})
+
+	It("are last those that do not answer, have no room or stop", func() {
+		peers.Record("host-0", second, reach.Silent, now)
+		peers.SetStatuses(map[string]reach.Status{"host-1": {Stopping: true}})
+		Expect(order()).To(ConsistOf("host-2", "host-3", "host-4"))
+		Expect(peers.IsStopping("host-1")).To(BeTrue())
+		Expect(peers.IsStopping("no host")).To(BeTrue())
+	})
+
+	// Guards against time lost at hosts of an earlier build, which serve no such connections.
+	It("are not those that cannot be asked, until they are started anew", func() {
+		peers.Set(hostList("z1"))
+		peers.Record("host-0", first, reach.Incapable, now)
+		Expect(order()).To(BeEmpty())
+		restarted := hostList("z1")
+		restarted[0].Incarnation = "b"
+		peers.Set(restarted)
+		Expect(order()).To(Equal([]string{"host-0"}))
+	})
+})
--- /dev/null
+++ b/reach/table.go
@@ -0,0 +1,249 @@
+package reach
+
+import (
+	"sort"
+	"time"
+
+	"cherrykeel"
+)
+
+const (
+	// headStart is how long a direct connection is tried before other hosts are asked. It takes a round trip, 1 to 3 ms,
+	// and a busy host notices it late.
+	headStart = 60 * time.Millisecond
+	// suspectHeadStart is the head start while another address is out of reach.
+	suspectHeadStart = 10 * time.Millisecond
+	// suspectTime is how long a miss at one address makes the links to all others suspect.
+	suspectTime = time.Second
+	// missesUntilLost is how many misses in a row show that the link to an address is lost and not only slow.
+	missesUntilLost = 2
+	// directInterval is the time between direct attempts at an address whose link is lost. It varies by directJitter, so
+	// that hosts that have lost their links together do not try all at once.
+	directInterval = time.Second
+	directJitter   = 0.2
+	// minClosedTime is how long no connection is tried after neither this host nor those that it asked could open one; it
+	// doubles with each further failure, up to maxClosedTime.
+	minClosedTime = 200 * time.Millisecond
+	maxClosedTime = 2 * time.Second
+	// refusedTime is for how long a refusal that other hosts have confirmed is not confirmed again.
+	refusedTime = time.Second
+	// forgetTime is how long an address without a connection attempt is remembered.
+	forgetTime = time.Minute
+)
+
+// Plan is how a connection to an address is opened. A plan with neither Direct nor Tunnel means that no attempt is made.
+type Plan struct {
+	// Direct means that this host connects itself, and Tunnel that it asks other hosts.
+	Direct bool
+	Tunnel bool
+	// HeadStart is how long the direct attempt is given before other hosts are asked as well.
+	HeadStart time.Duration
+}
+
+// Change is what an attempt has changed in the state of an address.
+type Change int
+
+// The changes of an address's state.
+const (
+	// Unchanged means that the address is reached as before.
+	Unchanged Change = iota
+	// Lost means that this host does not reach the address itself any more.
+	Lost
+	// Restored means that it does again.
+	Restored
+)
+
+// path is the state of one address.
+type path struct {
+	// misses counts consecutive connections that another host opened and this one could not.
+	misses   int
+	missedAt cherrykeel.Instant
+	// lost means that this host does not reach the address itself; lostAt is since when, and directAt from when it tries
+	// again.
+	lost     bool
+	lostAt   cherrykeel.Instant
+	directAt cherrykeel.Instant
+	// failures counts consecutive attempts that neither this host nor another one could complete.
+	failures    int
+	closedUntil cherrykeel.Instant
+	// refusedUntil is until when the address is known to refuse connections from every host.
+	refusedUntil cherrykeel.Instant
+	usedAt       cherrykeel.Instant
+}
+
+// Table holds how this host reaches the addresses of upstreams. It is not safe for concurrent use.
+type Table struct {
+	paths map[string]*path
+	// random returns a number in [0, 1).
+	random func() float64
+}
+
+// NewTable returns a table in which every address is reached directly.
+func NewTable(random func() float64) *Table {
+	return &Table{paths: map[string]*path{}, random: random}
+}
+
+func (table *Table) path(address string, now cherrykeel.Instant) *path {
+	found, known := table.paths[address]
+	if !known {
+		found = &path{}
+		table.paths[address] = found
+	}
+	found.usedAt = now
+	return found
+}
+
+// Plan returns how the next connection to an address is opened.
+func (table *Table) Plan(address string, now cherrykeel.Instant) Plan {
+	path := table.path(address, now)
+	switch {
+	case now < path.closedUntil:
+		return Plan{}
+	case path.lost && now < path.directAt:
+		return Plan{Tunnel: true}
+	case path.lost:
+		path.directAt = now.Add(table.directPause())
+		return Plan{Direct: true, Tunnel: true}
+	case now < path.refusedUntil:
+		return Plan{Direct: true}
+	case table.isSuspect(address, now):
+		return Plan{Direct: true, Tunnel: true, HeadStart: suspectHeadStart}
+	default:
+		return Plan{Direct: true, Tunnel: true, HeadStart: headStart}
+	}
+}
+
+func (table *Table) directPause() time.Duration {
+	return time.Duration(float64(directInterval) * (1 - directJitter + 2*directJitter*table.random()))
+}
+
+// isSuspect reports whether another address than the given one was missed lately, so that the cause is rather this
+// host's links than one upstream.
+func (table *Table) isSuspect(address string, now cherrykeel.Instant) bool {
+	for other, path := range table.paths {
+		if other != address && path.misses > 0 && now.Sub(path.missedAt) < suspectTime {
+			return true
+		}
+	}
+	return false
+}
+
+// RecordConnected records that this host has connected to an address itself.
+func (table *Table) RecordConnected(address string, now cherrykeel.Instant) Change {
+	path := table.path(address, now)
+	path.misses, path.failures = 0, 0
+	path.closedUntil, path.refusedUntil = 0, 0
+	if !path.lost {
+		return Unchanged
+	}
+	path.lost = false
+	return Restored
+}
+
+// RecordMiss records that another host has opened a connection that this one could not open: it was refused, or did not
+// succeed in time. A refusal is certain; silence may be a lost packet.
+func (table *Table) RecordMiss(address string, refused bool, now cherrykeel.Instant) Change {
+	path := table.path(address, now)
+	path.misses++
+	path.missedAt = now
+	path.failures = 0
+	path.closedUntil, path.refusedUntil = 0, 0
+	path.directAt = now.Add(table.directPause())
+	if path.lost || !refused && path.misses < missesUntilLost && !table.isSuspect(address, now) {
+		return Unchanged
+	}
+	path.lost = true
+	path.lostAt = now
+	return Lost
+}
+
+// RecordTunneled records that another host has opened a connection where this one did not try.
+func (table *Table) RecordTunneled(address string, now cherrykeel.Instant) {
+	path := table.path(address, now)
+	path.failures = 0
+}
+
+// RecordUnreached records that neither this host nor those that it asked could connect to an address, and reports
+// whether that is new.
+func (table *Table) RecordUnreached(address string, now cherrykeel.Instant) bool {
+	path := table.path(address, now)
+	path.closedUntil = now.Add(min(minClosedTime<<min(path.failures, 4), maxClosedTime))
+	path.failures++
+	return path.failures == 1
+}
+
+// RecordRefused records that no process listens at an address. A host that reaches the address itself goes on trying: a
+// refusal comes at once, and an upstream may have started again.
+func (table *Table) RecordRefused(address string, now cherrykeel.Instant) {
+	path := table.path(address, now)
+	if path.lost {
+		table.RecordUnreached(address, now)
+		return
+	}
+	path.misses = 0
+	path.refusedUntil = now.Add(refusedTime)
+}
+
+// IsProcessEnd reports whether a refused connection shows that no process listens at the address: other hosts have been
+// refused as well. While this host misses other addresses, only they count; if none of them answered, its own links are
+// the likelier cause.
+func (table *Table) IsProcessEnd(address string, replies Replies, now cherrykeel.Instant) bool {
+	switch {
+	case replies.Unreached > 0 && replies.Refused == 0:
+		return false
+	case replies.Refused > 0:
+		return replies.Refused > replies.Unreached
+	default:
+		return !table.isSuspect(address, now) && len(table.Lost()) == 0
+	}
+}
+
+// ClosedFor returns for how long no connection to an address is tried, since no host is known that reaches it.
+func (table *Table) ClosedFor(address string, now cherrykeel.Instant) time.Duration {
+	path, known := table.paths[address]
+	if !known {
+		return 0
+	}
+	return max(0, path.closedUntil.Sub(now))
+}
+
+// IsLost reports whether this host does not reach an address itself.
+func (table *Table) IsLost(address string) bool {
+	path, known := table.paths[address]
+	return known && path.lost
+}
+
+// IsMissed reports whether this host has not connected to an address itself since another host opened what it could not.
+func (table *Table) IsMissed(address string) bool {
+	path, known := table.paths[address]
+	return known && path.misses > 0
+}
+
+// LostFor returns how long this host has not reached an address itself, or 0.
+func (table *Table) LostFor(address string, now cherrykeel.Instant) time.Duration {
+	if !table.IsLost(address) {
+		return 0
+	}
+	return now.Sub(table.paths[address].lostAt)
+}
+
+// Lost returns the addresses that this host does not reach itself, sorted.
+func (table *Table) Lost() []string {
+	var lost []string
+	for address, path := range table.paths {
+		if path.lost {
+			lost = append(lost, address)
+		}
+	}
+	sort.Strings(lost)
+	return lost
+}
+
+// Retain forgets addresses that no upstream has any more, and those that were not used for a while.
+func (table *Table) Retain(isListed func(address string) bool, now cherrykeel.Instant) {
+	for address, path := range table.paths {
+		if !isListed(address) || now.Sub(path.usedAt) > forgetTime {
+			delete(table.paths, address)
+		}
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -49,6 +49,8 @@
 	// came.
 	reset     bool
 	abandoned bool
+	// via is the host through which the answer came, or empty.
+	via string
 	// withheld means that the request was not sent since the upstream's rest had begun meanwhile.
 	withheld bool
 }
@@ -65,6 +67,9 @@
 	// newConnResetWait is how long a new connection must stay open before a request that is not repeatable is sent on
 	// it. An upstream needs 1 ms to accept a connection, and resets the connection at that point if it has too many.
 	newConnResetWait = 3 * time.Millisecond
+	// An answer is late after lateAnswerFactor times the time that it is expected to take, and lateAnswerMargin.
+	lateAnswerFactor = 2
+	lateAnswerMargin = 100 * time.Millisecond
 )
 
 // errWrongRequest is the failure of an answer that names another request than the one sent.
@@ -123,10 +128,11 @@
 	remaining := exchange.deadline.Sub(exchange.relay.clock.Now())
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
-	options := conns.SendOptions{MaxIdle: maxIdleRepeatable}
+	options := conns.SendOptions{MaxIdle: maxIdleRepeatable, Repeatable: true}
 	if !exchange.route.Repeatable {
 		options = conns.SendOptions{MaxIdle: maxIdleUnrepeatable, ResetWait: newConnResetWait}
 	}
+	options.AnswerWithin = lateAnswerMargin + lateAnswerFactor*exchange.inputs.TimeToAnswer
 	options.Ready = func() bool { return exchange.isReady(slot) }
 	answer, progress, err := exchange.relay.pool.SendWithOptions(ctx, slot.Upstream.Address, exchange.upstreamRequest(slot.Upstream, remaining), options)
 	if err != nil {
@@ -144,7 +150,7 @@
 	exchange.logMalformedRetryAfter(slot.Upstream, reply.MalformedRetryAfter)
 	exchange.recordRest(slot, reply)
 	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes+1))
-	result := result{status: answer.Status, header: answer.Header, body: body, load: reply.Load, misdirected: reply.Misdirected}
+	result := result{via: answer.Via(), status: answer.Status, header: answer.Header, body: body, load: reply.Load, misdirected: reply.Misdirected}
 	result.unanswered = err != nil && ctx.Err() == nil
 	result.reset = errors.Is(err, conns.ErrReset)
 	result.fromTarget = err == nil && (reply.Instance == "" || reply.Instance == slot.Upstream.ID)
--- a/share/message.go
+++ b/share/message.go
@@ -44,6 +44,11 @@
 	FinalGrants *FinalGrants `json:"Finals,omitempty"`
 	// Stopped marks the last report of a host, sent in its graceful shutdown.
 	Stopped bool `json:"Ended,omitempty"`
+	// Stopping is set from the beginning of the graceful shutdown on.
+	Stopping bool `json:",omitempty"`
+	// Unreached has the short names of upstreams that the host does not reach itself, of UnreachedCount ones.
+	Unreached      []string `json:",omitempty"`
+	UnreachedCount int      `json:",omitempty"`
 }
 
 // FinalGrants names owners whose grants the keeper of a term will not renew.
--- a/share/send.go
+++ b/share/send.go
@@ -81,8 +81,22 @@
 	mesh.stopped = true
 	names := mesh.peerNames()
 	mesh.mutex.Unlock()
-	report := Report{Host: mesh.self.Name, Incarnation: mesh.self.Incarnation, Term: -1, Stopped: true}
+	mesh.sendReportTo(names)
+}
+
+// ReportNow sends all hosts a report at once.
+func (mesh *Mesh) ReportNow() {
+	mesh.mutex.Lock()
+	names := mesh.peerNames()
+	mesh.mutex.Unlock()
+	mesh.sendReportTo(names)
+}
+
+// sendReportTo sends a report to the named hosts.
+func (mesh *Mesh) sendReportTo(names []string) {
+	report := Report{Host: mesh.self.Name, Incarnation: mesh.self.Incarnation, Term: -1}
 	mesh.source.FillReport(&report)
+	report.Stopped = mesh.hasStopped()
 	report.Sequence = mesh.nextSequence()
 	mesh.send(methodReport, report, names)
 }
--- /dev/null
+++ b/tunnel/server.go
@@ -0,0 +1,238 @@
+package tunnel
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"cherrykeel"
+	"cherrykeel/conns"
+	"cherrykeel/events"
+	"cherrykeel/reach"
+)
+
+const (
+	// callTimeout is how long another host has to say what it asks for.
+	callTimeout = 300 * time.Millisecond
+	// serveTimeout bounds the connection to the upstream; the host that asks goes on to another one meanwhile.
+	serveTimeout = 100 * time.Millisecond
+	// guardInterval is how often the process checks that it was not suspended while tunnels are open.
+	guardInterval = 100 * time.Millisecond
+)
+
+// Server opens connections to upstreams for other hosts and copies their bytes.
+type Server struct {
+	dialer *Dialer
+	// maxTunnels bounds the tunnels, each of which takes two descriptors and a buffer for each direction.
+	maxTunnels int
+	stopping   atomic.Bool
+
+	mutex   sync.Mutex
+	guard   reach.Guard
+	tunnels map[string]int
+	total   int
+	watched bool
+}
+
+// NewServer returns a server that knows hosts and upstreams as the dialer does.
+func NewServer(dialer *Dialer, maxTunnels int) *Server {
+	return &Server{dialer: dialer, maxTunnels: maxTunnels, tunnels: map[string]int{}}
+}
+
+// Serve accepts calls of other hosts until the listener is closed.
+func (server *Server) Serve(listener net.Listener) {
+	for {
+		accepted, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			events.Log(server.dialer.Logger, events.AcceptFailed, zap.Error(err))
+			time.Sleep(guardInterval)
+			continue
+		}
+		go server.handle(accepted.(*net.TCPConn))
+	}
+}
+
+// Stop makes the server decline further calls. Open tunnels go on.
+func (server *Server) Stop() {
+	server.stopping.Store(true)
+}
+
+// Tunnels returns the number of open tunnels for each other host.
+func (server *Server) Tunnels() map[string]int {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	counts := map[string]int{}
+	for host, count := range server.tunnels {
+		counts[host] = count
+	}
+	return counts
+}
+
+// Total returns the number of open tunnels.
+func (server *Server) Total() int {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return server.total
+}
+
+// handle answers one call, and copies the bytes of its tunnel until it ends.
+func (server *Server) handle(near *net.TCPConn) {
+	conns.SetTimeouts(near, server.dialer.UserTimeout)
+	_ = near.SetDeadline(time.Now().Add(callTimeout))
+	call, err := readCall(near)
+	if err != nil {
+		events.Log(server.dialer.Logger, events.MessageInvalid, zap.String("From", near.RemoteAddr().String()), zap.Error(err))
+		reset(near)
+		return
+	}
+	generation, state := server.admit(call, near.RemoteAddr())
+	if state != stateOpened {
+		server.decline(near, state)
+		return
+	}
+	defer server.leave(call.Host)
+	far, state := server.connect(call.Address)
+	if state != stateOpened {
+		server.decline(near, state)
+		return
+	}
+	err = writeAnswer(near, stateOpened)
+	if err != nil {
+		reset(near)
+		reset(far)
+		return
+	}
+	_ = near.SetDeadline(time.Time{})
+	tunnel := &copying{server: server, generation: generation, near: near, far: far}
+	tunnel.run()
+}
+
+// decline answers that no connection was opened. The connection is closed in order, so that the answer arrives.
+func (server *Server) decline(near *net.TCPConn, state state) {
+	_ = writeAnswer(near, state)
+	_ = near.Close()
+}
+
+// admit counts a tunnel if it may be opened, and returns how often the process was suspended so far. Only known hosts
+// are served, and only with connections to listed upstreams: else anyone who reaches the internal port could reach
+// anything.
+func (server *Server) admit(call openCall, from net.Addr) (int, state) {
+	_, listed := server.dialer.FindUpstream(call.Address)
+	switch {
+	case server.stopping.Load():
+		return 0, stateStopping
+	case !listed || !server.dialer.isKnown(call, from):
+		return 0, stateUnknown
+	}
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if server.total >= server.maxTunnels {
+		return 0, stateFull
+	}
+	server.total++
+	server.tunnels[call.Host]++
+	if server.tunnels[call.Host] == 1 {
+		events.Log(server.dialer.Logger, events.TunnelsBegan, zap.String("Host", call.Host))
+	}
+	generation := server.guard.Check(server.dialer.clock.Now())
+	if !server.watched {
+		server.watched = true
+		go server.watch()
+	}
+	return generation, stateOpened
+}
+
+// leave counts the end of a tunnel.
+func (server *Server) leave(host string) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.total--
+	server.tunnels[host]--
+	if server.tunnels[host] == 0 {
+		delete(server.tunnels, host)
+		events.Log(server.dialer.Logger, events.TunnelsEnded, zap.String("Host", host))
+	}
+}
+
+// watch checks for suspensions while tunnels are open.
+func (server *Server) watch() {
+	ticker := time.NewTicker(guardInterval)
+	defer ticker.Stop()
+	for range ticker.C {
+		server.mutex.Lock()
+		server.guard.Check(server.dialer.clock.Now())
+		server.watched = server.total > 0
+		watched := server.watched
+		server.mutex.Unlock()
+		if !watched {
+			return
+		}
+	}
+}
+
+// isCurrent reports whether the process was not suspended since a tunnel was opened.
+func (server *Server) isCurrent(generation int) bool {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return server.guard.Check(server.dialer.clock.Now()) == generation
+}
+
+// connect opens a direct connection to an upstream. It never asks a further host.
+func (server *Server) connect(address string) (*net.TCPConn, state) {
+	dialer := server.dialer
+	if dialer.isLost(address) {
+		return nil, stateUnreached
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), serveTimeout)
+	defer cancel()
+	opened, err := dialer.Dial(ctx, "tcp", address)
+	switch {
+	case err == nil:
+		dialer.recordConnected(address)
+		return opened.(*net.TCPConn), stateOpened
+	case isRefused(err) && !dialer.missesLinks():
+		return nil, stateRefused
+	default:
+		return nil, stateUnreached
+	}
+}
+
+// isKnown reports whether a call comes from another host of ours, in its present incarnation.
+func (dialer *Dialer) isKnown(call openCall, from net.Addr) bool {
+	dialer.mutex.Lock()
+	peer, known := dialer.peers.Find(call.Host)
+	dialer.mutex.Unlock()
+	return known && peer.Incarnation == call.Incarnation && haveSameIP(peer, from)
+}
+
+func haveSameIP(peer cherrykeel.Peer, from net.Addr) bool {
+	expected, err := netip.ParseAddrPort(peer.InternalAddress)
+	if err != nil {
+		return false
+	}
+	actual, err := netip.ParseAddrPort(from.String())
+	return err == nil && expected.Addr().Unmap() == actual.Addr().Unmap()
+}
+
+// isLost reports whether this host does not reach an address itself.
+func (dialer *Dialer) isLost(address string) bool {
+	dialer.mutex.Lock()
+	defer dialer.mutex.Unlock()
+	return dialer.table.IsLost(address)
+}
+
+// missesLinks reports whether this host misses any upstream, so that a refusal may be its own.
+func (dialer *Dialer) missesLinks() bool {
+	dialer.mutex.Lock()
+	defer dialer.mutex.Unlock()
+	return len(dialer.table.Lost()) > 0
+}
