Links to upstreams are tried again though no request needs a new connection

Cause: the direct way was tried again only when a request needed a new connection; requests reuse tunnels, and upstreams without requests need none.

Change: each lost link is tried directly about once a second, at most 32 at a time, those that waited longest first. When one is back, its tunnels are stale, and idle connections for orders are closed. A line each ten seconds at the most says whom a host serves (631; 632 is gone), and a call that another host's faster answer ended is no malformed message.

An attempt over a cut link costs an upstream nothing, the first over a link that is back one connection.

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -54,8 +54,9 @@
 	host.topics.spans = host.newFollower(topicSpans, host.platform.Spans, host.spans.Apply, host.tableSchedule)
 	host.spans.SetMaxLeaseDuration(func() time.Duration { return host.currentBounds().MaxLeaseDuration })
 	host.upstreams.SetTopicAvailability(host.topics.upstreams.AvailableFor)
+	host.granter = host.platform.NewGranter(host.dialer.DialOrder)
 	host.keeper = grants.New(host.self, host.clock, host.logger, host.platform.Spans, watch.SpansKey, &ownTable{host: host},
-		&environment{host: host}, host.mesh, host.platform.NewGranter(host.dialer.DialOrder), host.currentBounds, grants.WithMetrics(host.scope))
+		&environment{host: host}, host.mesh, host.granter, host.currentBounds, grants.WithMetrics(host.scope))
 }
 
 // onSpansChange passes a new table's keeper to the mesh, and dispatches requests that waited for an owner.
--- a/entry/host.go
+++ b/entry/host.go
@@ -79,6 +79,7 @@
 	conns            *conns.Pool
 	dialer           *tunnel.Dialer
 	tunnels          *tunnel.Server
+	granter          cherrykeel.SpanGranter
 	server           *caller.Server
 	mesh             *share.Mesh
 	keeper           *grants.Keeper
--- a/entry/maintain.go
+++ b/entry/maintain.go
@@ -58,6 +58,8 @@
 			host.checkReports()
 			host.updateUnreadableGauges()
 			host.updateUpstreamGauges()
+			host.dialer.Retain()
+			host.dialer.TryLost()
 			host.updateReachGauges()
 			// A host that has become unreachable is left out of the sums without a message.
 			host.updateOtherCounts()
--- a/entry/reach.go
+++ b/entry/reach.go
@@ -28,7 +28,7 @@
 	host.dialer = tunnel.NewDialer(tunnel.Settings{
 		Self: host.self, Clock: host.clock, Logger: host.logger, Scope: host.scope, Dial: host.dial, UserTimeout: userTimeout,
 		FindUpstream: host.appliedUpstreams.findAddress, ShortName: share.ShortName,
-		OnLost: host.handleLostLink,
+		OnLost: host.handleLostLink, OnRestored: host.handleRestoredLink,
 	})
 	descriptors := tunnelShare * float64(host.settings.MaxDescriptors)
 	host.tunnels = tunnel.NewServer(host.dialer, max(minTunnels, int(descriptors)/tunnelDescriptors))
@@ -42,6 +42,14 @@
 	}
 }
 
+// handleRestoredLink makes orders use new connections, which are direct again.
+func (host *Host) handleRestoredLink() {
+	idle, ok := host.granter.(interface{ CloseIdleConnections() })
+	if ok {
+		idle.CloseIdleConnections()
+	}
+}
+
 // listenForTunnels opens the socket for connections of other hosts to upstreams, beside that for their messages.
 func (host *Host) listenForTunnels() error {
 	listener, err := net.Listen("tcp", host.self.InternalAddress)
@@ -73,7 +81,6 @@
 // updateReachGauges shows how many upstreams this host does not reach itself, and the connections to upstreams that go
 // through each other host, or through this one for each.
 func (host *Host) updateReachGauges() {
-	host.dialer.Retain()
 	_, unreached := host.dialer.Unreached()
 	host.scope.Gauge("unreached_upstreams").Update(float64(unreached))
 	host.updateTunnelGauges("tunnels_through", host.dialer.Tunnels())
--- a/reach/table.go
+++ b/reach/table.go
@@ -113,6 +113,29 @@
 	}
 }
 
+// TakeDue returns up to limit addresses whose links are lost and that are due for a direct attempt, which the caller
+// then makes. Those that have waited longest come first.
+func (table *Table) TakeDue(limit int, now cherrykeel.Instant) []string {
+	var due []string
+	for address, path := range table.paths {
+		if path.lost && now >= path.directAt {
+			due = append(due, address)
+		}
+	}
+	sort.Slice(due, func(i, j int) bool {
+		first, second := table.paths[due[i]], table.paths[due[j]]
+		if first.directAt != second.directAt {
+			return first.directAt < second.directAt
+		}
+		return due[i] < due[j]
+	})
+	due = due[:min(len(due), limit)]
+	for _, address := range due {
+		table.paths[address].directAt = now.Add(table.directPause())
+	}
+	return due
+}
+
 func (table *Table) directPause() time.Duration {
 	return time.Duration(float64(directInterval) * (1 - directJitter + 2*directJitter*table.random()))
 }
--- a/reach/table_test.go
+++ b/reach/table_test.go
@@ -67,6 +67,16 @@
 		Expect(table.Lost()).To(BeEmpty())
 	})
 
+	It("is due for a direct attempt once in a while, those that waited longest first", func() {
+		table.RecordMiss(second, true, now)
+		table.RecordMiss(first, true, now.Add(time.Millisecond))
+		Expect(table.TakeDue(1, now.Add(500*time.Millisecond))).To(BeEmpty())
+		at := now.Add(1100 * time.Millisecond)
+		Expect(table.TakeDue(1, at)).To(Equal([]string{second}))
+		Expect(table.TakeDue(1, at)).To(Equal([]string{first}))
+		Expect(table.TakeDue(1, at)).To(BeEmpty())
+	})
+
 	// Guards against requests that wait for what can't come, and against addresses that stay closed after the links are back.
 	It("is closed for a growing time while nobody reaches it, up to two seconds", func() {
 		var closed []time.Duration
--- a/tunnel/dialer.go
+++ b/tunnel/dialer.go
@@ -46,6 +46,8 @@
 	// OnLost is called with an address that this host no longer reaches itself. If its link is silent, open connections
 	// there may hang; else new ones are refused, and open ones were reset or live on.
 	OnLost func(address string, silent bool)
+	// OnRestored is called when this host reaches an address itself again.
+	OnRestored func()
 }
 
 // Dialer opens connections to upstreams, directly or through another host.
@@ -148,13 +150,17 @@
 // recordConnected records a direct connection.
 func (dialer *Dialer) recordConnected(address string) {
 	dialer.mutex.Lock()
-	defer dialer.mutex.Unlock()
 	now := dialer.clock.Now()
 	lostFor := dialer.table.LostFor(address, now)
-	if dialer.table.RecordConnected(address, now) == reach.Restored {
+	change := dialer.table.RecordConnected(address, now)
+	if change == reach.Restored {
 		dialer.logPath(events.UpstreamDirect, address, zap.Duration("After", lostFor))
 		dialer.logSummary()
 	}
+	dialer.mutex.Unlock()
+	if change == reach.Restored {
+		dialer.OnRestored()
+	}
 }
 
 // recordTunneled records a connection through another host. The direct attempt has failed or was late, or was not made.
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -24,6 +24,8 @@
 	serveTimeout = 100 * time.Millisecond
 	// guardInterval is how often the process checks that it was not suspended while tunnels are open.
 	guardInterval = 100 * time.Millisecond
+	// logInterval bounds the lines on each host that has tunnels here.
+	logInterval = 10 * time.Second
 )
 
 // Server opens connections to upstreams for other hosts and copies their bytes.
@@ -37,12 +39,14 @@
 	guard   reach.Guard
 	tunnels map[string]int
 	total   int
-	watched bool
+	// loggedAt is when the log last said that a host has tunnels here.
+	loggedAt map[string]cherrykeel.Instant
+	watched  bool
 }
 
 // NewServer returns a server that knows hosts and upstreams as the dialer does.
 func NewServer(dialer *Dialer, maxTunnels int) *Server {
-	return &Server{dialer: dialer, maxTunnels: maxTunnels, tunnels: map[string]int{}}
+	return &Server{dialer: dialer, maxTunnels: maxTunnels, tunnels: map[string]int{}, loggedAt: map[string]cherrykeel.Instant{}}
 }
 
 // Serve accepts calls of other hosts until the listener is closed.
@@ -90,7 +94,7 @@
 	_ = near.SetDeadline(time.Now().Add(callTimeout))
 	call, err := readCall(near)
 	if err != nil {
-		events.Log(server.dialer.Logger, events.MessageInvalid, zap.String("From", near.RemoteAddr().String()), zap.Error(err))
+		server.logMalformed(near, err)
 		reset(near)
 		return
 	}
@@ -116,6 +120,13 @@
 	tunnel.run()
 }
 
+// logMalformed logs a call that is none. A connection that ends before its call is no such case: another host was faster.
+func (server *Server) logMalformed(near *net.TCPConn, err error) {
+	if errors.Is(err, ErrMalformed) {
+		events.Log(server.dialer.Logger, events.MessageInvalid, zap.String("From", near.RemoteAddr().String()), zap.Error(err))
+	}
+}
+
 // decline answers that no connection was opened. The connection is closed in order, so that the answer arrives.
 func (server *Server) decline(near *net.TCPConn, state state) {
 	_ = writeAnswer(near, state)
@@ -140,10 +151,13 @@
 	}
 	server.total++
 	server.tunnels[call.Host]++
-	if server.tunnels[call.Host] == 1 {
-		events.Log(server.dialer.Logger, events.TunnelsBegan, zap.String("Host", call.Host))
+	now := server.dialer.clock.Now()
+	last, logged := server.loggedAt[call.Host]
+	if !logged || now.Sub(last) > logInterval {
+		server.loggedAt[call.Host] = now
+		events.Log(server.dialer.Logger, events.TunnelServed, zap.String("Host", call.Host), zap.String("Address", call.Address))
 	}
-	generation := server.guard.Check(server.dialer.clock.Now())
+	generation := server.guard.Check(now)
 	if !server.watched {
 		server.watched = true
 		go server.watch()
@@ -159,7 +173,6 @@
 	server.tunnels[host]--
 	if server.tunnels[host] == 0 {
 		delete(server.tunnels, host)
-		events.Log(server.dialer.Logger, events.TunnelsEnded, zap.String("Host", host))
 	}
 }
 
--- a/tunnel/suite_test.go
+++ b/tunnel/suite_test.go
@@ -58,6 +58,7 @@
 	dialError atomic.Pointer[error]
 	silent    atomic.Bool
 	dials     atomic.Int64
+	restored  atomic.Int64
 	// silences are the addresses whose links were found silent.
 	silences chan string
 }
@@ -80,7 +81,7 @@
 func (network *network) newHost(name string) *testHost {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(listener.Close)
+	DeferCleanup(func() { _ = listener.Close() })
 	host := &testHost{
 		peer:  cherrykeel.Peer{Name: name, Incarnation: name + "-1", InternalAddress: listener.Addr().String(), Zone: "z"},
 		clock: newMovingClock(), listener: listener, silences: make(chan string, 16),
@@ -93,6 +94,7 @@
 				host.silences <- address
 			}
 		},
+		OnRestored: func() { host.restored.Add(1) },
 	})
 	host.server = tunnel.NewServer(host.dialer, 4)
 	go host.server.Serve(listener)
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -57,6 +57,37 @@
 		Expect(tunneled.(interface{ IsStale() bool }).IsStale()).To(BeTrue())
 	})
 
+	// Guards against connections that go through another host for ever: while tunnels are reused, no request needs a new
+	// connection, and nothing would show that the link is back.
+	It("is direct again though its tunnels go on being used", func() {
+		network := newNetwork(2)
+		address := network.listen(echo)
+		host := network.hosts[0]
+		host.refuse()
+		tunneled, err := host.open(address)
+		Expect(err).NotTo(HaveOccurred())
+		defer tunneled.Close()
+		host.dialer.TryLost()
+		Consistently(tunneled.(interface{ IsStale() bool }).IsStale, "50ms").Should(BeFalse())
+		host.dialError.Store(nil)
+		host.clock.ahead.Store(int64(2 * time.Second))
+		host.dialer.TryLost()
+		Eventually(tunneled.(interface{ IsStale() bool }).IsStale, waitLimit).Should(BeTrue())
+		Eventually(host.restored.Load, waitLimit).Should(BeEquivalentTo(1))
+	})
+
+	// Guards against time lost at hosts of the build before, which do not listen for such calls.
+	It("asks no host again that cannot be asked", func() {
+		network := newNetwork(2)
+		address := network.listen(echo)
+		_ = network.hosts[1].listener.Close()
+		network.hosts[0].refuse()
+		_, err := network.hosts[0].open(address)
+		Expect(err).To(MatchError(syscall.ECONNREFUSED))
+		_, err = network.hosts[0].open(network.listen(echo))
+		Expect(err).To(MatchError(syscall.ECONNREFUSED))
+	})
+
 	// Guards against false marks of crashes and against true ones that are missed: the refusal of an upstream whose process
 	// has ended, and that of a cut link, look alike to one host.
 	It("is refused as by the upstream only if other hosts are refused as well", func() {
