A keeper's grant that its own lost link swallows is no evidence against the upstream

What callers could see: two renewals that hang as the keeper's link to an owner is lost make the owner count as unavailable, and its keys are taken although it serves all other hosts.

Cause: one host's silence was taken for the upstream's. Change: a grant under which the link was lost (another host has opened a connection there since, so the upstream lives) is sent again at once and counts as overdue, not as a miss.

Spec: 0 misses in place of 2.

--- a/entry/environment.go
+++ b/entry/environment.go
@@ -71,6 +71,11 @@
 	}
 }
 
+// LinkLostFor implements grants.Environment.
+func (environment *environment) LinkLostFor(address string) time.Duration {
+	return environment.host.dialer.LostFor(address)
+}
+
 // findUpstream returns the present incarnation of an upstream.
 func (environment *environment) findUpstream(id string) (cherrykeel.Upstream, bool) {
 	for _, upstream := range environment.Upstreams() {
--- a/grants/keeper.go
+++ b/grants/keeper.go
@@ -76,6 +76,9 @@
 	// a time.
 	IsResting(id string) bool
 	RecordRest(id string, duration time.Duration)
+	// LinkLostFor returns for how long this host has not reached an upstream's address itself while another host did; 0 if
+	// it reaches it.
+	LinkLostFor(address string) time.Duration
 	// PeerIncarnation returns the incarnation that a host last announced, and how long ago the announcement was read.
 	PeerIncarnation(name string) (string, time.Duration, bool)
 	// Rank returns this host's position among the reachable hosts, starting at 0.
--- /dev/null
+++ b/grants/link_test.go
@@ -0,0 +1,49 @@
+package grants
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"cherrykeel"
+	"cherrykeel/fakes"
+	"cherrykeel/spans"
+)
+
+// lostLinkEnvironment is that of a host that lost its link to every upstream a while ago.
+type lostLinkEnvironment struct {
+	smallEnvironment
+	lostFor time.Duration
+}
+
+func (environment lostLinkEnvironment) LinkLostFor(string) time.Duration { return environment.lostFor }
+
+// silentGranter is an upstream that answers nothing.
+type silentGranter struct{ fencedGranter }
+
+func (granter *silentGranter) Grant(context.Context, cherrykeel.Upstream, cherrykeel.SpanGrant) error {
+	return errors.WithStack(cherrykeel.ErrNoAnswer)
+}
+
+var _ = Describe("grants that are not answered", func() {
+	// Guards against keys taken from owners that serve all other hosts: the keeper's own link was lost under two renewals,
+	// and the owner got no further one for five seconds.
+	DescribeTable("count against their upstream", func(lostFor, took time.Duration, expected int) {
+		clock := fakes.NewClock(cherrykeel.Instant(time.Hour))
+		keeper := newSteppedKeeper("host-1", clock, &unansweredLog{values: make(chan []byte, 1)}, lostLinkEnvironment{lostFor: lostFor}, &silentGranter{})
+		key := spans.GrantedSpan{Service: "halls", Owner: "u1", Span: cherrykeel.KeySpan{First: 0, Last: cherrykeel.MaxKey}, Fence: 4}
+		state := &grantState{upstream: cherrykeel.Upstream{ID: "u1", Address: "u1"}}
+		result := grantResult{err: errors.WithStack(cherrykeel.ErrNoAnswer), took: took}
+		for range 2 {
+			keeper.handleGrantResult(key, state, cherrykeel.SpanGrant{}, result, clock.Now())
+		}
+		Expect(keeper.contact("u1").misses).To(Equal(expected))
+	},
+		Entry("while the link works", time.Duration(0), time.Second, 2),
+		Entry("not if the link was lost under them", 300*time.Millisecond, 500*time.Millisecond, 0),
+		Entry("if the link was lost before, so that they went through another host", 3*time.Second, 500*time.Millisecond, 2),
+	)
+})
--- a/grants/rest_fakes_test.go
+++ b/grants/rest_fakes_test.go
@@ -11,3 +11,5 @@
 func (store *fakeStore) RecordRest(id string, duration time.Duration) {
 	store.set(func() { store.rests[id] = duration })
 }
+
+func (store *fakeStore) LinkLostFor(string) time.Duration { return 0 }
--- a/grants/send.go
+++ b/grants/send.go
@@ -106,7 +106,7 @@
 }
 
 // recordNoAnswer records that a grant was not answered. That is no evidence against the upstream if the grant had too
-// little time, or was meant for an earlier incarnation.
+// little time, was meant for an earlier incarnation, or was under way when this host's link to the upstream was lost.
 func (keeper *Keeper) recordNoAnswer(owner string, state *grantState, result grantResult, fields []zap.Field, now cherrykeel.Instant) {
 	contact := keeper.contact(owner)
 	fields = append(fields, zap.Duration("Waited", result.waited), zap.Error(result.err))
@@ -115,6 +115,9 @@
 		state.overdue = true
 		events.Log(keeper.logger, events.GrantOverdue, fields...)
 	case contact.startedAt > state.upstream.StartedAt:
+	case keeper.lostLinkDuring(state.upstream.Address, result):
+		state.overdue = true
+		events.Log(keeper.logger, events.GrantOverdue, fields...)
 	default:
 		contact.recordMiss(now)
 		contact.recordDeparture(now)
@@ -124,6 +127,13 @@
 	}
 }
 
+// lostLinkDuring reports whether the link to an address was lost while a grant was under way: the upstream answers other
+// hosts, so its silence was that of the link.
+func (keeper *Keeper) lostLinkDuring(address string, result grantResult) bool {
+	lostFor := keeper.environment.LinkLostFor(address)
+	return lostFor > 0 && lostFor <= result.took
+}
+
 // isOverdue reports whether a grant had too little time for a running upstream to answer: it waited for a worker, or
 // the machine was suspended before it could be sent.
 func (result grantResult) isOverdue() bool {
--- a/tunnel/status.go
+++ b/tunnel/status.go
@@ -1,6 +1,8 @@
 package tunnel
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"cherrykeel/events"
@@ -25,6 +27,13 @@
 	return names, len(lost)
 }
 
+// LostFor returns for how long this host has not reached an address itself, or 0.
+func (dialer *Dialer) LostFor(address string) time.Duration {
+	dialer.mutex.Lock()
+	defer dialer.mutex.Unlock()
+	return dialer.table.LostFor(address, dialer.clock.Now())
+}
+
 // Tunnels returns the number of open tunnels through each other host.
 func (dialer *Dialer) Tunnels() map[string]int {
 	dialer.mutex.Lock()
