Orders do not hang one after the other on a way that has become silent

When the system gives one up as silent, the others that go the same way (the link to the upstream, or the host in between) are closed, since each would cost an owner another renewal. A host whose reports have ended counts as one that stops: its tunnels are not used for further requests.

--- a/entry/reach.go
+++ b/entry/reach.go
@@ -66,9 +66,17 @@
 	report.Stopping = host.stopping.Load()
 }
 
-// updateStatuses passes on what the other hosts have reported of their links.
+// updateStatuses passes on what the other hosts have reported of their links. While this host receives the reports of
+// all hosts, one that no longer reports counts as one that stops.
 func (host *Host) updateStatuses() {
 	statuses := map[string]reach.Status{}
+	receivesAll := host.mesh.HubDuration() > 0
+	for _, peer := range host.peers.Current() {
+		_, reported := host.mesh.TimeSinceReport(peer.Name)
+		if receivesAll && reported {
+			statuses[peer.Name] = reach.Status{Stopping: true}
+		}
+	}
 	for _, received := range host.mesh.FreshReports() {
 		report := received.Report
 		statuses[report.Host] = reach.Status{
--- a/tunnel/orders.go
+++ b/tunnel/orders.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // orderConn is a connection for orders to an upstream, which may be repeated. A connection that hangs would delay an
@@ -28,6 +31,26 @@
 	return order, nil
 }
 
+// Read implements net.Conn. When the system gives a connection up as silent, others that go the same way would hang as
+// long: each of them would cost its owner a renewal.
+func (order *orderConn) Read(buffer []byte) (int, error) {
+	count, err := order.Conn.Read(buffer)
+	if errors.Is(err, syscall.ETIMEDOUT) {
+		order.dialer.closeOrders(func(other *orderConn) bool { return other.goesLike(order) })
+	}
+	return count, err
+}
+
+// goesLike reports whether two connections share their way: the host in between, or the link to the upstream.
+func (order *orderConn) goesLike(other *orderConn) bool {
+	first, firstTunneled := order.Conn.(*conn)
+	second, secondTunneled := other.Conn.(*conn)
+	if firstTunneled && secondTunneled {
+		return first.host == second.host
+	}
+	return !firstTunneled && !secondTunneled && order.address == other.address
+}
+
 // Close implements net.Conn.
 func (order *orderConn) Close() error {
 	order.dialer.mutex.Lock()
