TCP_USER_TIMEOUT decides when keep-alive probes give up: the dialer says so

The comment promised two unanswered probes; with TCP_USER_TIMEOUT (500 ms to upstreams and hosts, 700 to the store) a connection fails at the first check after that time, so after two intervals of one second, not three. No behaviour changes.

--- a/conns/dialer.go
+++ b/conns/dialer.go
@@ -9,18 +9,17 @@
 	"golang.org/x/sys/unix"
 )
 
-// keepAliveInterval is the interval of keep-alive probes on idle connections. A connection fails after keepAliveMisses
-// unanswered probes. Without probes, nothing shows that the peer is unreachable while nothing is sent.
-const (
-	keepAliveInterval = time.Second
-	keepAliveMisses   = 2
-)
+// keepAliveInterval is after how long without traffic the system sends a keep-alive probe, and checks again whether it
+// was answered. Without probes, nothing shows that the peer is unreachable while nothing is sent.
+const keepAliveInterval = time.Second
 
-// keepAlive makes the system send keep-alive probes.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveMisses}
+// keepAlive makes the system send keep-alive probes. Its count of probes has no effect: with TCP_USER_TIMEOUT set, a
+// connection fails at the first check after that time without an answer, which is the one after the first probe.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 1}
 
-// NewDialer returns a dialer whose connections fail when sent bytes stay unacknowledged for userTimeout, or when the peer
-// does not answer keep-alive probes. With userTimeout 0 the defaults apply to both.
+// NewDialer returns a dialer whose connections fail when sent bytes stay unacknowledged for userTimeout, which is shorter
+// than keepAliveInterval, and after two of these intervals without any bytes or answers to probes. With userTimeout 0 the
+// defaults apply to both.
 func NewDialer(dialTimeout, userTimeout time.Duration) *net.Dialer {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	if userTimeout == 0 {
