Which hosts are asked for a connection, and whether links are suspect, costs no scan of all upstreams

The newest two misses are remembered, the three best hosts are selected, and only when others are asked.

--- a/entry/host.go
+++ b/entry/host.go
@@ -158,7 +158,8 @@
 	}
 }
 
-// WithDial replaces how connections to upstreams are opened, which is a dialer with the timeouts for upstreams.
+// WithDial replaces how direct connections to upstreams are opened, which is a dialer with the timeouts for upstreams. The
+// function must return TCP connections.
 func WithDial(dial conns.DialFunc) Option {
 	return func(host *Host) {
 		host.dial = dial
--- a/reach/peers.go
+++ b/reach/peers.go
@@ -1,6 +1,7 @@
 package reach
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -57,6 +58,11 @@
 	}
 }
 
+// Total returns how many hosts have replied, or were waited for in vain.
+func (replies *Replies) Total() int {
+	return replies.Refused + replies.Unreached + replies.Others
+}
+
 // Status is what another host reports about itself.
 type Status struct {
 	// Stopping means that it is about to end.
@@ -138,7 +144,7 @@
 
 // candidate is a host with its place in the order.
 type candidate struct {
-	peer cherrykeel.Peer
+	peer *peer
 	// doubt is higher for hosts that are less likely to open the connection.
 	doubt int
 	far   bool
@@ -148,24 +154,24 @@
 // Order returns the hosts to ask for a connection to an upstream's address, the most promising first. Among equal ones
 // those of this host's availability zone come first, in random order, so that many hosts with the same need spread.
 func (peers *Peers) Order(address, shortName string, now cherrykeel.Instant) []cherrykeel.Peer {
-	var candidates []candidate
+	best := make([]candidate, 0, maxAsked+1)
 	for _, peer := range peers.peers {
 		if now < peer.noneUntil {
 			continue
 		}
-		candidates = append(candidates, candidate{
-			peer: peer.Peer, doubt: peer.doubt(address, shortName, now), far: peer.Zone != peers.zone, draw: peers.random(),
-		})
+		next := candidate{peer: peer, doubt: peer.doubt(address, shortName, now), far: peer.Zone != peers.zone, draw: peers.random()}
+		i := sort.Search(len(best), func(i int) bool { return next.isBefore(&best[i]) })
+		best = slices.Insert(best, i, next)
+		best = best[:min(len(best), maxAsked)]
 	}
-	sort.Slice(candidates, func(i, j int) bool { return candidates[i].isBefore(candidates[j]) })
 	var order []cherrykeel.Peer
-	for _, candidate := range candidates[:min(len(candidates), maxAsked)] {
-		order = append(order, candidate.peer)
+	for _, candidate := range best {
+		order = append(order, candidate.peer.Peer)
 	}
 	return order
 }
 
-func (candidate candidate) isBefore(other candidate) bool {
+func (candidate *candidate) isBefore(other *candidate) bool {
 	switch {
 	case candidate.doubt != other.doubt:
 		return candidate.doubt < other.doubt
--- a/reach/table.go
+++ b/reach/table.go
@@ -56,8 +56,7 @@
 // path is the state of one address.
 type path struct {
 	// misses counts consecutive connections that another host opened and this one could not.
-	misses   int
-	missedAt cherrykeel.Instant
+	misses int
 	// lost means that this host does not reach the address itself; lostAt is since when, and directAt from when it tries
 	// again.
 	lost     bool
@@ -71,9 +70,17 @@
 	usedAt       cherrykeel.Instant
 }
 
+// miss is the newest miss of an address.
+type miss struct {
+	address string
+	at      cherrykeel.Instant
+}
+
 // Table holds how this host reaches the addresses of upstreams. It is not safe for concurrent use.
 type Table struct {
 	paths map[string]*path
+	// lastMisses are the newest misses of two different addresses, the newest first.
+	lastMisses [2]miss
 	// random returns a number in [0, 1).
 	random func() float64
 }
@@ -143,8 +150,8 @@
 // isSuspect reports whether another address than the given one was missed lately, so that the cause is rather this
 // host's links than one upstream.
 func (table *Table) isSuspect(address string, now cherrykeel.Instant) bool {
-	for other, path := range table.paths {
-		if other != address && path.misses > 0 && now.Sub(path.missedAt) < suspectTime {
+	for _, miss := range table.lastMisses {
+		if miss.at != 0 && miss.address != address && now.Sub(miss.at) < suspectTime && table.IsMissed(miss.address) {
 			return true
 		}
 	}
@@ -168,7 +175,7 @@
 func (table *Table) RecordMiss(address string, refused bool, now cherrykeel.Instant) Change {
 	path := table.path(address, now)
 	path.misses++
-	path.missedAt = now
+	table.rememberMiss(address, now)
 	path.failures = 0
 	path.closedUntil, path.refusedUntil = 0, 0
 	path.directAt = now.Add(table.directPause())
@@ -180,6 +187,13 @@
 	return Lost
 }
 
+func (table *Table) rememberMiss(address string, now cherrykeel.Instant) {
+	if table.lastMisses[0].address != address {
+		table.lastMisses[1] = table.lastMisses[0]
+	}
+	table.lastMisses[0] = miss{address: address, at: now}
+}
+
 // RecordTunneled records that another host has opened a connection where this one did not try.
 func (table *Table) RecordTunneled(address string, now cherrykeel.Instant) {
 	path := table.path(address, now)
--- a/tunnel/attempt.go
+++ b/tunnel/attempt.go
@@ -5,7 +5,6 @@
 	"net"
 	"time"
 
-	"cherrykeel"
 	"cherrykeel/reach"
 )
 
@@ -15,7 +14,6 @@
 	network string
 	address string
 	plan    reach.Plan
-	order   []cherrykeel.Peer
 	// directError is the error of the direct attempt, nil while there is none. replies counts what other hosts have
 	// answered instead of opening the connection.
 	directError error
@@ -89,7 +87,7 @@
 func (attempt *attempt) startTunnel(ctx context.Context) chan tunnelResult {
 	results := make(chan tunnelResult, 1)
 	go func() {
-		asked, replies, err := attempt.dialer.askAll(ctx, attempt.order, attempt.address)
+		asked, replies, err := attempt.dialer.askAll(ctx, attempt.dialer.order(attempt.address), attempt.address)
 		results <- tunnelResult{asked: asked, replies: replies, err: err}
 	}()
 	return results
--- a/tunnel/dialer.go
+++ b/tunnel/dialer.go
@@ -35,7 +35,7 @@
 	Clock  cherrykeel.Clock
 	Logger *zap.Logger
 	Scope  tally.Scope
-	// Dial opens a direct connection, and gives up after a time of its own.
+	// Dial opens a direct TCP connection, and gives up after a time of its own.
 	Dial conns.DialFunc
 	// UserTimeout is how long bytes sent to another host may stay unacknowledged before a tunnel fails.
 	UserTimeout time.Duration
@@ -99,21 +99,13 @@
 // DialContext opens a connection to an upstream's address; it has the form of net.Dialer's. An error that is
 // ECONNREFUSED means that no process listens there, as far as other hosts could be asked.
 func (dialer *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	upstream, _ := dialer.FindUpstream(address)
-	dialer.mutex.Lock()
-	now := dialer.clock.Now()
-	plan := dialer.table.Plan(address, now)
-	var order []cherrykeel.Peer
-	if plan.Tunnel {
-		order = dialer.peers.Order(address, dialer.ShortName(upstream.ID), now)
-	}
-	dialer.mutex.Unlock()
+	plan := dialer.plan(address)
 	if !plan.Direct && !plan.Tunnel {
 		return nil, errors.WithStack(ErrUnreached)
 	}
 	bounded, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	attempt := &attempt{dialer: dialer, network: network, address: address, plan: plan, order: order}
+	attempt := &attempt{dialer: dialer, network: network, address: address, plan: plan}
 	opened, err := attempt.run(bounded)
 	if err == nil {
 		return opened, nil
@@ -124,6 +116,20 @@
 	return nil, dialer.recordFailure(attempt, err)
 }
 
+func (dialer *Dialer) plan(address string) reach.Plan {
+	dialer.mutex.Lock()
+	defer dialer.mutex.Unlock()
+	return dialer.table.Plan(address, dialer.clock.Now())
+}
+
+// order returns the hosts to ask for a connection to an address.
+func (dialer *Dialer) order(address string) []cherrykeel.Peer {
+	upstream, _ := dialer.FindUpstream(address)
+	dialer.mutex.Lock()
+	defer dialer.mutex.Unlock()
+	return dialer.peers.Order(address, dialer.ShortName(upstream.ID), dialer.clock.Now())
+}
+
 // recordFailure records that a connection could not be opened, and returns the error that shows its cause.
 func (dialer *Dialer) recordFailure(attempt *attempt, err error) error {
 	dialer.mutex.Lock()
@@ -138,7 +144,7 @@
 		return errors.WithStack(os.NewSyscallError("connect", syscall.ECONNREFUSED))
 	}
 	if dialer.table.RecordUnreached(attempt.address, now) {
-		dialer.logPath(events.UpstreamUnreached, attempt.address, zap.Int("Asked", len(attempt.order)), zap.Error(err))
+		dialer.logPath(events.UpstreamUnreached, attempt.address, zap.Int("Asked", attempt.replies.Total()), zap.Error(err))
 	}
 	return errors.Wrap(ErrUnreached, err.Error())
 }
