Idle connections are not trusted for a second once a link of the host was found silent

What callers saw: after a silent cut each upstream's idle connection swallowed a request or two before its own link was found silent; what may not be repeated ended as "may have run" after half a second.

Cause: links were found silent one by one, though all links of a host may fail at one moment. Change: when one is found silent, an idle connection to another upstream that was last used before that is replaced by a new one, unless something has arrived on any direct connection since; for a second.

Ruled out: to break off what may not be repeated; it may have run, and its answer may come.

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -49,6 +49,8 @@
 	reducedMaxIdle time.Duration
 	// arrivedAt is when the head of an answer last arrived on a direct connection.
 	arrivedAt time.Time
+	// silentSince is when a link was last found silent.
+	silentSince time.Time
 }
 
 // addressPool holds the connections to one address.
@@ -187,7 +189,7 @@
 		if idle == nil {
 			return pool.dialForUse(ctx, address, options)
 		}
-		if time.Since(idle.idleSince) < min(maxIdle, idle.idleLimit) && !idle.isStale() && idle.isOpenAndQuiet() {
+		if time.Since(idle.idleSince) < min(maxIdle, idle.idleLimit) && !idle.isStale() && pool.isTrusted(idle) && idle.isOpenAndQuiet() {
 			return idle, nil
 		}
 		pool.discard(idle)
--- a/conns/silence.go
+++ b/conns/silence.go
@@ -9,6 +9,9 @@
 	// quietTime is how long nothing may arrive on any direct connection, while an answer is awaited on one, before that
 	// one's link is checked. A link that works brings answers from some upstream meanwhile.
 	quietTime = 120 * time.Millisecond
+	// mistrustTime is how long after a link was found silent other idle connections are not trusted unless something has
+	// arrived since. By then their links have been found silent as well, or work.
+	mistrustTime = time.Second
 	// openAheadInterval bounds the checks of one address.
 	openAheadInterval = time.Second
 )
@@ -80,11 +83,24 @@
 	return true
 }
 
+// isTrusted reports whether an idle connection is used without a doubt. All links of a host may become silent at one moment,
+// and each would swallow a request before it is found silent itself.
+func (pool *Pool) isTrusted(conn *conn) bool {
+	if conn.via() != "" {
+		return true
+	}
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	silent := time.Since(pool.silentSince) < mistrustTime && pool.arrivedAt.Before(pool.silentSince)
+	return !silent || conn.idleSince.After(pool.silentSince)
+}
+
 // BreakSilent ends what waits on direct connections to an address whose link is silent: idle connections are closed, and
 // repeatable requests fail now, not when the system gives their connections up. Other requests go on, since their outcome
 // would be unknown and the link may only be slow.
 func (pool *Pool) BreakSilent(address string) {
 	pool.mutex.Lock()
+	pool.silentSince = time.Now()
 	pooled := pool.addressPool(address)
 	var idle, kept []*conn
 	for _, conn := range pooled.idle {
--- a/conns/silence_test.go
+++ b/conns/silence_test.go
@@ -101,6 +101,23 @@
 		Eventually(ended, "20s").Should(Receive())
 	})
 
+	// Guards against one lost request at each upstream when all links of a host become silent at one moment.
+	It("make the pool mistrust idle connections to other addresses, until something arrives", func() {
+		other := serveConns(answerUntil(&atomic.Bool{}))
+		sendTo := func(address string) {
+			_, err := sendWith(pool, address, conns.SendOptions{MaxIdle: time.Minute})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		sendTo(other)
+		sendTo(other)
+		Expect(dials.Load()).To(BeEquivalentTo(1))
+		pool.BreakSilent(address)
+		sendTo(other)
+		Expect(dials.Load()).To(BeEquivalentTo(2), "a new one, since nothing has arrived")
+		sendTo(other)
+		Expect(dials.Load()).To(BeEquivalentTo(2))
+	})
+
 	// Guards against a request that fails on a connection that was broken off just as its last request ended.
 	It("are not reused", func() {
 		Expect(send(conns.SendOptions{})).To(Succeed())
