A host that has said that it stops is not asked again for connections

What was seen, by reading: above 12 hosts the report that says so is sent to all once, and the reports after it only to hubs; a second later the others used idle connections through the stopping host again, and asked it for more. What a host has said stays until its next incarnation; a host whose reports have ceased, which may return, is told apart from it. Spec: fails with the status alone.

--- a/entry/reach.go
+++ b/entry/reach.go
@@ -67,14 +67,14 @@
 }
 
 // updateStatuses passes on what the other hosts have reported of their links. While this host receives the reports of
-// all hosts, one that no longer reports counts as one that stops.
+// all hosts, one that no longer reports counts as silent.
 func (host *Host) updateStatuses() {
 	statuses := map[string]reach.Status{}
 	receivesAll := host.mesh.HubDuration() > 0
 	for _, peer := range host.peers.Current() {
 		_, reported := host.mesh.TimeSinceReport(peer.Name)
 		if receivesAll && reported {
-			statuses[peer.Name] = reach.Status{Stopping: true}
+			statuses[peer.Name] = reach.Status{Silent: true}
 		}
 	}
 	for _, received := range host.mesh.FreshReports() {
--- a/reach/peers.go
+++ b/reach/peers.go
@@ -65,8 +65,9 @@
 
 // Status is what another host reports about itself.
 type Status struct {
-	// Stopping means that it is about to end.
+	// Stopping means that it is about to end, and Silent that its reports have ceased.
 	Stopping bool
+	Silent   bool
 	// Unreached has the short names of the upstreams that it does not reach itself; Overflow means that there are more
 	// than it names.
 	Unreached []string
@@ -87,6 +88,8 @@
 type peer struct {
 	cherrykeel.Peer
 	status Status
+	// stops is set once the host has reported that it stops; it never goes on after that.
+	stops bool
 	// lastUntil is until when it is asked last, noneUntil until when it is asked nothing.
 	lastUntil cherrykeel.Instant
 	noneUntil cherrykeel.Instant
@@ -124,6 +127,7 @@
 func (peers *Peers) SetStatuses(statuses map[string]Status) {
 	for name, peer := range peers.peers {
 		peer.status = statuses[name]
+		peer.stops = peer.stops || peer.status.Stopping
 	}
 }
 
@@ -136,10 +140,14 @@
 	return found.Peer, true
 }
 
-// IsStopping reports whether a host is about to end, or has ended.
-func (peers *Peers) IsStopping(name string) bool {
+// IsLeaving reports whether a host is about to end, has ended, or reports nothing any more.
+func (peers *Peers) IsLeaving(name string) bool {
 	found, known := peers.peers[name]
-	return !known || found.status.Stopping
+	return !known || found.isLeaving()
+}
+
+func (peer *peer) isLeaving() bool {
+	return peer.stops || peer.status.Silent
 }
 
 // candidate is a host with its place in the order.
@@ -185,7 +193,7 @@
 // doubt returns how unlikely it is that the host opens a connection to an address.
 func (peer *peer) doubt(address, shortName string, now cherrykeel.Instant) int {
 	switch {
-	case now < peer.lastUntil || peer.status.Stopping:
+	case now < peer.lastUntil || peer.isLeaving():
 		return 2
 	case now < peer.declinedUntil[address] || !peer.status.reaches(shortName):
 		return 1
--- a/reach/peers_test.go
+++ b/reach/peers_test.go
@@ -76,8 +76,8 @@
 		peers.Record("host-0", second, reach.Silent, now)
 		peers.SetStatuses(map[string]reach.Status{"host-1": {Stopping: true}})
 		Expect(order()).To(ConsistOf("host-2", "host-3", "host-4"))
-		Expect(peers.IsStopping("host-1")).To(BeTrue())
-		Expect(peers.IsStopping("no host")).To(BeTrue())
+		Expect(peers.IsLeaving("host-1")).To(BeTrue())
+		Expect(peers.IsLeaving("no host")).To(BeTrue())
 	})
 
 	// Guards against time lost at hosts of an earlier build, which serve no such connections.
@@ -90,4 +90,15 @@
 		peers.Set(restarted)
 		Expect(order()).To(Equal([]string{"host-0"}))
 	})
+
+	// Guards against connections through a host that stops: among many hosts its reports are not sent to all after the one
+	// that says so.
+	It("are last those that have reported once that they stop, but not those that report again", func() {
+		peers.SetStatuses(map[string]reach.Status{"host-0": {Stopping: true}, "host-1": {Silent: true}})
+		Expect(peers.IsLeaving("host-1")).To(BeTrue())
+		peers.SetStatuses(map[string]reach.Status{"host-1": {}})
+		Expect(peers.IsLeaving("host-0")).To(BeTrue())
+		Expect(peers.IsLeaving("host-1")).To(BeFalse())
+		Expect(order()[0]).To(Equal("host-1"))
+	})
 })
--- a/tunnel/dialer.go
+++ b/tunnel/dialer.go
@@ -205,7 +205,7 @@
 func (dialer *Dialer) isStale(host, address string) bool {
 	dialer.mutex.Lock()
 	defer dialer.mutex.Unlock()
-	return dialer.peers.IsStopping(host) || !dialer.table.IsLost(address) && !dialer.table.IsMissed(address)
+	return dialer.peers.IsLeaving(host) || !dialer.table.IsLost(address) && !dialer.table.IsMissed(address)
 }
 
 func (dialer *Dialer) remember(conn *conn) {
--- a/tunnel/orders.go
+++ b/tunnel/orders.go
@@ -81,7 +81,7 @@
 	}
 	order.dialer.mutex.Lock()
 	defer order.dialer.mutex.Unlock()
-	return order.dialer.peers.IsStopping(tunneled.host)
+	return order.dialer.peers.IsLeaving(tunneled.host)
 }
 
 // closeOrders makes the selected connections fail. Whoever uses them closes them.
