--- a/conns/silence.go
+++ b/conns/silence.go
@@ -84,7 +84,7 @@
 }
 
 // isTrusted reports whether an idle connection is used without a doubt. All links of a host may become silent at one moment,
-// and each would swallow a request before it is found silent itself.
+// and each would lose a request before it is found silent itself.
 func (pool *Pool) isTrusted(conn *conn) bool {
 	if conn.via() != "" {
 		return true
--- a/reach/peers.go
+++ b/reach/peers.go
@@ -76,12 +76,7 @@
 
 // reaches reports whether a host may reach an upstream, by its own report.
 func (status Status) reaches(shortName string) bool {
-	for _, unreached := range status.Unreached {
-		if unreached == shortName {
-			return false
-		}
-	}
-	return !status.Overflow
+	return !status.Overflow && !slices.Contains(status.Unreached, shortName)
 }
 
 // peer is another host, as a way to upstreams.
