Events of upstreams that name a limit: read from answers, kept by incarnation, heeded by nobody yet

What callers saw: nothing. Change: the dialect reads the header (a decimal number; a text that is none says nothing and is logged, 522; one too great to bind counts as none); watch keeps it with the incarnation, through lapses of the entry, and logs who named what in answer to which request (635), and the end (636). Answers overtake each other, so permit.Merge takes a later one only if its request was sent after the other's answer had come, else the stricter of the two. All that an answer says of its sender is now read in one function (relay/statement.go). Evidence: specs of permit, watch and the header; two specs of malformed headers call the one function that logs all three kinds, with the same expectations. Scheduling is unchanged. Ruled out: taking an unsigned refusal without the header for the end of a limit; a full upstream may refuse before it names anything.

--- a/dialect.go
+++ b/dialect.go
@@ -30,6 +30,8 @@
 	Leaving bool
 	// Load is the upstream's report of its load; its field Known is false if there is none.
 	Load UpstreamLoad
+	// Limit is how many requests a second the upstream takes; its field Named is false if the headers don't give it.
+	Limit UpstreamLimit
 	// RetryAfter is for how long the upstream, which did not take the request, wants no further one from this host; 0 if
 	// it did not ask for that.
 	RetryAfter time.Duration
@@ -49,6 +51,15 @@
 	Malformed string
 }
 
+// UpstreamLimit is the number of requests a second that an upstream in need takes from all hosts together, for as long as
+// its answers name it.
+type UpstreamLimit struct {
+	Named     bool
+	PerSecond float64
+	// Malformed is the beginning of a limit that cannot be decoded; empty otherwise.
+	Malformed string
+}
+
 // Dialect reads and writes the headers that callers and upstreams of one platform use.
 type Dialect interface {
 	// ReadRequest reads the headers of a caller's request.
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -8,6 +8,7 @@
 	"cherrykeel/conns"
 	"cherrykeel/deny"
 	"cherrykeel/grants"
+	"cherrykeel/permit"
 	"cherrykeel/poison"
 	"cherrykeel/relay"
 	"cherrykeel/share"
@@ -39,7 +40,11 @@
 		Pool:   host.conns,
 		Logger: host.logger, Scope: host.scope, Owner: host.spans.Owner, OnKeyRequest: host.mesh.RecordKeyRequest, HostCount: host.mesh.HostCount,
 		OnMisdirected: host.onMisdirected, OnUpstreamReplaced: func(id string) { host.upstreams.MarkEnded(id) },
-		OnUpstreamLeaving: func(upstream cherrykeel.Upstream, request string) { host.upstreams.RecordLeaving(upstream, request) }, DenyList: host.denyList,
+		OnUpstreamLeaving: func(upstream cherrykeel.Upstream, request string) { host.upstreams.RecordLeaving(upstream, request) },
+		OnUpstreamLimit: func(upstream cherrykeel.Upstream, heard permit.Statement, request string) {
+			host.upstreams.RecordLimit(upstream, heard, request)
+		},
+		DenyList: host.denyList,
 	})
 	host.server = caller.New(host.relay, caller.WithLimits(host.limits), caller.WithLogger(host.logger),
 		caller.WithBodyMemoryLimit(int64(bodyShare*float64(host.settings.MemoryBytes))))
--- a/events/events.go
+++ b/events/events.go
@@ -79,6 +79,7 @@
 	RequestPanicked     = define(511, zap.ErrorLevel, "this program panicked while it handled a request")
 	LoadUnreadable      = define(512, zap.WarnLevel, "load reported by an upstream is malformed")
 	RetryAfterMalformed = define(520, zap.WarnLevel, "time for which an upstream wants no request is malformed")
+	LimitMalformed      = define(522, zap.WarnLevel, "limit named by an upstream is malformed")
 	RestBegan           = define(521, zap.InfoLevel, "upstream wants no request from this host for a time")
 	RequestAfterClose   = define(513, zap.InfoLevel, "request arrived after its connection had begun to close, and was not handled")
 )
@@ -118,6 +119,8 @@
 	TunnelServed        = define(631, zap.InfoLevel, "another host reaches upstreams through this one")
 	TunnelCut           = define(633, zap.WarnLevel, "connection for another host was cut, since this process was suspended")
 	TunnelsLeft         = define(634, zap.WarnLevel, "connections for other hosts were cut by the end of this one")
+	LimitNamed          = define(635, zap.WarnLevel, "upstream named a limit, or another one, in an answer")
+	LimitEnded          = define(636, zap.InfoLevel, "upstream names no limit any more")
 	LinesDropped        = define(618, zap.WarnLevel, "log lines were dropped, since they could not be written fast enough")
 )
 
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -152,30 +152,6 @@
 		zap.String("Detail", result.detail), zap.Duration("Took", exchange.relay.clock.Now().Sub(slot.StartedAt)))...)
 }
 
-// logMalformedLoad logs an upstream's load report that cannot be parsed. Scheduling goes on without it, so nothing else
-// shows the fault.
-func (exchange *exchange) logMalformedLoad(upstream cherrykeel.Upstream, load cherrykeel.UpstreamLoad) {
-	if load.Malformed == "" {
-		return
-	}
-	exchange.relay.loadLogLimit.Do(func() {
-		events.Log(exchange.relay.Logger, events.LoadUnreadable, append(exchange.logFields(),
-			zap.String("Upstream", upstream.ID), zap.String("Told", load.Malformed))...)
-	})
-}
-
-// logMalformedRetryAfter logs the time for which an upstream wants no request, if it cannot be parsed: the upstream goes
-// on getting requests.
-func (exchange *exchange) logMalformedRetryAfter(upstream cherrykeel.Upstream, malformed string) {
-	if malformed == "" {
-		return
-	}
-	exchange.relay.retryAfterLogLimit.Do(func() {
-		events.Log(exchange.relay.Logger, events.RetryAfterMalformed, append(exchange.logFields(),
-			zap.String("Upstream", upstream.ID), zap.String("Told", malformed))...)
-	})
-}
-
 // logPanic logs a panic with the request's id and panics again; the server of the connection recovers it.
 func (exchange *exchange) logPanic() {
 	failure := recover()
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -143,12 +143,7 @@
 	}
 	defer answer.Close()
 	reply := exchange.relay.dialect.ReadReply(answer.Status, answer.Header)
-	exchange.logMalformedLoad(slot.Upstream, reply.Load)
-	if reply.Leaving && exchange.isAnswerOf(slot.Upstream, reply) {
-		exchange.relay.OnUpstreamLeaving(slot.Upstream, exchange.headers.ID)
-	}
-	exchange.logMalformedRetryAfter(slot.Upstream, reply.MalformedRetryAfter)
-	exchange.recordRest(slot, reply)
+	exchange.recordStatements(slot, reply)
 	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes+1))
 	result := result{via: answer.Via(), status: answer.Status, header: answer.Header, body: body, load: reply.Load, misdirected: reply.Misdirected}
 	result.unanswered = err != nil && ctx.Err() == nil
--- a/relay/load_test.go
+++ b/relay/load_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"cherrykeel"
+	"cherrykeel/events"
 )
 
 // Guards against malformed load reports that are dropped without a log line, and against a line for each of them.
@@ -21,10 +22,10 @@
 		relay := New(Settings{Clock: cherrykeel.SystemClock(), Dialect: emptyDialect{}, Logger: zap.New(core), Scope: tally.NoopScope})
 		request := httptest.NewRequest(http.MethodGet, "http://h/", nil)
 		exchange := &exchange{relay: relay, request: request}
-		exchange.logMalformedLoad(cherrykeel.Upstream{ID: "u"}, cherrykeel.UpstreamLoad{Known: true})
+		exchange.logMalformed(events.LoadUnreadable, cherrykeel.Upstream{ID: "u"}, cherrykeel.UpstreamLoad{Known: true}.Malformed)
 		Expect(lines.Len()).To(BeZero())
 		for range 3 {
-			exchange.logMalformedLoad(cherrykeel.Upstream{ID: "u"}, cherrykeel.UpstreamLoad{Malformed: "1,2,3,4,5"})
+			exchange.logMalformed(events.LoadUnreadable, cherrykeel.Upstream{ID: "u"}, cherrykeel.UpstreamLoad{Malformed: "1,2,3,4,5"}.Malformed)
 		}
 		Expect(lines.Len()).To(Equal(1))
 		Expect(lines.All()[0].ContextMap()).To(HaveKeyWithValue("Told", "1,2,3,4,5"))
@@ -37,10 +38,10 @@
 		core, lines := observer.New(zapcore.DebugLevel)
 		relay := New(Settings{Clock: cherrykeel.SystemClock(), Dialect: emptyDialect{}, Logger: zap.New(core), Scope: tally.NoopScope})
 		exchange := &exchange{relay: relay, request: httptest.NewRequest(http.MethodGet, "http://h/", nil)}
-		exchange.logMalformedRetryAfter(cherrykeel.Upstream{ID: "u"}, "")
+		exchange.logMalformed(events.RetryAfterMalformed, cherrykeel.Upstream{ID: "u"}, "")
 		Expect(lines.Len()).To(BeZero())
 		for range 3 {
-			exchange.logMalformedRetryAfter(cherrykeel.Upstream{ID: "u"}, "-3")
+			exchange.logMalformed(events.RetryAfterMalformed, cherrykeel.Upstream{ID: "u"}, "-3")
 		}
 		Expect(lines.Len()).To(Equal(1))
 		Expect(lines.All()[0].ContextMap()).To(HaveKeyWithValue("Told", "-3"))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -14,13 +14,10 @@
 	"cherrykeel/conns"
 	"cherrykeel/deny"
 	"cherrykeel/flow"
+	"cherrykeel/permit"
 	"cherrykeel/poison"
 )
 
-// malformedLogInterval is the interval of log lines on each kind of malformed header; all upstreams of one version send
-// the same ones.
-const malformedLogInterval = time.Minute
-
 // Settings has what a Relay needs from its host.
 type Settings struct {
 	// Zone is the host's availability zone, Bounds returns the platform's bounds as they are now.
@@ -44,6 +41,9 @@
 	// OnUpstreamLeaving is called with each upstream that states in an answer that it is leaving, and with the ID of the
 	// answered request, before the answer is passed on.
 	OnUpstreamLeaving func(upstream cherrykeel.Upstream, request string)
+	// OnUpstreamLimit is called with what an upstream says of its rate limit in an answer, and with the ID of the answered
+	// request.
+	OnUpstreamLimit func(upstream cherrykeel.Upstream, heard permit.Statement, request string)
 	// DenyList has the requests that were running when upstreams crashed; nil means an empty list.
 	DenyList *deny.List
 }
@@ -65,9 +65,8 @@
 	endSet     chan struct{}
 	// queued has a value once a request has begun to wait.
 	queued chan struct{}
-	// loadLogLimit and retryAfterLogLimit bound the log lines on malformed headers.
-	loadLogLimit       *rate.Sometimes
-	retryAfterLogLimit *rate.Sometimes
+	// malformedLogLimits bound the log lines on malformed headers, by event.
+	malformedLogLimits map[int]*rate.Sometimes
 }
 
 // New returns a relay without routes, which refuses all requests.
@@ -75,18 +74,19 @@
 	if settings.DenyList == nil {
 		settings.DenyList = deny.New(deny.Settings{Clock: settings.Clock, Logger: settings.Logger})
 	}
+	if settings.OnUpstreamLimit == nil {
+		settings.OnUpstreamLimit = func(cherrykeel.Upstream, permit.Statement, string) {}
+	}
 	return &Relay{
-		Settings:    settings,
-		dialect:     settings.Dialect,
-		clock:       settings.Clock,
-		pool:        settings.Pool,
-		meter:       newMeter(settings.Scope),
-		dispatchers: map[string]*dispatcher{},
-		queued:      make(chan struct{}, 1),
-		endSet:      make(chan struct{}),
-
-		loadLogLimit:       &rate.Sometimes{First: 1, Interval: malformedLogInterval},
-		retryAfterLogLimit: &rate.Sometimes{First: 1, Interval: malformedLogInterval},
+		Settings:           settings,
+		dialect:            settings.Dialect,
+		clock:              settings.Clock,
+		pool:               settings.Pool,
+		meter:              newMeter(settings.Scope),
+		dispatchers:        map[string]*dispatcher{},
+		queued:             make(chan struct{}, 1),
+		endSet:             make(chan struct{}),
+		malformedLogLimits: newMalformedLogLimits(),
 	}
 }
 
--- a/relay/rest.go
+++ b/relay/rest.go
@@ -11,8 +11,7 @@
 )
 
 // recordRest records and logs that an upstream wants no request from this host for a time. An answer that names another
-// request or another upstream says nothing of the one that was asked. It is heeded as soon as its headers are there: its
-// body may come late or never.
+// request or another upstream says nothing of the one that was asked.
 func (exchange *exchange) recordRest(slot *flow.Slot, reply cherrykeel.ReplyHeaders) {
 	isOther := reply.ID != "" && reply.ID != exchange.headers.ID || reply.Instance != "" && reply.Instance != slot.Upstream.ID
 	if reply.RetryAfter <= 0 || isOther {
--- a/watch/entries.go
+++ b/watch/entries.go
@@ -22,7 +22,7 @@
 	if upstream.RemainingWarmup > 0 {
 		upstream.ColdUntil = upstreams.clock.Now().Add(upstream.RemainingWarmup)
 	}
-	firstOffset, leavingSince := record.Offset, cherrykeel.Instant(0)
+	firstOffset, leavingSince, limit := record.Offset, cherrykeel.Instant(0), limitState{}
 	if known {
 		switch {
 		case upstream.StartedAt < old.upstream.StartedAt:
@@ -31,11 +31,11 @@
 		case upstream.StartedAt == old.upstream.StartedAt && old.ended:
 			return false
 		case upstream.StartedAt == old.upstream.StartedAt:
-			firstOffset, fromSnapshot, leavingSince = old.firstOffset, old.fromSnapshot, old.leavingSince
+			firstOffset, fromSnapshot, leavingSince, limit = old.firstOffset, old.fromSnapshot, old.leavingSince, old.limit
 		}
 	}
 	upstreams.listValid = false
-	upstreams.entries[record.Key] = &entry{upstream: upstream, offset: record.Offset, firstOffset: firstOffset, fromSnapshot: fromSnapshot, leavingSince: leavingSince}
+	upstreams.entries[record.Key] = &entry{upstream: upstream, offset: record.Offset, firstOffset: firstOffset, fromSnapshot: fromSnapshot, leavingSince: leavingSince, limit: limit}
 	if known && !old.gone && isUnchangedForHosts(old.upstream, upstream) {
 		return false
 	}
--- a/watch/upstreams.go
+++ b/watch/upstreams.go
@@ -65,6 +65,8 @@
 	ended bool
 	// leavingSince is when this host first received an answer in which this incarnation stated that it is leaving, or 0.
 	leavingSince cherrykeel.Instant
+	// limit is what the answers of this incarnation say of its rate limit.
+	limit limitState
 }
 
 // NewUpstreams returns a view that removes an upstream with a missing entry once the store has been available for so
