Requests to an upstream that names a limit need permits, which one host hands out for the fleet

Cause: no host read the limit. Class: what an answer says of its sender holds for the fleet, and each host goes by itself. Change, as docs/design/limits.md weighs it: the upstream's allocator, one of the hubs by a hash, fills a bucket at the limit times the share of the hosts that it hears; hosts ask for the requests that wait for nothing else, and it declines at once what it can't meet in time (refused "limited", not run). Limits are told by the host that reads them to the allocator, and by that to all, again each second. A host without a word from its allocator uses its even part. Why it works: nobody sends without a permit; two allocators that don't hear each other hand out their shares, not the limit twice; a bucket begins empty and saves one.

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -21,10 +21,12 @@
 	host.reportsThrottle = &throttle{clock: host.clock, interval: reportsInterval, run: host.checkReports}
 	host.newcomersThrottle = &throttle{clock: host.clock, interval: newcomersInterval, run: host.announceToNewcomers}
 	host.peersThrottle = &throttle{clock: host.clock, interval: peersInterval, run: host.applyPeers}
+	host.rateLimits = newRateLimits(host)
 	host.shortNames.Store(&shortNames{})
 	host.schedulingDelay = newSchedulingDelay(host.clock)
 	host.spans = watch.NewSpans(host.clock, host.logger, host.onSpansChange, host.announceSpans)
 	host.mesh = share.New(host.self, host.clock, host.logger, &state{host: host}, host.reportsThrottle.trigger, host.countsThrottle.trigger, func(demand share.Demand) { host.keeper.RecordDemand(demand) }, host.receive)
+	host.mesh.SetPermitHandler(host.rateLimits)
 	host.newTunnels()
 	host.conns = conns.NewPool(conns.WithDial(host.dialer.DialContext), conns.WithIdleTimeout(idleTimeout), conns.WithCloseDelimited())
 	host.pendingDenials = deny.NewPendingRecords()
@@ -41,8 +43,8 @@
 		Logger: host.logger, Scope: host.scope, Owner: host.spans.Owner, OnKeyRequest: host.mesh.RecordKeyRequest, HostCount: host.mesh.HostCount,
 		OnMisdirected: host.onMisdirected, OnUpstreamReplaced: func(id string) { host.upstreams.MarkEnded(id) },
 		OnUpstreamLeaving: func(upstream cherrykeel.Upstream, request string) { host.upstreams.RecordLeaving(upstream, request) },
-		OnUpstreamLimit: func(upstream cherrykeel.Upstream, heard permit.Statement, request string) {
-			host.upstreams.RecordLimit(upstream, heard, request)
+		OnUpstreamLimit: func(upstream permit.Incarnation, heard permit.Statement, request string) {
+			host.recordLimit(upstream, heard, watch.LimitSource{Request: request})
 		},
 		DenyList: host.denyList,
 	})
--- a/entry/doc.go
+++ b/entry/doc.go
@@ -2,5 +2,5 @@
 // store, exchanges messages with the other hosts, grants key spans while it is the keeper, and relays callers'
 // requests.
 //
-// Lock order: Host.peersMutex, upstreamList.mutex, Host.mutex.
+// Lock order: Host.peersMutex, upstreamList.mutex, rateLimits.mutex, Host.mutex.
 package entry
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -46,6 +46,7 @@
 	report.Offsets = host.offsets()
 	report.Ages = host.ages()
 	report.FinalGrants = host.keeper.FinalGrants()
+	report.KnowsPermits = true
 	host.fillReach(report)
 }
 
@@ -204,6 +205,8 @@
 		host.topics.hosts.ApplyReceived(announcement.Records)
 	case topicSpans:
 		host.receiveSpans(announcement)
+	case topicLimits:
+		host.rateLimits.receive(announcement)
 	case topicDenied:
 		host.applyDenials(announcement.Records, host.denyList.Merge)
 	}
--- a/entry/host.go
+++ b/entry/host.go
@@ -110,6 +110,7 @@
 	peersThrottle     *throttle
 	shortNames        atomic.Pointer[shortNames]
 	schedulingDelay   *schedulingDelay
+	rateLimits        *rateLimits
 	// started is when the process began.
 	started cherrykeel.Instant
 	// upstreamsThrough is the newest change of upstreams up to which this host has received all announcements.
--- a/entry/maintain.go
+++ b/entry/maintain.go
@@ -44,8 +44,10 @@
 				dispatch.Reset(dispatchInterval)
 			}
 			dispatching = true
+			host.rateLimits.ask()
 		case <-dispatch.C:
 			dispatching = host.relay.Dispatch()
+			host.rateLimits.ask()
 			if dispatching {
 				dispatch.Reset(dispatchInterval)
 			}
@@ -61,11 +63,14 @@
 			host.dialer.Retain()
 			host.dialer.TryLost()
 			host.updateReachGauges()
+			host.rateLimits.update()
 			// A host that has become unreachable is left out of the sums without a message.
 			host.updateOtherCounts()
 		case <-remove.C:
 			host.removeUnreachable(ctx, host.clock.Now().Sub(begun))
 			host.removeExpiredDenials(ctx)
+			host.rateLimits.repeat()
+			host.rateLimits.logUsage()
 			// Idle connections take up room at upstreams, which reset those beyond their limit.
 			host.conns.CloseExpired()
 		case <-demand.C:
@@ -117,6 +122,7 @@
 	host.scope.Gauge("leaving_upstreams").Update(float64(leaving))
 	host.scope.Gauge("resting_upstreams").Update(float64(host.relay.RestingUpstreams()))
 	host.scope.Gauge("cold_upstreams").Update(float64(host.countColdUpstreams()))
+	host.updateLimitGauges()
 }
 
 // updateUnreadableGauges shows how many records of each topic could not be decoded.
--- a/entry/upstreams.go
+++ b/entry/upstreams.go
@@ -52,17 +52,20 @@
 		return
 	}
 	listed := host.upstreams.Current()
+	limited := host.rateLimits.byUpstream()
 	list := make([]cherrykeel.Upstream, len(listed))
 	for i, upstream := range listed {
 		upstream.EvacuateAt = host.evacuateAt(upstream)
 		upstream.LeaveAt = host.leaveAt(upstream)
 		host.setColdLimit(&upstream)
+		setRateLimit(&upstream, limited)
 		list[i] = upstream
 	}
 	names := newShortNames(list)
 	host.shortNames.Store(&names)
 	host.appliedUpstreams.store(list)
 	host.relay.SetUpstreams(list)
+	host.rateLimits.update()
 }
 
 // evacuateAt returns from when on the upstream gets no requests, or 0. Any other upstream can serve the requests of a
--- a/events/events.go
+++ b/events/events.go
@@ -121,6 +121,7 @@
 	TunnelsLeft         = define(634, zap.WarnLevel, "connections for other hosts were cut by the end of this one")
 	LimitNamed          = define(635, zap.WarnLevel, "upstream named a limit, or another one, in an answer")
 	LimitEnded          = define(636, zap.InfoLevel, "upstream names no limit any more")
+	PermitsGiven        = define(637, zap.InfoLevel, "permits of an upstream that names a limit were handed out")
 	LinesDropped        = define(618, zap.WarnLevel, "log lines were dropped, since they could not be written fast enough")
 )
 
--- a/flow/discipline.go
+++ b/flow/discipline.go
@@ -43,6 +43,12 @@
 	chooseProbe(ticket *Ticket, now cherrykeel.Instant) *member
 	// restEnd returns when the first upstream is no longer held back, if all that may get a ticket are, and 0 if one is not.
 	restEnd(ticket *Ticket, now cherrykeel.Instant) cherrykeel.Instant
+	// limitWaitEnd returns until when a ticket waits for a permit at least; 0 if that is not known, or if it needs none.
+	limitWaitEnd(ticket *Ticket, now cherrykeel.Instant) cherrykeel.Instant
+	// isLimited reports whether all upstreams that may get a ticket name limits.
+	isLimited(ticket *Ticket, now cherrykeel.Instant) bool
+	// limitedFor returns the upstream that would get a ticket now if there were a permit, or nil.
+	limitedFor(ticket *Ticket, now cherrykeel.Instant) *member
 	// queueFor returns the state of the queue that a ticket waits in.
 	queueFor(ticket *Ticket) *standingQueue
 }
--- a/flow/member.go
+++ b/flow/member.go
@@ -6,6 +6,7 @@
 
 	"cherrykeel"
 	"cherrykeel/cold"
+	"cherrykeel/permit"
 )
 
 const (
@@ -75,6 +76,8 @@
 	pausedUntil     cherrykeel.Instant
 	// restUntil is until when the upstream wants no request from this host.
 	restUntil cherrykeel.Instant
+	// permits are those for an upstream that names a limit.
+	permits permit.Held
 }
 
 // load returns the number of requests at the upstream, from all hosts.
@@ -90,7 +93,11 @@
 
 // rate returns how many requests a second the upstream can process.
 func (member *member) rate(serviceMean time.Duration, now cherrykeel.Instant) float64 {
-	return float64(member.upstream.Slots) / member.expectedProcessingTime(serviceMean, now).Seconds()
+	rate := float64(member.upstream.Slots) / member.expectedProcessingTime(serviceMean, now).Seconds()
+	if member.upstream.HasRateLimit {
+		return min(rate, permit.RateOf(member.upstream.RateLimit))
+	}
+	return rate
 }
 
 // isClosed reports whether the upstream gets no more requests because its availability zone is evacuated or because it
@@ -146,7 +153,7 @@
 	if member.upstream.IsColdLimited(now) && !member.sendWindow.Allows(member.upstream.ColdQuota, now) {
 		return false
 	}
-	return member.isAvailable(now) && member.load() < member.limit()+uncertainty.extraRoom(member.upstream.Slots)
+	return member.isAvailable(now) && member.hasPermit(now) && member.load() < member.limit()+uncertainty.extraRoom(member.upstream.Slots)
 }
 
 // expectedProcessingTime returns the expected processing time of a request. serviceMean is used for an upstream that
--- a/flow/owned.go
+++ b/flow/owned.go
@@ -98,7 +98,7 @@
 	}
 	owner := owned.owner(ticket)
 	member, known := owned.service.members[owner.ID]
-	if !known || owner.InTransfer || !member.isAvailable(now) || !owned.canSend(member, now) || !member.isIdle(now) {
+	if !known || owner.InTransfer || !member.isAvailable(now) || !owned.canSend(member, now) || !member.hasPermit(now) || !member.isIdle(now) {
 		return nil
 	}
 	if !member.isRuledOut(ticket, owned.service.meanProcessingTime(), now) {
@@ -113,7 +113,7 @@
 	}
 	owner := owned.owner(ticket)
 	member, known := owned.service.members[owner.ID]
-	if !known || owner.InTransfer || !member.isAvailable(now) || !owned.canSend(member, now) {
+	if !known || owner.InTransfer || !member.isAvailable(now) || !owned.canSend(member, now) || !member.hasPermit(now) {
 		return nil
 	}
 	// An answer after the deadline wastes processing time of the owner while other requests wait for it.
@@ -200,6 +200,9 @@
 	if !known {
 		return serviceMean
 	}
+	if member.upstream.HasRateLimit {
+		return owned.limitWait(ticket, member) + owned.expectedTime(member, 0, serviceMean, now)
+	}
 	return owned.expectedTime(member, owned.countAhead(ticket), serviceMean, now)
 }
 
--- a/flow/service.go
+++ b/flow/service.go
@@ -29,6 +29,11 @@
 	probes probes
 	// rests holds until when upstreams want no request from this host.
 	rests rests
+	// hasLimits is set while an upstream names a limit.
+	hasLimits bool
+	// spare is the upstream that a permit is wanted for though no request waits for it; spareWantedAt is when it was.
+	spare         *member
+	spareWantedAt cherrykeel.Instant
 }
 
 // New returns a scheduler for a service on a host in the given availability zone. findOwner returns the owner of a key;
@@ -65,8 +70,10 @@
 	}
 	service.members = members
 	service.processingTimes = processingTimes{}
+	service.hasLimits = false
 	for _, member := range members {
 		service.processingTimes.add(member.processingTime)
+		service.hasLimits = service.hasLimits || member.upstream.HasRateLimit
 	}
 	service.discipline.upstreamsChanged()
 	service.Dispatch(now)
@@ -143,11 +150,13 @@
 	service.arrivals++
 	service.target = ticket.Target.Sub(ticket.Arrived)
 	ticket.order = service.arrivals
+	ticket.latestSend = service.latestSend(ticket, now)
 	service.discipline.refreshCounts()
 	answerAt := now.Add(service.discipline.estimateTimeToAnswer(ticket, now))
 	standingFor := service.discipline.queueFor(ticket).recordArrival(ticket, answerAt, now)
 	chosen := service.discipline.chooseUpstream(ticket, now)
 	if chosen != nil && !service.isOvertaken(ticket) {
+		service.wantSpare(ticket, now)
 		ticket.Notify(service.assignSlot(ticket, chosen, now))
 		return
 	}
@@ -176,8 +185,10 @@
 		return TooLate, true
 	case service.restsTooLongFor(ticket, answerAt.Sub(now), now):
 		return service.heldBackReason(ticket, now), true
+	case service.isBeyondLimit(ticket, now):
+		return Limited, true
 	case answerAt > ticket.latestAnswer(standingFor):
-		return Crowded, true
+		return service.crowdedReason(ticket, now), true
 	default:
 		return "", false
 	}
@@ -271,6 +282,9 @@
 	if service.RestsTooLong(ticket, now) {
 		return service.newRefusal(ticket, service.heldBackReason(ticket, now), now), true
 	}
+	if service.isBeyondLimit(ticket, now) {
+		return service.newRefusal(ticket, Limited, now), true
+	}
 	return Decision{}, false
 }
 
@@ -299,6 +313,7 @@
 		inputs.Load = member.load()
 		inputs.RemoteLoad = member.remoteLoad
 		inputs.ProcessingTime = member.expectedProcessingTime(inputs.ProcessingTime, now)
+		inputs.RateLimit = member.upstream.RateLimit
 	}
 	return inputs
 }
@@ -311,6 +326,9 @@
 	if member.upstream.IsColdLimited(now) {
 		member.sendWindow.Record(now)
 	}
+	if member.upstream.HasRateLimit {
+		member.permits.Take(now)
+	}
 	return &Slot{Upstream: member.upstream, Load: member.load(), StartedAt: now, Deadline: ticket.Deadline, member: member}
 }
 
--- a/flow/shared.go
+++ b/flow/shared.go
@@ -79,6 +79,9 @@
 			return member
 		}
 	}
+	if limited := shared.untriedLimited(ticket, now); limited != nil {
+		return limited
+	}
 	nearFree, farFree := shared.latestReportedFree(near, ticket, now), shared.latestReportedFree(far, ticket, now)
 	switch {
 	case nearFree != nil:
@@ -236,7 +239,7 @@
 	start := max(now, shared.restEnd(ticket, now))
 	for _, member := range shared.members {
 		if member.isAvailable(start) && !member.upstream.IsColdLimited(now) {
-			rate += float64(member.upstream.Slots) / float64(member.expectedProcessingTime(serviceMean, now))
+			rate += member.rate(serviceMean, now) / float64(time.Second)
 		}
 	}
 	if rate == 0 {
--- a/flow/ticket.go
+++ b/flow/ticket.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cherrykeel"
+	"cherrykeel/permit"
 )
 
 // Ticket is a request to be scheduled.
@@ -23,6 +24,12 @@
 	Notify func(decision Decision)
 	// order is the position among tickets of the same priority.
 	order uint64
+	// latestSend is until when it waits for a permit.
+	latestSend cherrykeel.Instant
+	// declined has the incarnations that have no permit for this request in time, and wanted the one that it waits for a
+	// permit of, if it has no key.
+	declined map[permit.Incarnation]bool
+	wanted   permit.Incarnation
 }
 
 // Reason is why a request was refused.
@@ -46,6 +53,8 @@
 	Resting Reason = "resting"
 	// Unreached means that no connection could be opened to any upstream that may serve the request.
 	Unreached Reason = "unreachable"
+	// Limited means that the limits which the upstreams name leave no room for the request in time.
+	Limited Reason = "limited"
 )
 
 // Decision is the result of scheduling a ticket: a slot at an upstream, or the reason for a refusal.
@@ -75,6 +84,8 @@
 	TimeToAnswer   time.Duration
 	// RestLeft is how long the upstreams that may serve the request are all still held back; 0 if one is not.
 	RestLeft time.Duration
+	// RateLimit is the limit that the upstream in question names; 0 if it names none.
+	RateLimit float64
 }
 
 // Slot is the use of an upstream's capacity by one request, counted until it is released.
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -110,7 +110,7 @@
 		zap.String("Detail", failure.Detail), zap.Int("Attempts", exchange.attempts), zap.Strings("Tried", exchange.tried),
 		zap.String("Owner", exchange.inputs.Owner), zap.Bool("Moving", exchange.inputs.InTransfer), zap.Int64("Fence", exchange.inputs.Fence),
 		zap.Int("Load", exchange.inputs.Load), zap.Int("Others", exchange.inputs.RemoteLoad), zap.Int("Ahead", exchange.inputs.Ahead),
-		zap.Duration("Work", exchange.inputs.ProcessingTime), zap.Duration("Wait", exchange.inputs.TimeToAnswer), zap.Duration("RestLeft", exchange.inputs.RestLeft),
+		zap.Duration("Work", exchange.inputs.ProcessingTime), zap.Duration("Wait", exchange.inputs.TimeToAnswer), zap.Duration("RestLeft", exchange.inputs.RestLeft), zap.Float64("Limit", exchange.inputs.RateLimit),
 		zap.Duration("RetryAfter", failure.RetryAfter), zap.Duration("Took", took))...)
 	header := exchange.writer.Header()
 	header.Set(cherrykeel.HeaderOutcome, string(failure.Outcome))
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -45,22 +45,22 @@
 	dispatcher.service.SetUpstreams(upstreams, now)
 }
 
-// submit requests a slot; the decision comes on the channel.
+// submit requests a slot; the decision comes on the channel. Permits may be wanted from then on, also if it comes at once.
 func (dispatcher *dispatcher) submit(ticket *flow.Ticket, now cherrykeel.Instant) <-chan flow.Decision {
 	decisions := make(chan flow.Decision, 1)
 	ticket.Notify = func(decision flow.Decision) { decisions <- decision }
-	if dispatcher.isWaitingAfterSubmit(ticket, now, decisions) {
+	if dispatcher.needsDispatchAfterSubmit(ticket, now, decisions) {
 		dispatcher.onQueued()
 	}
 	return decisions
 }
 
-// isWaitingAfterSubmit passes the ticket to the scheduler and reports whether it waits there.
-func (dispatcher *dispatcher) isWaitingAfterSubmit(ticket *flow.Ticket, now cherrykeel.Instant, decisions <-chan flow.Decision) bool {
+// needsDispatchAfterSubmit passes the ticket to the scheduler and reports whether it waits there, or permits are wanted.
+func (dispatcher *dispatcher) needsDispatchAfterSubmit(ticket *flow.Ticket, now cherrykeel.Instant, decisions <-chan flow.Decision) bool {
 	dispatcher.mutex.Lock()
 	defer dispatcher.mutex.Unlock()
 	dispatcher.service.Submit(ticket, now)
-	return len(decisions) == 0
+	return len(decisions) == 0 || dispatcher.service.HasWants(now)
 }
 
 // cancel withdraws a ticket; a slot that it got meanwhile is released.
@@ -142,10 +142,10 @@
 	return dispatcher.budget.trySpend(hosts, now)
 }
 
-// dispatch lets the scheduler decide on waiting requests, and reports whether some still wait.
+// dispatch lets the scheduler decide on waiting requests, and reports whether some still wait, or permits are wanted.
 func (dispatcher *dispatcher) dispatch(now cherrykeel.Instant) bool {
 	dispatcher.mutex.Lock()
 	defer dispatcher.mutex.Unlock()
 	dispatcher.service.Dispatch(now)
-	return dispatcher.service.HasWaiting()
+	return dispatcher.service.HasWaiting() || dispatcher.service.HasWants(now)
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -168,6 +168,7 @@
 		exchange.dispatcher.release(slot, result.slotResult(ctx.Err() != nil), result.load, exchange.relay.clock.Now())
 	}()
 	exchange.recordProgress(slot.Upstream.ID)
+	exchange.countLimitedSend(slot)
 	result = exchange.attempt(ctx, slot)
 	exchange.recordProgress("")
 	return result
@@ -226,6 +227,7 @@
 func (exchange *exchange) checkDecision(decision flow.Decision) (flow.Decision, *cherrykeel.Failure) {
 	exchange.inputs = decision.Inputs
 	if decision.Slot == nil {
+		exchange.countLimited(decision)
 		return decision, exchange.refuse(string(decision.Reason), "no upstream can answer in time")
 	}
 	failure := exchange.refuseBeforeSend()
--- a/relay/meter.go
+++ b/relay/meter.go
@@ -48,6 +48,17 @@
 	meter.scope.Tagged(map[string]string{"service": service}).Counter("rests").Inc(1)
 }
 
+// recordLimitedSend counts a request that is sent to an upstream that names a limit.
+func (meter *meter) recordLimitedSend(upstream string) {
+	meter.scope.Tagged(map[string]string{"upstream": upstream}).Counter("limited_sent").Inc(1)
+}
+
+// recordLimited counts a request that is refused since limits leave no room for it; the upstream is its key's owner, or
+// empty.
+func (meter *meter) recordLimited(upstream string) {
+	meter.scope.Tagged(map[string]string{"upstream": upstream}).Counter("limited_refused").Inc(1)
+}
+
 func (meter *meter) record(scope tally.Scope, duration time.Duration) {
 	scope.Counter("requests").Inc(1)
 	scope.Histogram("latency", latencyBuckets).RecordDuration(duration)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -43,7 +43,7 @@
 	OnUpstreamLeaving func(upstream cherrykeel.Upstream, request string)
 	// OnUpstreamLimit is called with what an upstream says of its rate limit in an answer, and with the ID of the answered
 	// request.
-	OnUpstreamLimit func(upstream cherrykeel.Upstream, heard permit.Statement, request string)
+	OnUpstreamLimit func(upstream permit.Incarnation, heard permit.Statement, request string)
 	// DenyList has the requests that were running when upstreams crashed; nil means an empty list.
 	DenyList *deny.List
 }
@@ -75,7 +75,7 @@
 		settings.DenyList = deny.New(deny.Settings{Clock: settings.Clock, Logger: settings.Logger})
 	}
 	if settings.OnUpstreamLimit == nil {
-		settings.OnUpstreamLimit = func(cherrykeel.Upstream, permit.Statement, string) {}
+		settings.OnUpstreamLimit = func(permit.Incarnation, permit.Statement, string) {}
 	}
 	return &Relay{
 		Settings:           settings,
@@ -90,8 +90,8 @@
 	}
 }
 
-// QueuedSignal returns a channel that gets a value when a request has begun to wait. From then on Dispatch must be
-// called periodically until it returns false.
+// QueuedSignal returns a channel that gets a value when a request has begun to wait, or a permit is wanted. From then on
+// Dispatch must be called periodically until it returns false.
 func (relay *Relay) QueuedSignal() <-chan struct{} {
 	return relay.queued
 }
@@ -230,7 +230,8 @@
 	return names
 }
 
-// Dispatch lets waiting requests continue whose upstream or owner has changed, and reports whether some still wait.
+// Dispatch lets waiting requests continue whose upstream or owner has changed, and reports whether some still wait, or
+// permits are wanted.
 func (relay *Relay) Dispatch() bool {
 	now := relay.clock.Now()
 	queued := false
--- a/relay/statement.go
+++ b/relay/statement.go
@@ -39,7 +39,8 @@
 	}
 	heard, heardAny := exchange.limitStatement(slot, reply)
 	if heardAny {
-		exchange.relay.OnUpstreamLimit(slot.Upstream, heard, exchange.headers.ID)
+		upstream := permit.Incarnation{ID: slot.Upstream.ID, StartedAt: slot.Upstream.StartedAt}
+		exchange.relay.OnUpstreamLimit(upstream, heard, exchange.headers.ID)
 	}
 }
 
--- a/routes.go
+++ b/routes.go
@@ -90,6 +90,11 @@
 	// that rate is ColdQuota, in requests a second.
 	HasColdLimit bool
 	ColdQuota    int
+	// HasRateLimit is true if the upstream names a limit in its answers: it takes RateLimit requests a second from all
+	// hosts together, and each one needs a permit. RateLimitSince is when this host learned of it.
+	HasRateLimit   bool
+	RateLimit      float64
+	RateLimitSince Instant
 }
 
 // IsClosing reports whether the upstream gets no requests from some time on, which may have passed.
--- a/share/mesh.go
+++ b/share/mesh.go
@@ -59,6 +59,7 @@
 	onCounts       func()
 	onDemand       func(demand Demand)
 	onAnnouncement func(announcement Announcement)
+	permitHandler  PermitHandler
 
 	socket   *net.UDPConn
 	mutex    sync.Mutex
@@ -98,7 +99,7 @@
 // New returns a mesh; the callbacks are called from its own goroutines, and onDemand also from ReportDemand.
 func New(self cherrykeel.Peer, clock cherrykeel.Clock, logger *zap.Logger, source StateSource, onReport, onCounts func(), onDemand func(Demand), onAnnouncement func(Announcement)) *Mesh {
 	return &Mesh{
-		self: self, clock: clock, logger: logger, source: source, onReport: onReport, onCounts: onCounts, onDemand: onDemand, onAnnouncement: onAnnouncement,
+		self: self, clock: clock, logger: logger, source: source, onReport: onReport, onCounts: onCounts, onDemand: onDemand, onAnnouncement: onAnnouncement, permitHandler: noPermits{},
 		peers: map[string]cherrykeel.Peer{}, resolved: map[string]*net.UDPAddr{},
 		reports: map[string]ReceivedReport{}, unreachable: map[string]bool{}, requestedKeys: map[string][]int{},
 		fleet: topo.NewFleet(self.Name, []cherrykeel.Peer{self}), plan: topo.Plan{FullMesh: true}, hubSince: clock.Now(), lastRunAt: clock.Now(), contacts: newContacts(), loads: newLoads(), sentProcessingTimes: map[string]sentProcessingTime{},
--- a/share/message.go
+++ b/share/message.go
@@ -22,6 +22,8 @@
 	methodSum      = "Sum"
 	methodDemand   = "Demand"
 	methodAnnounce = "Tell"
+	methodAsks     = "Asks"
+	methodPermits  = "Permits"
 )
 
 // Report is a host's state that changes slowly; it is sent after each change and at an interval.
@@ -49,6 +51,8 @@
 	// Unreached has the short names of upstreams that the host does not reach itself, of UnreachedCount ones.
 	Unreached      []string `json:",omitempty"`
 	UnreachedCount int      `json:",omitempty"`
+	// KnowsPermits is set by hosts that send requests to upstreams that name a limit only with permits.
+	KnowsPermits bool `json:"Permits,omitempty"`
 }
 
 // FinalGrants names owners whose grants the keeper of a term will not renew.
--- a/share/receive.go
+++ b/share/receive.go
@@ -62,6 +62,18 @@
 			mesh.forwardToGroup(announcement)
 			mesh.onAnnouncement(announcement)
 		}
+	case methodAsks:
+		var asks Asks
+		err = json.Unmarshal(params, &asks)
+		if err == nil && mesh.isPeer(asks.Host, asks.Incarnation) {
+			mesh.permitHandler.HandleAsks(asks)
+		}
+	case methodPermits:
+		var permits Permits
+		err = json.Unmarshal(params, &permits)
+		if err == nil && mesh.isPeer(permits.Host, permits.Incarnation) {
+			mesh.permitHandler.HandlePermits(permits)
+		}
 	case methodDemand:
 		var demand Demand
 		err = json.Unmarshal(params, &demand)
@@ -74,7 +86,12 @@
 
 // isTimeLimited reports whether a message's content is used only for a time, counted from when it was read.
 func isTimeLimited(method string) bool {
-	return method == methodReport || method == methodLoad || method == methodSum
+	switch method {
+	case methodReport, methodLoad, methodSum, methodAsks, methodPermits:
+		return true
+	default:
+		return false
+	}
 }
 
 // recordReport records a report of a known host's present incarnation if it is newer than the one known, and reports
--- a/watch/limit_test.go
+++ b/watch/limit_test.go
@@ -31,7 +31,8 @@
 		if limit >= 0 {
 			heard.Limited, heard.PerSecond = true, limit
 		}
-		view.RecordLimit(view.Current()[0], heard, request)
+		upstream := view.Current()[0]
+		view.RecordLimit(permit.Incarnation{ID: upstream.ID, StartedAt: upstream.StartedAt}, heard, watch.LimitSource{Request: request})
 		clock.Advance(time.Second)
 	}
 	logged := func(event events.Event) []observer.LoggedEntry {
