Keys move away from an owner that names a limit below its load

What callers saw: half of the callers of such an owner's keys refused for as long as it is in need, though others had room. Cause: the keeper weighs owners by processing time alone. Where all upstreams of a service name limits, keys stay. Ruled out: the limit as the capacity at any load: balance would then move keys at a third of the limit.

--- a/grants/change.go
+++ b/grants/change.go
@@ -48,7 +48,7 @@
 	changed := keeper.table.IsCorrupt()
 	proposal := table.Clone()
 	for _, service := range keeper.environment.KeyedServices() {
-		list, differs := table.NextSpans(service.Name, keeper.planInput(service.Name, next, balance, now))
+		list, differs := table.NextSpans(service.Name, keeper.planInput(service.Name, table.Services[service.Name], next, balance, now))
 		if differs {
 			proposal.Services[service.Name] = list
 			changed = true
@@ -74,10 +74,11 @@
 	return false
 }
 
-func (keeper *Keeper) planInput(service string, next int64, balance bool, now cherrykeel.Instant) spans.Input {
+func (keeper *Keeper) planInput(service string, list []spans.Owned, next int64, balance bool, now cherrykeel.Instant) spans.Input {
 	demand := keeper.demandFor(service)
 	demand.Decay(now)
-	candidates := keeper.candidates(service, now)
+	candidates, limits := keeper.candidates(service, now)
+	keeper.applyLimits(candidates, limits, list, demand)
 	moves := 0
 	if balance {
 		moves = max(maxMoves, len(candidates)/upstreamsPerMove)
@@ -121,9 +122,11 @@
 	return nil, false
 }
 
-func (keeper *Keeper) candidates(service string, now cherrykeel.Instant) []spans.Candidate {
+// candidates returns the upstreams that may own keys of a service, and the limits that some of them name.
+func (keeper *Keeper) candidates(service string, now cherrykeel.Instant) ([]spans.Candidate, map[string]float64) {
 	var known []time.Duration
 	var candidates []spans.Candidate
+	limits := map[string]float64{}
 	total := time.Duration(0)
 	upstreams := keeper.environment.Upstreams()
 	for _, upstream := range upstreams {
@@ -141,9 +144,13 @@
 		if upstream.Service != service || upstream.Leaving || upstream.IsClosing() || keeper.isUnavailable(upstream.ID, now) {
 			continue
 		}
+		limit, limited := keeper.limitOf(upstream, now)
+		if limited {
+			limits[upstream.ID] = limit
+		}
 		candidates = append(candidates, spans.Candidate{ID: upstream.ID, Address: upstream.Address, StartedAt: upstream.StartedAt, Capacity: keeper.capacity(upstream, mean, now), Cold: upstream.IsColdLimited(now)})
 	}
-	return candidates
+	return candidates, limits
 }
 
 func (keeper *Keeper) capacity(upstream cherrykeel.Upstream, mean time.Duration, now cherrykeel.Instant) float64 {
--- a/grants/keeper.go
+++ b/grants/keeper.go
@@ -116,6 +116,8 @@
 	grants    map[spans.GrantedSpan]*grantState
 	releases  map[spans.GrantedSpan]*releaseState
 	contacts  map[string]*contact
+	// limits are the limits that upstreams name, or have named until a while ago.
+	limits map[string]heldLimit
 	// majorityKnowsSince is since when more than half of the hosts have known the term.
 	majorityKnowsSince cherrykeel.Instant
 	majorityKnows      bool
@@ -172,7 +174,7 @@
 		results: make(chan func(cherrykeel.Instant), 4*maxCalls), demands: make(chan share.Demand, maxCalls),
 		resignRequests: make(chan chan struct{}, 1), stopRequests: make(chan chan struct{}, 1),
 		term: -1, demand: map[string]*spans.Demand{}, speedReports: map[string]map[string]speedReport{}, meanTimes: map[string]cachedMean{}, grants: map[spans.GrantedSpan]*grantState{},
-		releases: map[spans.GrantedSpan]*releaseState{}, contacts: map[string]*contact{}, seenVersion: -1,
+		releases: map[spans.GrantedSpan]*releaseState{}, contacts: map[string]*contact{}, limits: map[string]heldLimit{}, seenVersion: -1,
 	}
 	for _, option := range options {
 		option(keeper)
--- a/spans/next.go
+++ b/spans/next.go
@@ -201,7 +201,7 @@
 	best := Candidate{}
 	bestUtilization := math.Inf(1)
 	for _, candidate := range builder.input.Candidates {
-		if candidate.Cold && !builder.allCandidatesCold() {
+		if candidate.isAvoided() && !builder.areAllAvoided() {
 			continue
 		}
 		utilization := (builder.loadByOwner()[candidate.ID] + more) / max(candidate.Capacity, math.SmallestNonzeroFloat64)
@@ -217,9 +217,9 @@
 	return best
 }
 
-func (builder *builder) allCandidatesCold() bool {
+func (builder *builder) areAllAvoided() bool {
 	for _, candidate := range builder.input.Candidates {
-		if !candidate.Cold {
+		if !candidate.isAvoided() {
 			return false
 		}
 	}
--- a/spans/plan.go
+++ b/spans/plan.go
@@ -15,8 +15,14 @@
 	StartedAt int64
 	// Capacity is the load that the upstream can process, in requests a second.
 	Capacity float64
-	// Cold upstreams get no more keys while any other candidate is not cold.
-	Cold bool
+	// Cold upstreams, and Limited ones, which name a limit, get no more keys while any other candidate is neither.
+	Cold    bool
+	Limited bool
+}
+
+// isAvoided reports whether the candidate gets no more keys while any other one is not avoided.
+func (candidate Candidate) isAvoided() bool {
+	return candidate.Cold || candidate.Limited
 }
 
 // Move transfers one span to another upstream.
@@ -142,7 +148,7 @@
 			planner.spanCount[owned.Owner]++
 		}
 	}
-	planner.excludeColdUpstreams()
+	planner.excludeAvoided()
 	if capacity > 0 {
 		planner.meanUtilization = planner.totalLoad / capacity
 	}
@@ -150,11 +156,11 @@
 	return planner
 }
 
-// excludeColdUpstreams removes cold upstreams that own no spans from those that could get keys.
-func (planner *planner) excludeColdUpstreams() {
+// excludeAvoided removes avoided upstreams that own no spans from those that could get keys.
+func (planner *planner) excludeAvoided() {
 	var order []string
 	for _, id := range planner.order {
-		if !planner.candidates[id].Cold || planner.spanCount[id] > 0 {
+		if !planner.candidates[id].isAvoided() || planner.spanCount[id] > 0 {
 			order = append(order, id)
 		}
 	}
@@ -223,7 +229,7 @@
 func (planner *planner) targets(source int) []string {
 	var warm []string
 	for _, id := range planner.order[:source] {
-		if !planner.candidates[id].Cold {
+		if !planner.candidates[id].isAvoided() {
 			warm = append(warm, id)
 		}
 	}
--- a/spans/plan_test.go
+++ b/spans/plan_test.go
@@ -359,3 +359,27 @@
 		Expect(next[0].Owner).To(Equal("cold"))
 	})
 })
+
+var _ = Describe("an upstream that names a limit", func() {
+	// Guards against keys that are moved to an upstream in need because it has the lowest load.
+	It("gets no keys for balance", func() {
+		demand := spans.NewDemand(0)
+		for key := range 400 {
+			demand.Add(key*100, 1)
+		}
+		list := []spans.Owned{{First: 0, Last: 50000, Owner: "a"}, {First: 50001, Last: cherrykeel.MaxKey, Owner: "b"}}
+		candidates := []spans.Candidate{{ID: "a", Capacity: 20}, {ID: "b", Capacity: 20, Limited: true}}
+		Expect(spans.PlanMoves(list, candidates, demand, 4)).To(BeEmpty())
+		candidates[1].Limited = false
+		Expect(spans.PlanMoves(list, candidates, demand, 4)).NotTo(BeEmpty())
+	})
+
+	// Guards against an idle upstream in need that gets keys back as soon as it has passed all on.
+	It("gets none back when it has none left", func() {
+		demand := spans.NewDemand(0)
+		demand.Add(7, 50)
+		list := []spans.Owned{{First: 0, Last: cherrykeel.MaxKey, Owner: "a"}}
+		candidates := []spans.Candidate{{ID: "a", Capacity: 20}, {ID: "b", Capacity: 20, Limited: true}}
+		Expect(spans.PlanMoves(list, candidates, demand, 4)).To(BeEmpty())
+	})
+})
