What an upstream says of its leaving in one answer holds for all hosts

What callers saw: nothing yet; a host that no leaving upstream has answered sends it requests on while the store is away. Cause, the class of the named limit: what one host reads of an upstream in an answer stays with that host. Change: leaving goes the way of limits (to the upstream's allocator, from it to all, each second while the store does not list it), with how long it has been known, so that the bound runs from the first answer anywhere.

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -42,9 +42,9 @@
 		Pool:   host.conns,
 		Logger: host.logger, Scope: host.scope, Owner: host.spans.Owner, OnKeyRequest: host.mesh.RecordKeyRequest, HostCount: host.mesh.HostCount,
 		OnMisdirected: host.onMisdirected, OnUpstreamReplaced: func(id string) { host.upstreams.MarkEnded(id) },
-		OnUpstreamLeaving: func(upstream cherrykeel.Upstream, request string) { host.upstreams.RecordLeaving(upstream, request) },
+		OnUpstreamLeaving: host.recordLeaving,
 		OnUpstreamLimit: func(upstream permit.Incarnation, heard permit.Statement, request string) {
-			host.recordLimit(upstream, heard, watch.LimitSource{Request: request})
+			host.recordLimit(upstream, heard, watch.Source{Request: request})
 		},
 		DenyList: host.denyList,
 	})
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -205,7 +205,7 @@
 		host.topics.hosts.ApplyReceived(announcement.Records)
 	case topicSpans:
 		host.receiveSpans(announcement)
-	case topicLimits:
+	case topicStatements:
 		host.rateLimits.receive(announcement)
 	case topicDenied:
 		host.applyDenials(announcement.Records, host.denyList.Merge)
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -42,21 +42,23 @@
 }
 
 // byUpstream returns the limits that are named now.
-func (rateLimits *rateLimits) byUpstream() map[permit.Incarnation]watch.KnownLimit {
-	byUpstream := map[permit.Incarnation]watch.KnownLimit{}
-	for _, known := range rateLimits.host.upstreams.Limits(0) {
-		byUpstream[known.Upstream] = known
+func (rateLimits *rateLimits) byUpstream() map[permit.Incarnation]watch.Statement {
+	byUpstream := map[permit.Incarnation]watch.Statement{}
+	for _, known := range rateLimits.host.upstreams.Statements(0) {
+		if known.Limit.Limited {
+			byUpstream[known.Upstream] = known
+		}
 	}
 	return byUpstream
 }
 
 // setRateLimit sets the limit that an upstream names.
-func setRateLimit(upstream *cherrykeel.Upstream, limited map[permit.Incarnation]watch.KnownLimit) {
+func setRateLimit(upstream *cherrykeel.Upstream, limited map[permit.Incarnation]watch.Statement) {
 	known, named := limited[permit.Incarnation{ID: upstream.ID, StartedAt: upstream.StartedAt}]
 	if !named {
 		return
 	}
-	upstream.HasRateLimit, upstream.RateLimit, upstream.RateLimitSince = true, known.Statement.PerSecond, known.Since
+	upstream.HasRateLimit, upstream.RateLimit, upstream.RateLimitSince = true, known.Limit.PerSecond, known.LimitedSince
 }
 
 // update applies the limits in force, the list of hosts and their reports to who hands out which permits.
@@ -113,7 +115,7 @@
 		if rateLimits.asker.IsDue(ask, allocator, now) {
 			due[allocator] = append(due[allocator], ask)
 		}
-		if rateLimits.asker.TakePart(ask.Upstream, byUpstream[ask.Upstream].Statement.PerSecond, hosts, now) {
+		if rateLimits.asker.TakePart(ask.Upstream, byUpstream[ask.Upstream].Limit.PerSecond, hosts, now) {
 			parts = append(parts, permit.Reply{Upstream: ask.Upstream, Permits: 1})
 		}
 	}
@@ -125,22 +127,25 @@
 }
 
 // sendAsks passes asks to their allocator, with the limits that this host knows: the allocator may not have heard them.
-func (rateLimits *rateLimits) sendAsks(allocator string, asks []permit.Ask, known map[permit.Incarnation]watch.KnownLimit) {
+func (rateLimits *rateLimits) sendAsks(allocator string, asks []permit.Ask, known map[permit.Incarnation]watch.Statement) {
 	host := rateLimits.host
 	if allocator == host.self.Name {
 		rateLimits.allocate(allocator, asks)
 		return
 	}
-	var statements []share.LimitStatement
+	var statements []share.Statement
 	for _, ask := range asks {
-		statements = append(statements, share.NewLimitStatement(ask.Upstream, known[ask.Upstream].Statement, host.clock.Now()))
+		statement, named := known[ask.Upstream]
+		if named {
+			statements = append(statements, newStatement(statement, host.clock.Now()))
+		}
 	}
 	host.mesh.SendAsks(allocator, asks, statements)
 }
 
 // HandleAsks implements share.PermitHandler.
 func (rateLimits *rateLimits) HandleAsks(asks share.Asks) {
-	rateLimits.receiveStatements(asks.Host, asks.Limits)
+	rateLimits.receiveStatements(asks.Host, asks.Statements)
 	rateLimits.allocate(asks.Host, asks.Asks)
 }
 
--- a/entry/told.go
+++ b/entry/told.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// topicLimits names, in messages between hosts, what upstreams say of their rate limits.
-	topicLimits = "limits"
+	// topicStatements names, in messages between hosts, what upstreams say of themselves in their answers.
+	topicStatements = "statements"
 	// endedLimitTime is how long after its end a limit is still repeated to the other hosts.
 	endedLimitTime = 5 * time.Second
 	// usageInterval is how often an allocator logs what it has handed out, and maxLoggedParts bounds the hosts in a line.
@@ -24,26 +24,37 @@
 	maxLoggedParts = 16
 )
 
-// limitRepeatDelays are the delays after which a change of a limit is sent to its allocator again.
-var limitRepeatDelays = []time.Duration{100 * time.Millisecond, 300 * time.Millisecond}
+// tellRepeatDelays are the delays after which what an upstream has just stated is sent to its allocator again.
+var tellRepeatDelays = []time.Duration{100 * time.Millisecond, 300 * time.Millisecond}
 
 // recordLimit records what an upstream says of its limit in an answer that this host has received, and passes a change
 // on.
-func (host *Host) recordLimit(upstream permit.Incarnation, heard permit.Statement, source watch.LimitSource) {
-	if !host.upstreams.RecordLimit(upstream, heard, source) {
-		return
+func (host *Host) recordLimit(upstream permit.Incarnation, heard permit.Statement, source watch.Source) {
+	if host.upstreams.RecordLimit(upstream, heard, source) {
+		host.rateLimits.changed.trigger()
+		host.rateLimits.tellRepeatedly(upstream)
 	}
-	host.rateLimits.changed.trigger()
-	host.rateLimits.tell(upstream)
-	for _, delay := range limitRepeatDelays {
-		time.AfterFunc(delay, func() { host.rateLimits.tell(upstream) })
+}
+
+// recordLeaving records that an upstream states in an answer that it is leaving, and passes that on.
+func (host *Host) recordLeaving(upstream cherrykeel.Upstream, request string) {
+	if host.upstreams.RecordLeaving(upstream, request) {
+		host.rateLimits.tellRepeatedly(permit.Incarnation{ID: upstream.ID, StartedAt: upstream.StartedAt})
+	}
+}
+
+// tellRepeatedly passes on what an upstream has stated, now and some times later, since messages get lost.
+func (rateLimits *rateLimits) tellRepeatedly(upstream permit.Incarnation) {
+	rateLimits.tell(upstream)
+	for _, delay := range tellRepeatDelays {
+		time.AfterFunc(delay, func() { rateLimits.tell(upstream) })
 	}
 }
 
-// tell passes what is known of a limit to its allocator, or to all hosts if this host is the allocator.
+// tell passes what an upstream has stated to its allocator, or to all hosts if this host is the allocator.
 func (rateLimits *rateLimits) tell(upstream permit.Incarnation) {
 	host := rateLimits.host
-	for _, known := range host.upstreams.Limits(endedLimitTime) {
+	for _, known := range host.upstreams.Statements(endedLimitTime) {
 		if known.Upstream != upstream {
 			continue
 		}
@@ -53,32 +64,42 @@
 		case host.self.Name:
 			rateLimits.announce(known)
 		default:
-			host.mesh.SendAsks(allocator, nil, []share.LimitStatement{share.NewLimitStatement(upstream, known.Statement, host.clock.Now())})
+			host.mesh.SendAsks(allocator, nil, []share.Statement{newStatement(known, host.clock.Now())})
 		}
 	}
 }
 
-// announce sends limits to all other hosts.
-func (rateLimits *rateLimits) announce(known ...watch.KnownLimit) {
+// newStatement returns a statement as it is sent to other hosts now.
+func newStatement(known watch.Statement, now cherrykeel.Instant) share.Statement {
+	statement := share.Statement{Upstream: known.Upstream, Leaving: known.LeavingSince != 0}
+	if statement.Leaving {
+		statement.LeavingFor = now.Sub(known.LeavingSince)
+	}
+	statement.SetLimit(known.Limit, now)
+	return statement
+}
+
+// announce sends what upstreams have stated to all other hosts.
+func (rateLimits *rateLimits) announce(known ...watch.Statement) {
 	host := rateLimits.host
 	var records []cherrykeel.KeyedRecord
 	for _, one := range known {
-		value, err := json.Marshal(share.NewLimitStatement(one.Upstream, one.Statement, host.clock.Now()))
+		value, err := json.Marshal(newStatement(one, host.clock.Now()))
 		if err != nil {
 			events.Log(host.logger, events.WriteFailed, zap.Error(err))
 			continue
 		}
 		records = append(records, cherrykeel.KeyedRecord{Key: one.Upstream.ID, Value: value})
 	}
-	host.mesh.Announce(topicLimits, records, share.NoPreviousChange)
+	host.mesh.Announce(topicStatements, records, share.NoPreviousChange)
 }
 
-// repeat sends all other hosts the limits that this host is the allocator of: hosts may have started since, and messages
-// get lost.
+// repeat sends all other hosts what the upstreams that this host is the allocator of have stated: hosts may have started
+// since, and messages get lost.
 func (rateLimits *rateLimits) repeat() {
 	allocators := rateLimits.allocators()
-	var own []watch.KnownLimit
-	for _, known := range rateLimits.host.upstreams.Limits(endedLimitTime) {
+	var own []watch.Statement
+	for _, known := range rateLimits.host.upstreams.Statements(endedLimitTime) {
 		if permit.Choose(known.Upstream.ID, allocators) == rateLimits.host.self.Name {
 			own = append(own, known)
 		}
@@ -88,11 +109,11 @@
 	}
 }
 
-// receive applies limits that an allocator has announced.
+// receive applies statements that an allocator has announced.
 func (rateLimits *rateLimits) receive(announcement share.Announcement) {
-	var statements []share.LimitStatement
+	var statements []share.Statement
 	for _, record := range announcement.Records {
-		var statement share.LimitStatement
+		var statement share.Statement
 		err := json.Unmarshal(record.Value, &statement)
 		if err != nil {
 			events.Log(rateLimits.host.logger, events.RecordInvalid, zap.String("Key", record.Key), zap.Error(err))
@@ -103,20 +124,23 @@
 	rateLimits.receiveStatements(announcement.Host, statements)
 }
 
-// receiveStatements applies what another host knows of limits. The allocator passes changes on to all hosts.
-func (rateLimits *rateLimits) receiveStatements(from string, statements []share.LimitStatement) {
+// receiveStatements applies what another host knows of upstreams. The allocator passes changes on to all hosts.
+func (rateLimits *rateLimits) receiveStatements(from string, statements []share.Statement) {
 	host := rateLimits.host
-	changed := false
+	source := watch.Source{Host: from}
+	hasNewLimit := false
 	for _, statement := range statements {
-		if !host.upstreams.RecordLimit(statement.Upstream, statement.At(host.clock.Now()), watch.LimitSource{Host: from}) {
-			continue
-		}
-		changed = true
-		if permit.Choose(statement.Upstream.ID, rateLimits.allocators()) == host.self.Name {
+		now := host.clock.Now()
+		isNewLeaving := statement.Leaving && host.upstreams.RecordLeavingSince(statement.Upstream, now.Add(-statement.LeavingFor), source)
+		limit, saysLimit := statement.LimitAt(now)
+		isNewLimit := saysLimit && host.upstreams.RecordLimit(statement.Upstream, limit, source)
+		hasNewLimit = hasNewLimit || isNewLimit
+		isAllocator := permit.Choose(statement.Upstream.ID, rateLimits.allocators()) == host.self.Name
+		if isAllocator && (isNewLeaving || isNewLimit) {
 			rateLimits.tell(statement.Upstream)
 		}
 	}
-	if changed {
+	if hasNewLimit {
 		rateLimits.changed.trigger()
 	}
 }
@@ -137,7 +161,7 @@
 	for _, usage := range usages {
 		given, parts := largestParts(usage.Given)
 		events.Log(host.logger, events.PermitsGiven,
-			zap.String("Upstream", usage.Upstream.ID), zap.Float64("Limit", byUpstream[usage.Upstream].Statement.PerSecond), zap.Float64("Share", host.mesh.PermitShare()),
+			zap.String("Upstream", usage.Upstream.ID), zap.Float64("Limit", byUpstream[usage.Upstream].Limit.PerSecond), zap.Float64("Share", host.mesh.PermitShare()),
 			zap.Int("Given", given), zap.Int("Declined", usage.Declined), zap.Int("Hosts", len(usage.Given)), zap.Any("Parts", parts))
 	}
 }
@@ -162,7 +186,7 @@
 func (host *Host) updateLimitGauges() {
 	named := map[string]float64{}
 	for incarnation, known := range host.rateLimits.byUpstream() {
-		named[incarnation.ID] = known.Statement.PerSecond
+		named[incarnation.ID] = known.Limit.PerSecond
 	}
 	host.scope.Gauge("limited_upstreams").Update(float64(len(named)))
 	for id, limit := range named {
--- a/share/permits.go
+++ b/share/permits.go
@@ -7,38 +7,43 @@
 	"cherrykeel/permit"
 )
 
-// LimitStatement is what a host knows of an upstream's rate limit, with times as they were when it was sent.
-type LimitStatement struct {
+// Statement is what a host knows of an upstream from its answers, with times as they were when it was sent.
+type Statement struct {
 	Upstream permit.Incarnation
-	Limited  bool    `json:",omitempty"`
-	Limit    float64 `json:",omitempty"`
+	// Leaving is true if the upstream is leaving, as hosts have known for LeavingFor.
+	Leaving    bool          `json:",omitempty"`
+	LeavingFor time.Duration `json:",omitempty"`
+	// Limited is true if it names a limit.
+	Limited bool    `json:",omitempty"`
+	Limit   float64 `json:",omitempty"`
 	// SentAgo and ReceivedAgo are how long ago the request was sent and its answer received.
 	SentAgo     time.Duration
 	ReceivedAgo time.Duration
 }
 
-// NewLimitStatement returns a statement as it is sent now.
-func NewLimitStatement(upstream permit.Incarnation, known permit.Statement, now cherrykeel.Instant) LimitStatement {
-	return LimitStatement{
-		Upstream: upstream, Limited: known.Limited, Limit: known.PerSecond,
-		SentAgo: now.Sub(known.SentAt), ReceivedAgo: now.Sub(known.ReceivedAt),
+// SetLimit sets what is known of the upstream's limit, if anything is, to be sent now.
+func (statement *Statement) SetLimit(known permit.Statement, now cherrykeel.Instant) {
+	if known == (permit.Statement{}) {
+		return
 	}
+	statement.Limited, statement.Limit = known.Limited, known.PerSecond
+	statement.SentAgo, statement.ReceivedAgo = now.Sub(known.SentAt), now.Sub(known.ReceivedAt)
 }
 
-// At returns the statement with times of this host, which receives it now.
-func (statement LimitStatement) At(now cherrykeel.Instant) permit.Statement {
+// LimitAt returns what it says of the limit, with times of this host, which receives it now; false if it says nothing.
+func (statement Statement) LimitAt(now cherrykeel.Instant) (permit.Statement, bool) {
 	return permit.Statement{
 		Limited: statement.Limited, PerSecond: statement.Limit,
 		SentAt: now.Add(-statement.SentAgo), ReceivedAt: now.Add(-statement.ReceivedAgo),
-	}
+	}, statement.SentAgo > 0
 }
 
-// Asks is what a host wants of the upstreams that the receiver is the allocator of, and what it knows of their limits.
+// Asks is what a host wants of the upstreams that the receiver is the allocator of, and what it knows of them.
 type Asks struct {
 	Host        string
-	Incarnation string           `json:"Life"`
-	Asks        []permit.Ask     `json:",omitempty"`
-	Limits      []LimitStatement `json:",omitempty"`
+	Incarnation string       `json:"Life"`
+	Asks        []permit.Ask `json:",omitempty"`
+	Statements  []Statement  `json:",omitempty"`
 }
 
 // Permits are an allocator's replies to a host.
@@ -71,8 +76,8 @@
 }
 
 // SendAsks sends a host what this one wants of the upstreams that it is the allocator of.
-func (mesh *Mesh) SendAsks(name string, asks []permit.Ask, limits []LimitStatement) {
-	mesh.send(methodAsks, Asks{Host: mesh.self.Name, Incarnation: mesh.self.Incarnation, Asks: asks, Limits: limits}, []string{name})
+func (mesh *Mesh) SendAsks(name string, asks []permit.Ask, statements []Statement) {
+	mesh.send(methodAsks, Asks{Host: mesh.self.Name, Incarnation: mesh.self.Incarnation, Asks: asks, Statements: statements}, []string{name})
 }
 
 // SendPermits sends a host what it gets.
--- a/watch/limit.go
+++ b/watch/limit.go
@@ -17,25 +17,27 @@
 	since cherrykeel.Instant
 }
 
-// LimitSource is where a statement on a limit comes from.
-type LimitSource struct {
+// Source is where a statement of an upstream comes from.
+type Source struct {
 	// Request is the ID of the answered request, if this host received the answer; Host is the host that passed the
 	// statement on otherwise.
 	Request string
 	Host    string
 }
 
-// KnownLimit is what is known of the limit of one incarnation.
-type KnownLimit struct {
-	Upstream  permit.Incarnation
-	Statement permit.Statement
-	// Since is when this host learned that the upstream names limits.
-	Since cherrykeel.Instant
+// Statement is what one incarnation is known to have stated in its answers.
+type Statement struct {
+	Upstream permit.Incarnation
+	// LeavingSince is when a host first received an answer in which it stated that it is leaving, or 0.
+	LeavingSince cherrykeel.Instant
+	Limit        permit.Statement
+	// LimitedSince is when this host learned that it names limits.
+	LimitedSince cherrykeel.Instant
 }
 
 // RecordLimit records what an incarnation of an upstream says of its rate limit in an answer, and reports whether that
 // changes anything. Like a statement that it leaves, it holds whatever the store lists.
-func (upstreams *Upstreams) RecordLimit(upstream permit.Incarnation, heard permit.Statement, source LimitSource) bool {
+func (upstreams *Upstreams) RecordLimit(upstream permit.Incarnation, heard permit.Statement, source Source) bool {
 	upstreams.mutex.Lock()
 	defer upstreams.mutex.Unlock()
 	known, exists := upstreams.entries[upstream.ID]
@@ -54,26 +56,28 @@
 	return true
 }
 
-// Limits returns the limits that upstreams which are not gone name, or have named within a time.
-func (upstreams *Upstreams) Limits(within time.Duration) []KnownLimit {
+// Statements returns what upstreams which are not gone have stated in their answers: a limit, or one that they have named
+// within a time, and that they are leaving, if the store does not list them as such.
+func (upstreams *Upstreams) Statements(within time.Duration) []Statement {
 	upstreams.mutex.Lock()
 	defer upstreams.mutex.Unlock()
 	now := upstreams.clock.Now()
-	var limits []KnownLimit
+	var statements []Statement
 	for _, entry := range upstreams.entries {
-		statement := entry.limit.statement
-		isRecent := entry.limit.since != 0 && now.Sub(statement.ReceivedAt) < within
-		if entry.gone || !statement.Limited && !isRecent {
+		limit := entry.limit.statement
+		isLimited := limit.Limited || entry.limit.since != 0 && now.Sub(limit.ReceivedAt) < within
+		isLeaving := entry.leavingSince != 0 && !entry.upstream.Leaving
+		if entry.gone || !isLimited && !isLeaving {
 			continue
 		}
 		incarnation := permit.Incarnation{ID: entry.upstream.ID, StartedAt: entry.upstream.StartedAt}
-		limits = append(limits, KnownLimit{Upstream: incarnation, Statement: statement, Since: entry.limit.since})
+		statements = append(statements, Statement{Upstream: incarnation, LeavingSince: entry.leavingSince, Limit: limit, LimitedSince: entry.limit.since})
 	}
-	return limits
+	return statements
 }
 
 // logLimit logs that an upstream names another limit than before, or none any more.
-func (upstreams *Upstreams) logLimit(entry *entry, before permit.Statement, source LimitSource) {
+func (upstreams *Upstreams) logLimit(entry *entry, before permit.Statement, source Source) {
 	fields := []zap.Field{
 		zap.String("Upstream", entry.upstream.ID), zap.String("Service", entry.upstream.Service), zap.Int64("Born", entry.upstream.StartedAt),
 		zap.String("Request", source.Request), zap.String("Host", source.Host),
--- a/watch/limit_test.go
+++ b/watch/limit_test.go
@@ -32,7 +32,7 @@
 			heard.Limited, heard.PerSecond = true, limit
 		}
 		upstream := view.Current()[0]
-		view.RecordLimit(permit.Incarnation{ID: upstream.ID, StartedAt: upstream.StartedAt}, heard, watch.LimitSource{Request: request})
+		view.RecordLimit(permit.Incarnation{ID: upstream.ID, StartedAt: upstream.StartedAt}, heard, watch.Source{Request: request})
 		clock.Advance(time.Second)
 	}
 	logged := func(event events.Event) []observer.LoggedEntry {
--- a/watch/upstreams.go
+++ b/watch/upstreams.go
@@ -9,6 +9,7 @@
 
 	"cherrykeel"
 	"cherrykeel/events"
+	"cherrykeel/permit"
 )
 
 // reregistrationTime is how long upstreams have, after the store has become available again, to renew entries that have
@@ -63,7 +64,7 @@
 	gone    bool
 	// ended means that the process is known to have ended.
 	ended bool
-	// leavingSince is when this host first received an answer in which this incarnation stated that it is leaving, or 0.
+	// leavingSince is when a host first received an answer in which this incarnation stated that it is leaving, or 0.
 	leavingSince cherrykeel.Instant
 	// limit is what the answers of this incarnation say of its rate limit.
 	limit limitState
@@ -200,28 +201,36 @@
 	upstreams.unlockAndNotify(changed)
 }
 
-// RecordLeaving records that an incarnation of an upstream has stated in its answer to a request that it is leaving. The
-// statement holds until the incarnation ends, whatever the store lists: entries lapse while the store is unavailable, and
-// a late record may still call the upstream ready.
-func (upstreams *Upstreams) RecordLeaving(upstream cherrykeel.Upstream, request string) {
+// RecordLeaving records that an incarnation of an upstream has stated in its answer to a request that it is leaving, and
+// reports whether this host did not know that. The statement holds until the incarnation ends, whatever the store lists:
+// entries lapse while the store is unavailable, and a late record may still call the upstream ready.
+func (upstreams *Upstreams) RecordLeaving(upstream cherrykeel.Upstream, request string) bool {
+	incarnation := permit.Incarnation{ID: upstream.ID, StartedAt: upstream.StartedAt}
+	return upstreams.RecordLeavingSince(incarnation, upstreams.clock.Now(), Source{Request: request})
+}
+
+// RecordLeavingSince records that an incarnation of an upstream is leaving, as a host has known since a time, and reports
+// whether this host did not know that.
+func (upstreams *Upstreams) RecordLeavingSince(upstream permit.Incarnation, since cherrykeel.Instant, source Source) bool {
 	upstreams.mutex.Lock()
 	known, exists := upstreams.entries[upstream.ID]
 	changed := exists && known.upstream.StartedAt == upstream.StartedAt && known.leavingSince == 0
 	if changed {
-		known.leavingSince = upstreams.clock.Now()
-		upstreams.logLeaving(known, request)
+		known.leavingSince = max(1, since)
+		upstreams.logLeaving(known, source)
 	}
 	upstreams.unlockAndNotify(changed)
+	return changed
 }
 
 // logLeaving logs that an upstream has stated that it is leaving, unless its entry in the store has said so before.
-func (upstreams *Upstreams) logLeaving(entry *entry, request string) {
+func (upstreams *Upstreams) logLeaving(entry *entry, source Source) {
 	if entry.upstream.Leaving {
 		return
 	}
 	events.Log(upstreams.logger, events.UpstreamSaidLeaving,
 		zap.String("Upstream", entry.upstream.ID), zap.String("Service", entry.upstream.Service), zap.Int64("Born", entry.upstream.StartedAt),
-		zap.String("Request", request), zap.Int64("Offset", entry.offset))
+		zap.String("Request", source.Request), zap.String("Host", source.Host), zap.Int64("Offset", entry.offset))
 }
 
 // LeavingSince returns since when this host has known, from an answer, that an incarnation of an upstream is leaving; 0
