Health checks of an owner that names a limit come once in four seconds

What callers saw: nothing. While the store is away the keeper asks each owner once a second whether it leaves, 4 in 4 s beside its limit. Cause: checks and probes are requests to the upstream like any other, and nothing counted them. What an owner says in the answers to callers shows its leaving meanwhile. Ruled out: checks that wait for a permit; they would wait behind callers.

--- a/grants/leaving_test.go
+++ b/grants/leaving_test.go
@@ -69,3 +69,23 @@
 		}, "7s").Should(Equal(table.Term))
 	})
 })
+
+var _ = Describe("an owner that names a limit", func() {
+	// Guards against health checks that take up what an owner in need takes from callers.
+	It("is seldom asked whether it leaves while the store is away", func() {
+		_, store, _, granter, keeper := newKeeper(10 * time.Second)
+		runKeeper(keeper)
+		Eventually(granter.count("u2"), longTimeout).Should(BeNumerically(">=", 1))
+		store.set(func() {
+			store.upstreams[1].HasRateLimit = true
+			store.unavailable = true
+		})
+		probesOf := func(id string) int {
+			granter.mutex.Lock()
+			defer granter.mutex.Unlock()
+			return granter.probes[id]
+		}
+		Eventually(func() int { return probesOf("u1") }, longTimeout).Should(BeNumerically(">=", 4))
+		Expect(probesOf("u2")).To(BeNumerically("<", probesOf("u1")))
+	})
+})
--- a/grants/probe.go
+++ b/grants/probe.go
@@ -16,6 +16,9 @@
 // upstream about 6 ms; twelve owners get about a hundred during an outage of 8 s.
 const probeInterval = time.Second
 
+// limitedProbeInterval is how often an owner is asked that names a limit: a health check is a request like any other.
+const limitedProbeInterval = 4100 * time.Millisecond
+
 // probeOwners asks the owners whether they leave while the store, which otherwise provides that, is unavailable.
 //
 // The keys of an upstream that ends during an outage have no owner until its lease has expired, and leases are long
@@ -25,19 +28,31 @@
 	if keeper.environment.StoreAvailableFor() > 0 {
 		return
 	}
+	intervals := keeper.limitedProbeIntervals()
 	for _, service := range keeper.environment.KeyedServices() {
 		if service.HealthPath == "" {
 			continue
 		}
 		for _, owned := range table.Services[service.Name] {
-			keeper.probeOwner(ctx, owned, service.HealthPath, now)
+			keeper.probeOwner(ctx, owned, service.HealthPath, max(probeInterval, intervals[owned.Owner]), now)
+		}
+	}
+}
+
+// limitedProbeIntervals returns how often owners are asked that name a limit.
+func (keeper *Keeper) limitedProbeIntervals() map[string]time.Duration {
+	intervals := map[string]time.Duration{}
+	for _, upstream := range keeper.environment.Upstreams() {
+		if upstream.HasRateLimit {
+			intervals[upstream.ID] = limitedProbeInterval
 		}
 	}
+	return intervals
 }
 
-func (keeper *Keeper) probeOwner(ctx context.Context, owned spans.Owned, healthPath string, now cherrykeel.Instant) {
+func (keeper *Keeper) probeOwner(ctx context.Context, owned spans.Owned, healthPath string, interval time.Duration, now cherrykeel.Instant) {
 	contact := keeper.contact(owned.Owner)
-	if owned.Owner == "" || contact.probing || contact.probed && now.Sub(contact.probedAt) < probeInterval {
+	if owned.Owner == "" || contact.probing || contact.probed && now.Sub(contact.probedAt) < interval {
 		return
 	}
 	if keeper.environment.IsResting(owned.Owner) {
