A crash that a refused connection has shown is withdrawn when the same incarnation answers

What callers saw: nothing yet. Ordinary requests that were under way when hosts lost their links by resets got a mark of a crash; a second such cut within the hour, and they would be denied everywhere. Cause: at the beginning of a cut the other hosts that are asked may be cut as well and not know it yet, so they confirm the refusal (reach.IsProcessEnd). Class: one host's view taken for the upstream's state. Ruled out: to wait with the mark until other hosts know of their cuts: a request that does crash upstreams would reach more of them.

--- a/deny/attempts.go
+++ b/deny/attempts.go
@@ -33,6 +33,7 @@
 
 // RecordAnswer records that an incarnation of an upstream has answered a request that was sent at the given time.
 func (list *List) RecordAnswer(incarnation poison.Incarnation, sentAt cherrykeel.Instant) {
+	list.withdrawCrashes(incarnation, sentAt)
 	list.resolveAttempts(func(cherrykeel.Instant) []poison.UnansweredAttempt {
 		list.detector.RecordAnswer(incarnation, sentAt)
 		return nil
@@ -88,6 +89,9 @@
 		zap.Any("Callers", attempt.CallerFingerprints), zap.String("Service", attempt.Service),
 		zap.String("Upstream", attempt.Incarnation.Upstream), zap.Int64("Born", attempt.Incarnation.StartedAt),
 		zap.String("Evidence", string(evidence)), zap.Duration("After", now.Sub(attempt.EndedAt)), zap.Int("Ends", len(record.UnansweredCrashes())))
+	if evidence == ConnectionRefused {
+		list.rememberCrash(attempt, now)
+	}
 	if changed {
 		list.announceRecord(record, before)
 	}
--- a/deny/list.go
+++ b/deny/list.go
@@ -52,6 +52,9 @@
 	// is usual, requests need not acquire the mutex.
 	hasPending atomic.Bool
 	hasRecords atomic.Bool
+	// recentCrashes are those that a refused connection has shown lately; hasRecentCrashes is set while there are any.
+	recentCrashes    []recentCrash
+	hasRecentCrashes atomic.Bool
 	// denialAdded is closed and replaced when a denial is added or widened.
 	denialAdded chan struct{}
 	// refusalCount counts how often a denied request was not sent.
--- a/poison/record.go
+++ b/poison/record.go
@@ -160,6 +160,23 @@
 	return changed
 }
 
+// withdraw marks the crashes of an incarnation as answered for everyone, and reports whether that changed the record.
+func (record *Record) withdraw(incarnation Incarnation) bool {
+	changed := false
+	for i := range record.Crashes {
+		crash := &record.Crashes[i]
+		if crash.Incarnation != incarnation {
+			continue
+		}
+		changed = changed || !crash.Answered
+		crash.Answered = true
+		for caller := range crash.Callers {
+			crash.Callers[caller] = true
+		}
+	}
+	return changed
+}
+
 // clone returns a deep copy.
 func (record *Record) clone() Record {
 	copied := *record
--- a/poison/table.go
+++ b/poison/table.go
@@ -98,6 +98,17 @@
 	return record.clone(), true
 }
 
+// WithdrawCrash records that an incarnation did not crash while it ran a request, as was concluded: its crash then counts
+// against nobody. It returns the request's record if that changed it.
+func (table *Table) WithdrawCrash(fingerprint Fingerprint, incarnation Incarnation) (Record, bool) {
+	record, known := table.records[fingerprint]
+	if !known || !record.withdraw(incarnation) {
+		return Record{}, false
+	}
+	table.updateDenials()
+	return record.clone(), true
+}
+
 // IsDenied reports whether the request must not be sent to any upstream for a caller with these fingerprints.
 func (table *Table) IsDenied(fingerprint Fingerprint, callers ...CallerFingerprint) bool {
 	return table.denials[fingerprint].appliesTo(callers)
