A host that asks for permits of a limit that has ended is told so

What callers would see: refusals for up to the time in which an even part brings an answer (20 s at 195 hosts), at a host that has missed the end of a limit. Its allocator, which hands out nothing any more, answers the ask with what it knows.

--- a/entry/limits.go
+++ b/entry/limits.go
@@ -12,6 +12,9 @@
 	"cherrykeel/watch"
 )
 
+// maxCorrectionAge is how long after its last answer the end of a limit is still known.
+const maxCorrectionAge = time.Hour
+
 // limitsInterval bounds how often changed limits are put in force: an upstream may name another one in each answer.
 const limitsInterval = 20 * time.Millisecond
 
@@ -147,6 +150,26 @@
 func (rateLimits *rateLimits) HandleAsks(asks share.Asks) {
 	rateLimits.receiveStatements(asks.Host, asks.Statements)
 	rateLimits.allocate(asks.Host, asks.Asks)
+	corrections := rateLimits.corrections(asks.Asks)
+	if len(corrections) > 0 {
+		rateLimits.host.mesh.SendAsks(asks.Host, nil, corrections)
+	}
+}
+
+// corrections returns what this host knows of the upstreams among those asked for that name no limit any more. A host that
+// has missed the end of a limit would go by its even part until an upstream answers it.
+func (rateLimits *rateLimits) corrections(asks []permit.Ask) []share.Statement {
+	asked := map[permit.Incarnation]bool{}
+	for _, ask := range asks {
+		asked[ask.Upstream] = len(ask.Wants) > 0
+	}
+	var corrections []share.Statement
+	for _, known := range rateLimits.host.upstreams.Statements(maxCorrectionAge) {
+		if asked[known.Upstream] && !known.Limit.Limited && known.LimitedSince != 0 {
+			corrections = append(corrections, newStatement(known, rateLimits.host.clock.Now()))
+		}
+	}
+	return corrections
 }
 
 // allocate records what a host wants, and passes on what can be handed out.
@@ -157,8 +180,10 @@
 	now := rateLimits.host.clock.Now()
 	var replies []permit.HostReply
 	rateLimits.mutex.Lock()
-	rateLimits.updateRates()
 	for _, ask := range asks {
+		if !rateLimits.allocator.Serves(ask.Upstream) {
+			rateLimits.updateRates()
+		}
 		replies = append(replies, rateLimits.allocator.Ask(host, ask, now)...)
 	}
 	rateLimits.scheduleAssign(now)
--- a/permit/allocator.go
+++ b/permit/allocator.go
@@ -51,6 +51,12 @@
 	}
 }
 
+// Serves reports whether permits are handed out for an upstream.
+func (allocator *Allocator) Serves(upstream Incarnation) bool {
+	_, known := allocator.queues[upstream]
+	return known
+}
+
 // Ask records what a host wants, and returns the replies that follow at once, one for this host in any case: without
 // one it would not know whether it was heard. It returns none for an upstream that this host is not the allocator of.
 func (allocator *Allocator) Ask(host string, ask Ask, now cherrykeel.Instant) []HostReply {
