--- a/entry/limits.go
+++ b/entry/limits.go
@@ -18,7 +18,8 @@
 // limitsInterval bounds how often changed limits are put in force: an upstream may name another one in each answer.
 const limitsInterval = 20 * time.Millisecond
 
-// rateLimits joins the division of upstreams' limits with the host: what permit decides, the other hosts and the relay.
+// rateLimits joins the division of upstreams' limits with the host: what permit decides, the other hosts and the relay. It
+// also tells the other hosts what upstreams state in their answers.
 type rateLimits struct {
 	host *Host
 	// changed puts changed limits in force.
