--- a/entry/statements.go
+++ b/entry/statements.go
@@ -140,4 +140,3 @@
 		rateLimits.changed.trigger()
 	}
 }
-
