--- a/entry/maintain.go
+++ b/entry/maintain.go
@@ -122,6 +122,7 @@
 	host.scope.Gauge("leaving_upstreams").Update(float64(leaving))
 	host.scope.Gauge("resting_upstreams").Update(float64(host.relay.RestingUpstreams()))
 	host.scope.Gauge("cold_upstreams").Update(float64(host.countColdUpstreams()))
+	host.relay.UpdateRetryMetrics()
 	host.updateLimitGauges()
 }
 
--- a/events/events.go
+++ b/events/events.go
@@ -80,6 +80,7 @@
 	LoadUnreadable      = define(512, zap.WarnLevel, "load reported by an upstream is malformed")
 	RetryAfterMalformed = define(520, zap.WarnLevel, "time for which an upstream wants no request is malformed")
 	LimitMalformed      = define(522, zap.WarnLevel, "limit named by an upstream is malformed")
+	RetryBudgetSpent    = define(523, zap.WarnLevel, "retry budget of a service is spent on this host")
 	RestBegan           = define(521, zap.InfoLevel, "upstream wants no request from this host for a time")
 	SuspicionWithdrawn  = define(514, zap.InfoLevel, "request is no longer suspected, since the upstream that had seemed to crash has answered")
 	RequestAfterClose   = define(513, zap.InfoLevel, "request arrived after its connection had begun to close, and was not handled")
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -142,6 +142,20 @@
 	return dispatcher.budget.trySpend(hosts, now)
 }
 
+// retryUsage returns what was spent of the retry budget.
+func (dispatcher *dispatcher) retryUsage(now cherrykeel.Instant) budgetUsage {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	return dispatcher.budget.usage(now)
+}
+
+// startsDeclining reports whether the retry budget has declined none for a window, and records that it does now.
+func (dispatcher *dispatcher) startsDeclining(now cherrykeel.Instant) bool {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	return dispatcher.budget.startsDeclining(now)
+}
+
 // dispatch lets the scheduler decide on waiting requests, and reports whether some still wait, or permits are wanted.
 func (dispatcher *dispatcher) dispatch(now cherrykeel.Instant) bool {
 	dispatcher.mutex.Lock()
--- a/relay/meter.go
+++ b/relay/meter.go
@@ -48,6 +48,20 @@
 	meter.scope.Tagged(map[string]string{"service": service}).Counter("rests").Inc(1)
 }
 
+// recordRetry counts a retry that the budget of a service has granted or declined.
+func (meter *meter) recordRetry(service string, granted bool) {
+	name := "retries_declined"
+	if granted {
+		name = "retries_granted"
+	}
+	meter.scope.Tagged(map[string]string{"service": service}).Counter(name).Inc(1)
+}
+
+// showRetryBalance shows how many retries of a service this host may still send.
+func (meter *meter) showRetryBalance(service string, balance float64) {
+	meter.scope.Tagged(map[string]string{"service": service}).Gauge("retry_balance").Update(balance)
+}
+
 // recordLimitedSend counts a request that is sent to an upstream that names a limit.
 func (meter *meter) recordLimitedSend(upstream string) {
 	meter.scope.Tagged(map[string]string{"upstream": upstream}).Counter("limited_sent").Inc(1)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -77,6 +77,12 @@
 	if settings.OnUpstreamLimit == nil {
 		settings.OnUpstreamLimit = func(permit.Incarnation, permit.Statement, string) {}
 	}
+	if settings.Scope == nil {
+		settings.Scope = tally.NoopScope
+	}
+	if settings.Logger == nil {
+		settings.Logger = zap.NewNop()
+	}
 	return &Relay{
 		Settings:           settings,
 		dialect:            settings.Dialect,
@@ -253,6 +259,14 @@
 	return dispatcher.service.ProcessingTimes()
 }
 
+// UpdateRetryMetrics shows what is left of the retry budgets on this host.
+func (relay *Relay) UpdateRetryMetrics() {
+	now := relay.clock.Now()
+	for _, dispatcher := range relay.allDispatchers() {
+		relay.meter.showRetryBalance(dispatcher.name, dispatcher.retryUsage(now).balance)
+	}
+}
+
 func (relay *Relay) allDispatchers() []*dispatcher {
 	relay.mutex.Lock()
 	defer relay.mutex.Unlock()
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -6,7 +6,10 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
 	"cherrykeel"
+	"cherrykeel/events"
 	"cherrykeel/flow"
 )
 
@@ -51,7 +54,7 @@
 	if exchange.attempts >= exchange.route.MaxAttempts || exchange.isRestTooLong(now) {
 		return false
 	}
-	if !exchange.dispatcher.trySpendRetry(exchange.relay.HostCount(), now) {
+	if !exchange.trySpendRetry(now) {
 		return false
 	}
 	return !exchange.needsOwner() || exchange.sleep(ctx, exchange.ownerPause(now))
@@ -70,7 +73,7 @@
 	if !transferred || exchange.attempts >= exchange.route.MaxAttempts || now >= exchange.deadline || exchange.isRestTooLong(now) {
 		return false
 	}
-	return exchange.dispatcher.trySpendRetry(exchange.relay.HostCount(), now)
+	return exchange.trySpendRetry(now)
 }
 
 // fallbackAnswer is an upstream's failure that the caller gets if no better answer comes.
@@ -126,9 +129,31 @@
 	until := now.Add(time.Duration(maxPauseShare * float64(exchange.deadline.Sub(now))))
 	for !exchange.dispatcher.trySpendRetry(exchange.relay.HostCount(), now) {
 		if now >= until || !exchange.sleep(ctx, budgetRetryInterval) {
+			exchange.recordRetry(false, now)
 			return false
 		}
 		now = exchange.relay.clock.Now()
 	}
+	exchange.recordRetry(true, now)
 	return now < exchange.deadline
 }
+
+// trySpendRetry charges one retry to the budget if it allows it, and reports whether it does.
+func (exchange *exchange) trySpendRetry(now cherrykeel.Instant) bool {
+	granted := exchange.dispatcher.trySpendRetry(exchange.relay.HostCount(), now)
+	exchange.recordRetry(granted, now)
+	return granted
+}
+
+// recordRetry counts a retry that the budget has granted or declined. The first that is declined in a window is logged.
+func (exchange *exchange) recordRetry(granted bool, now cherrykeel.Instant) {
+	relay, dispatcher := exchange.relay, exchange.dispatcher
+	relay.meter.recordRetry(dispatcher.name, granted)
+	if granted || !dispatcher.startsDeclining(now) {
+		return
+	}
+	usage := dispatcher.retryUsage(now)
+	events.Log(relay.Logger, events.RetryBudgetSpent,
+		zap.String("Service", dispatcher.name), zap.String("Request", exchange.headers.ID), zap.Float64("Requests", usage.requests),
+		zap.Float64("Retries", usage.retries), zap.Float64("Balance", usage.balance), zap.Int("Hosts", usage.hosts))
+}
--- a/relay/retry_test.go
+++ b/relay/retry_test.go
@@ -39,6 +39,9 @@
 			deadline:   cherrykeel.Instant(time.Hour + 4*time.Second),
 			attempts:   1,
 		}
+		for range 100 {
+			current.dispatcher.recordRequest(fixedClock{}.Now())
+		}
 	})
 
 	// Guards against a request that is refused for good although its caller would have waited for seconds: the only
