Records of a store that comes back from a copy count by era and offset

Callers saw (CONFIG): a route that was acknowledged is on no host for seconds, since the log had come back shorter. Cause: a listing that ends lower was taken for an older one, and every record of it for old. Class: an order that is trusted for ever. Now the adapter makes one position of the era that each answer names and the offset; all comparisons hold over eras. A host lists all topics anew when one shows the next era, keeps what it knows against what the copy may hold outdated, and lists again 2.2 s later. Hosts whose record the copy lacks write it again, two hosts the denied requests; routes in force that the store lacks are sent to hosts that start. A table counts by the era of its term, so that the copy's record of a known table is no new one. Messages have offsets as hosts of the build before expect them, and eras apart. Events 640, 641; gauges store_era and lost_routes. Ruled out: skipping hosts' records of the copy as well; a host that started between the return and the listing was then not heard for 2.2 s, and another host claimed.

--- a/entry/announce.go
+++ b/entry/announce.go
@@ -37,11 +37,13 @@
 	written := int64(-1)
 	for ctx.Err() == nil {
 		incarnation, _ := host.peers.Incarnation(host.self.Name)
-		if incarnation != host.self.Incarnation && !host.stopping.Load() {
+		isMissing := host.mustAnnounce.Swap(false) || incarnation != host.self.Incarnation
+		if isMissing && !host.stopping.Load() {
 			offset, err := host.platform.Hosts.Put(ctx, host.self.Name, value)
 			if err != nil {
 				events.Log(host.logger, events.WriteFailed, zap.String("Key", host.self.Name), zap.Error(err))
 				interval = min(2*interval, maxAnnounceInterval)
+				host.mustAnnounce.Store(true)
 			} else {
 				interval = announceInterval
 				written = offset
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -27,6 +27,7 @@
 	host.spans = watch.NewSpans(host.clock, host.logger, host.onSpansChange, host.announceSpans)
 	host.mesh = share.New(host.self, host.clock, host.logger, &state{host: host}, host.reportsThrottle.trigger, host.countsThrottle.trigger, func(demand share.Demand) { host.keeper.RecordDemand(demand) }, host.receive)
 	host.mesh.SetPermitHandler(host.rateLimits)
+	host.mesh.SetDefaultEra(host.defaultEra)
 	host.newTunnels()
 	host.conns = conns.NewPool(conns.WithDial(host.dialer.DialContext), conns.WithIdleTimeout(idleTimeout), conns.WithCloseDelimited())
 	host.pendingDenials = deny.NewPendingRecords()
@@ -74,5 +75,11 @@
 }
 
 func (host *Host) newFollower(name string, log cherrykeel.KeyedLog, apply func(watch.Update), schedule func() watch.Schedule) *watch.Follower {
-	return watch.NewFollower(name, log, host.clock, host.logger, apply, schedule)
+	applyRestored := func(update watch.Update) {
+		if update.Restored {
+			host.handleRestored(name, update)
+		}
+		apply(update)
+	}
+	return watch.NewFollower(name, log, host.clock, host.logger, applyRestored, schedule)
 }
--- a/entry/duty.go
+++ b/entry/duty.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"cherrykeel"
 	"cherrykeel/events"
 	"cherrykeel/share"
 	"cherrykeel/topo"
@@ -117,9 +118,12 @@
 		return fallbackInterval
 	}
 	own := host.completeOffsets()[name]
+	era, _ := topic.Era()
 	for _, received := range host.mesh.FreshReports() {
 		age, isReported := received.Report.Ages[name]
-		if isReported && received.Report.Offsets[name] <= own {
+		// A host that has not read the store since it came back from a copy reports ages of what has been replaced.
+		reported := received.Report.Offsets[name]
+		if isReported && reported <= own && cherrykeel.EraOf(reported) == era {
 			youngest = min(youngest, age+host.clock.Now().Sub(received.ReceivedAt))
 		}
 	}
--- a/entry/environment.go
+++ b/entry/environment.go
@@ -9,6 +9,9 @@
 	"cherrykeel/watch"
 )
 
+// reregistrationHeartbeats is how many heartbeats after the store's return each running upstream has written its entry.
+const reregistrationHeartbeats = 2
+
 // environment gives the keeper access to the state of its host.
 type environment struct {
 	host *Host
@@ -57,6 +60,15 @@
 	return environment.host.storeAvailableFor()
 }
 
+// ReregistrationTime implements grants.Environment.
+func (environment *environment) ReregistrationTime() time.Duration {
+	heartbeat := environment.host.settings.Heartbeat
+	if heartbeat <= 0 {
+		return watch.ReregistrationTime
+	}
+	return min(watch.ReregistrationTime, reregistrationHeartbeats*heartbeat)
+}
+
 // IsResting implements grants.Environment.
 func (environment *environment) IsResting(id string) bool {
 	upstream, known := environment.findUpstream(id)
@@ -112,6 +124,11 @@
 	return table.host.spans.IsCorrupt()
 }
 
+// IsFromCopy implements grants.Table.
+func (table *ownTable) IsFromCopy() bool {
+	return table.host.spans.IsFromCopy()
+}
+
 // ApplyOwnWrite implements grants.Table.
 func (table *ownTable) ApplyOwnWrite(value []byte, offset int64) {
 	record := cherrykeel.KeyedRecord{Key: watch.SpansKey, Value: value, Offset: offset}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -18,7 +18,7 @@
 	topicSettings  = "settings"
 	topicUpstreams = "upstreams"
 	topicHosts     = "hosts"
-	topicSpans     = "spans"
+	topicSpans     = share.TopicSpans
 )
 
 // misdirectedTable is the key in Host.missingChanges for a newer table that misdirected requests suggest.
--- a/entry/host.go
+++ b/entry/host.go
@@ -99,6 +99,8 @@
 	mustExit     chan struct{}
 	ready        atomic.Bool
 	stopping     atomic.Bool
+	// mustAnnounce is set when the store lacks this host's record since it came back from a copy.
+	mustAnnounce atomic.Bool
 	mutex        sync.Mutex
 	incarnations map[string]string
 	// peersMutex serializes the updates of the list of hosts.
@@ -130,6 +132,12 @@
 	spans     *watch.Follower
 }
 
+func (topics *topics) byName() map[string]*watch.Follower {
+	return map[string]*watch.Follower{
+		topicSettings: topics.operator, topicUpstreams: topics.upstreams, topicHosts: topics.hosts, topicSpans: topics.spans,
+	}
+}
+
 func (topics *topics) followers() []*watch.Follower {
 	return []*watch.Follower{topics.operator, topics.upstreams, topics.hosts, topics.spans}
 }
--- a/entry/maintain.go
+++ b/entry/maintain.go
@@ -8,7 +8,6 @@
 
 	"cherrykeel/events"
 	"cherrykeel/share"
-	"cherrykeel/watch"
 )
 
 const (
@@ -60,6 +59,8 @@
 			host.checkReports()
 			host.updateUnreadableGauges()
 			host.updateUpstreamGauges()
+			host.updateEraGauges()
+			host.announceLostRoutes()
 			host.dialer.Retain()
 			host.dialer.TryLost()
 			host.updateReachGauges()
@@ -128,9 +129,7 @@
 
 // updateUnreadableGauges shows how many records of each topic could not be decoded.
 func (host *Host) updateUnreadableGauges() {
-	for name, topic := range map[string]*watch.Follower{
-		topicSettings: host.topics.operator, topicUpstreams: host.topics.upstreams, topicHosts: host.topics.hosts, topicSpans: host.topics.spans,
-	} {
+	for name, topic := range host.topics.byName() {
 		count := topic.UnreadableCount()
 		if name == topicUpstreams {
 			count += host.upstreams.InvalidCount()
--- a/events/events.go
+++ b/events/events.go
@@ -123,6 +123,8 @@
 	TunnelsLeft         = define(634, zap.WarnLevel, "connections for other hosts were cut by the end of this one")
 	LimitNamed          = define(635, zap.WarnLevel, "upstream named a limit, or another one, in an answer")
 	LimitEnded          = define(636, zap.InfoLevel, "upstream names no limit any more")
+	StoreRestored       = define(640, zap.WarnLevel, "store has come back from a copy")
+	RecordRestored      = define(641, zap.WarnLevel, "record that the store's copy lacks is written again")
 	PermitsGiven        = define(637, zap.InfoLevel, "permits of an upstream that names a limit were handed out")
 	LinesDropped        = define(618, zap.WarnLevel, "log lines were dropped, since they could not be written fast enough")
 )
@@ -142,6 +144,7 @@
 	LeaseDurationChanged = define(710, zap.InfoLevel, "lease durations are long, or back to usual")
 	SpanTransferable     = define(711, zap.InfoLevel, "free span is about to be transferred")
 	GrantOverdue         = define(712, zap.WarnLevel, "grant waited too long for a worker")
+	UnknownOwnerReleased = define(713, zap.InfoLevel, "upstream has released keys that it may have held under a lost table")
 )
 
 // Log writes one line for the event if the logger writes lines of its level.
--- a/share/announce.go
+++ b/share/announce.go
@@ -22,6 +22,7 @@
 	direct, forwarders := mesh.announcementReceivers()
 	for _, chunk := range splitBySize(records) {
 		announcement := Announcement{Host: mesh.self.Name, Topic: topic, Records: chunk, PreviousOffset: previousOffset}
+		announcement.splitEras()
 		mesh.sendAnnouncement(announcement, direct)
 		announcement.Forward = true
 		mesh.sendAnnouncement(announcement, forwarders)
--- a/share/mesh.go
+++ b/share/mesh.go
@@ -60,6 +60,8 @@
 	onDemand       func(demand Demand)
 	onAnnouncement func(announcement Announcement)
 	permitHandler  PermitHandler
+	// defaultEra returns the era of offsets in messages of hosts that know no eras.
+	defaultEra func() int64
 
 	socket   *net.UDPConn
 	mutex    sync.Mutex
@@ -99,13 +101,19 @@
 // New returns a mesh; the callbacks are called from its own goroutines, and onDemand also from ReportDemand.
 func New(self cherrykeel.Peer, clock cherrykeel.Clock, logger *zap.Logger, source StateSource, onReport, onCounts func(), onDemand func(Demand), onAnnouncement func(Announcement)) *Mesh {
 	return &Mesh{
-		self: self, clock: clock, logger: logger, source: source, onReport: onReport, onCounts: onCounts, onDemand: onDemand, onAnnouncement: onAnnouncement, permitHandler: noPermits{},
+		self: self, clock: clock, logger: logger, source: source, onReport: onReport, onCounts: onCounts, onDemand: onDemand, onAnnouncement: onAnnouncement, permitHandler: noPermits{}, defaultEra: func() int64 { return 0 },
 		peers: map[string]cherrykeel.Peer{}, resolved: map[string]*net.UDPAddr{},
 		reports: map[string]ReceivedReport{}, unreachable: map[string]bool{}, requestedKeys: map[string][]int{},
 		fleet: topo.NewFleet(self.Name, []cherrykeel.Peer{self}), plan: topo.Plan{FullMesh: true}, hubSince: clock.Now(), lastRunAt: clock.Now(), contacts: newContacts(), loads: newLoads(), sentProcessingTimes: map[string]sentProcessingTime{},
 	}
 }
 
+// SetDefaultEra sets the function that returns the era of offsets in messages of hosts that know no eras. It must be called
+// before Run.
+func (mesh *Mesh) SetDefaultEra(defaultEra func() int64) {
+	mesh.defaultEra = defaultEra
+}
+
 // Listen opens the socket on this host's internal address; its errors are those of net.
 func (mesh *Mesh) Listen() error {
 	address, err := net.ResolveUDPAddr("udp", mesh.self.InternalAddress)
--- a/share/message.go
+++ b/share/message.go
@@ -15,6 +15,9 @@
 // ErrMalformed means that a datagram is no message of this protocol.
 var ErrMalformed = errors.New("malformed message")
 
+// TopicSpans names the topic of the table of spans in messages.
+const TopicSpans = "spans"
+
 // The methods of the protocol.
 const (
 	methodReport   = "Report"
@@ -37,6 +40,10 @@
 	Term int64
 	// Offsets has, by topic of the store, the offset of the newest change that the host has read.
 	Offsets map[string]int64
+	// Eras has, by topic, the era of the offset if that is not 0.
+	Eras map[string]int64 `json:",omitempty"`
+	// KnowsEras is set by hosts that send eras.
+	KnowsEras bool `json:"WithEras,omitempty"`
 	// StoreAvailable is set while the store serves the host.
 	StoreAvailable bool `json:"StoreWell"`
 	// Ages has, by topic, how long before this report the host's own last read of it began; reads that are too old are
@@ -55,6 +62,15 @@
 	KnowsPermits bool `json:"Permits,omitempty"`
 }
 
+// TableVersion returns the version of the newest table of spans that the host has, or -1.
+func (report Report) TableVersion() int64 {
+	version, known := report.Offsets[TopicSpans]
+	if !known {
+		return -1
+	}
+	return version
+}
+
 // FinalGrants names owners whose grants the keeper of a term will not renew.
 type FinalGrants struct {
 	Term int64
@@ -143,6 +159,10 @@
 	// PreviousOffset is the offset of the change before these records, or NoPreviousChange; a receiver that has not
 	// read that change has missed one.
 	PreviousOffset int64 `json:"Before"`
+	// Eras has the eras of the records and then that of PreviousOffset, if one of them is not 0.
+	Eras []int64 `json:",omitempty"`
+	// KnowsEras is set by hosts that send eras.
+	KnowsEras bool `json:"WithEras,omitempty"`
 	// Forward asks the receiver to pass the message on to the hosts of its group.
 	Forward bool `json:",omitempty"`
 }
--- a/share/receive.go
+++ b/share/receive.go
@@ -40,6 +40,7 @@
 	case methodReport:
 		var report Report
 		err = json.Unmarshal(params, &report)
+		report.joinEras(mesh.defaultEra())
 		if err == nil && mesh.recordReport(report) {
 			mesh.onReport()
 		}
@@ -60,6 +61,7 @@
 		err = json.Unmarshal(params, &announcement)
 		if err == nil {
 			mesh.forwardToGroup(announcement)
+			announcement.joinEras(mesh.defaultEra())
 			mesh.onAnnouncement(announcement)
 		}
 	case methodAsks:
--- a/share/send.go
+++ b/share/send.go
@@ -71,6 +71,7 @@
 	last.reportAt = now
 	report.Sequence = mesh.nextSequence()
 	report.Ages, report.FinalGrants, report.Stopped = ages, finalGrants, mesh.hasStopped()
+	report.splitEras()
 	mesh.send(methodReport, report, mesh.reportReceivers(now))
 }
 
@@ -98,6 +99,7 @@
 	mesh.source.FillReport(&report)
 	report.Stopped = mesh.hasStopped()
 	report.Sequence = mesh.nextSequence()
+	report.splitEras()
 	mesh.send(methodReport, report, names)
 }
 
--- a/spans/table.go
+++ b/spans/table.go
@@ -33,7 +33,8 @@
 
 // Table is the stored record that names the keeper and the owner of each span. Each change replaces the whole record.
 type Table struct {
-	// Version is the record's own offset.
+	// Version is the record's own offset, in the era in which the table was written: a copy of the record that the store
+	// holds in a later era is the same version.
 	Version int64 `json:"-"`
 	// Term is the offset of the keeper's claim.
 	Term int64
@@ -41,6 +42,9 @@
 	// keeper has resigned.
 	Keeper      string
 	Incarnation string `json:"Life"`
+	// Uncertain means that upstreams may hold keys that the table names other owners of: the keeper claimed the role in a
+	// new era of the store, and later tables of the era before may be lost.
+	Uncertain bool `json:",omitempty"`
 	// Services holds the spans of each keyed service in key order, without gaps.
 	Services map[string][]Owned
 }
@@ -59,6 +63,8 @@
 	if table.Term < 0 {
 		return table, errors.Wrapf(ErrMalformedTable, "invalid term %d", table.Term)
 	}
+	// Each keeper claims the role anew in each era, so the term shows the era in which the table was written.
+	table.Version = cherrykeel.Position(cherrykeel.EraOf(table.Term), cherrykeel.OffsetOf(offset))
 	for service, list := range table.Services {
 		next := 0
 		for _, owned := range list {
@@ -86,6 +92,25 @@
 	return list[i], true
 }
 
+// SpansOfOthers returns the keys of a service that the table does not name an upstream the owner of, in key order.
+func (table Table) SpansOfOthers(service, owner string) []cherrykeel.KeySpan {
+	var others []cherrykeel.KeySpan
+	next := 0
+	for _, owned := range table.Services[service] {
+		if owned.Owner != owner {
+			continue
+		}
+		if owned.First > next {
+			others = append(others, cherrykeel.KeySpan{First: next, Last: owned.First - 1})
+		}
+		next = owned.Last + 1
+	}
+	if next <= cherrykeel.MaxKey {
+		others = append(others, cherrykeel.KeySpan{First: next, Last: cherrykeel.MaxKey})
+	}
+	return others
+}
+
 // HasSameOwner reports whether every key of another table's span has the same owner in this table.
 func (table Table) HasSameOwner(service string, before Owned) bool {
 	for _, owned := range table.Services[service] {
--- a/watch/entries.go
+++ b/watch/entries.go
@@ -47,6 +47,21 @@
 	return true
 }
 
+// skipCopied reports whether a record of a store that has come back from a copy is left out: if it has no higher offset than
+// the known one, that may be newer, and say for instance that the upstream leaves. The upstream's next heartbeat counts.
+func (upstreams *Upstreams) skipCopied(record cherrykeel.KeyedRecord) bool {
+	old, known := upstreams.entries[record.Key]
+	if !known || cherrykeel.OffsetOf(record.Offset) > cherrykeel.OffsetOf(old.offset) {
+		return false
+	}
+	copied, err := upstreams.decode(record.Key, record.Value)
+	if err == nil && copied.StartedAt > old.upstream.StartedAt {
+		return false
+	}
+	old.offset = max(old.offset, record.Offset)
+	return true
+}
+
 // isUnchangedForHosts reports whether an entry changes nothing that has to be announced to the other hosts.
 func isUnchangedForHosts(old, next cherrykeel.Upstream) bool {
 	cold := next.ColdUntil > old.ColdUntil.Add(coldRestartThreshold)
@@ -94,7 +109,7 @@
 // removeIfMissing marks an upstream as gone if its entry is missing although it had time to register again.
 func (upstreams *Upstreams) removeIfMissing(entry *entry) bool {
 	available := upstreams.availableFor()
-	if !entry.missing || entry.gone || available < reregistrationTime {
+	if !entry.missing || entry.gone || available < ReregistrationTime {
 		return false
 	}
 	upstreams.markGone(entry, available)
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -47,6 +47,9 @@
 	Snapshot bool
 	// Next is the offset that the next record will get.
 	Next int64
+	// Restored means that Records holds what the store had when this host first read it after it came back from a copy. It
+	// may lack what was written since the copy, and hold what was changed since; those who wrote it write it again.
+	Restored bool
 	// FromPeer means that this host has not read the records from the topic: another host has sent them, or this host
 	// has written them. Records may be missing between them.
 	FromPeer bool
@@ -77,6 +80,10 @@
 	// unreadable counts the records that could not be decoded, unreadableAt is the offset of the newest one.
 	unreadable   int64
 	unreadableAt int64
+	// restoredAt is when this host found that the store had come back from a copy, or 0; settling is set from then until
+	// the topic has been listed again.
+	restoredAt cherrykeel.Instant
+	settling   bool
 	// currentAt is an instant up to which a read of this host has shown all changes.
 	currentAt cherrykeel.Instant
 }
@@ -120,7 +127,7 @@
 	for ctx.Err() == nil {
 		schedule := follower.schedule()
 		left := schedule.Interval - follower.clock.Now().Sub(begun)
-		if left <= 0 {
+		if left <= 0 || follower.isSettleDue() {
 			return
 		}
 		if follower.sleepUntilTriggered(ctx, min(left, max(schedule.RecheckInterval, minTriggerInterval))) {
@@ -199,7 +206,7 @@
 	follower.mutex.Lock()
 	next, known := follower.next, follower.hasRead
 	follower.mutex.Unlock()
-	if !known {
+	if !known || follower.isSettleDue() {
 		return follower.readNewest(ctx)
 	}
 	wait := follower.schedule().Wait
@@ -250,18 +257,22 @@
 
 func (follower *Follower) readNewest(ctx context.Context) error {
 	begun := follower.clock.Now()
+	settled := follower.isSettleDue()
 	batch, err := follower.log.Newest(ctx)
 	if err != nil {
 		return err
 	}
+	era, _ := follower.Era()
+	restored := follower.HasRead() && cherrykeel.EraOf(batch.Next) > era
 	if !follower.recordSuccess(batch.Next, begun) {
 		// An older state than the one already read: it holds no new record, and a key that it lacks may exist.
 		return nil
 	}
 	follower.recordUnreadable(batch.Unreadable)
-	follower.apply(Update{Records: batch.Records, Snapshot: true, Next: batch.Next})
+	follower.apply(Update{Records: batch.Records, Snapshot: true, Restored: restored, Next: batch.Next})
 	follower.mutex.Lock()
 	follower.snapshotApplied = true
+	follower.settling = follower.settling && (restored || !settled)
 	follower.mutex.Unlock()
 	return nil
 }
--- a/watch/progress.go
+++ b/watch/progress.go
@@ -37,8 +37,10 @@
 func (follower *Follower) recordSuccess(next int64, current cherrykeel.Instant) bool {
 	follower.mutex.Lock()
 	now := follower.clock.Now()
-	recovered := follower.unavailable || !follower.hasRead
 	first := !follower.hasRead
+	before := follower.next
+	restored := !first && cherrykeel.EraOf(next) > cherrykeel.EraOf(before)
+	recovered := follower.unavailable || first || restored
 	if recovered {
 		follower.availableSince = now
 	}
@@ -49,7 +51,16 @@
 		follower.next = next
 		follower.currentAt = max(follower.currentAt, current)
 	}
+	if restored {
+		follower.restoredAt = now
+		follower.settling = true
+	}
 	follower.mutex.Unlock()
+	if restored {
+		events.Log(follower.logger, events.StoreRestored, zap.String("Topic", follower.name),
+			zap.Int64("Era", cherrykeel.EraOf(next)), zap.Int64("Before", cherrykeel.EraOf(before)),
+			zap.Int64("End", cherrykeel.OffsetOf(next)), zap.Int64("KnownEnd", cherrykeel.OffsetOf(before)))
+	}
 	if recovered {
 		events.Log(follower.logger, events.TopicAvailable, zap.String("Topic", follower.name), zap.Int64("Offset", next), zap.Bool("First", first))
 	}
@@ -108,6 +119,21 @@
 	return follower.unavailable
 }
 
+// Era returns the era of the newest state that this host has read, and whether that is the first one that it has read.
+func (follower *Follower) Era() (era int64, isFirst bool) {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	return cherrykeel.EraOf(follower.next), follower.restoredAt == 0
+}
+
+// isSettleDue reports whether the topic has to be listed again since all who write to it have had time to write again
+// what a copy lacks.
+func (follower *Follower) isSettleDue() bool {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	return follower.settling && follower.clock.Now().Sub(follower.restoredAt) >= ReregistrationTime
+}
+
 // NextOffset returns the offset that the next record will get, as far as this host knows.
 func (follower *Follower) NextOffset() int64 {
 	follower.mutex.Lock()
--- a/watch/routes.go
+++ b/watch/routes.go
@@ -17,6 +17,9 @@
 	changeTracker
 	routes cherrykeel.RouteSet
 	known  bool
+	// record is the record of the routes; lost means that the store came back from a copy that lacks it.
+	record cherrykeel.KeyedRecord
+	lost   bool
 }
 
 // NewRoutes returns a view of the routes that are stored under key. It calls onChange with each newer version, and
@@ -27,6 +30,9 @@
 
 // Apply applies an update of the topic.
 func (routes *Routes) Apply(update Update) {
+	if update.Restored {
+		routes.setLost(true)
+	}
 	for _, record := range update.Records {
 		if record.Key != routes.key || len(record.Value) == 0 {
 			continue
@@ -36,18 +42,45 @@
 			events.Log(routes.logger, events.RecordInvalid, zap.String("Key", record.Key), zap.Int64("Offset", record.Offset), zap.Error(err))
 			continue
 		}
-		if routes.applyRoutes(decoded, record.Offset) {
+		if !update.FromPeer && routes.isStored(decoded) {
+			routes.setLost(false)
+		}
+		if routes.applyRoutes(decoded, record) {
 			routes.announceRead(update, record)
 		}
 	}
 }
 
-func (routes *Routes) applyRoutes(decoded cherrykeel.RouteSet, offset int64) bool {
+// setLost records whether the store lacks the routes in force.
+func (routes *Routes) setLost(lost bool) {
+	routes.mutex.Lock()
+	defer routes.mutex.Unlock()
+	routes.lost = lost && routes.known
+}
+
+// isStored reports whether routes that were read from the store are at least as new as those in force.
+func (routes *Routes) isStored(decoded cherrykeel.RouteSet) bool {
+	routes.mutex.Lock()
+	defer routes.mutex.Unlock()
+	return decoded.Version >= routes.routes.Version
+}
+
+// Lost returns the record of the routes in force if the store came back from a copy that lacks them and the operator has
+// not written them again; false otherwise. Hosts that have started since lack them.
+func (routes *Routes) Lost() (cherrykeel.KeyedRecord, bool) {
+	routes.mutex.Lock()
+	defer routes.mutex.Unlock()
+	return routes.record, routes.lost
+}
+
+func (routes *Routes) applyRoutes(decoded cherrykeel.RouteSet, record cherrykeel.KeyedRecord) bool {
+	offset := record.Offset
 	routes.mutex.Lock()
 	newer := !routes.known || decoded.Version > routes.routes.Version
 	if newer {
 		routes.routes = decoded
 		routes.known = true
+		routes.record = record
 	}
 	routes.advance(offset)
 	routes.mutex.Unlock()
--- a/watch/table.go
+++ b/watch/table.go
@@ -36,6 +36,14 @@
 	// corrupt means that the newest record of the table cannot be decoded, corruptSince is when this host found that.
 	corrupt      bool
 	corruptSince cherrykeel.Instant
+	// readThrough is the position of the newest record of the table that was read or received.
+	readThrough int64
+	// outdated means that the store's newest record is an older table than this one: the store came back from a copy, or
+	// an append was carried out late.
+	outdated bool
+	// fromCopy means that this host knows the table only from a store that had come back from a copy since it was
+	// written: later tables may be lost.
+	fromCopy bool
 	// maxLeaseDuration returns the longest lease duration that a keeper may grant.
 	maxLeaseDuration func() time.Duration
 	// reassigned holds the spans that have got another owner recently.
@@ -52,7 +60,7 @@
 // NewSpans returns a view of the table. It calls onChange after each newer table, and announce with its changes and the
 // version before if this host has written or read the table itself.
 func NewSpans(clock cherrykeel.Clock, logger *zap.Logger, onChange func(), announce func(change spans.Table, before int64)) *Spans {
-	return &Spans{maxLeaseDuration: func() time.Duration { return defaultMaxLeaseDuration }, clock: clock, logger: logger, onChange: onChange, announce: announce, table: spans.Table{Version: -1, Term: -1}}
+	return &Spans{maxLeaseDuration: func() time.Duration { return defaultMaxLeaseDuration }, clock: clock, logger: logger, onChange: onChange, announce: announce, table: spans.Table{Version: -1, Term: -1}, readThrough: -1}
 }
 
 // ApplyOwnWrite applies a table that this host has written.
@@ -68,6 +76,9 @@
 		view.applyRecord(record)
 		view.next = max(view.next, record.Offset+1)
 	}
+	if update.Restored && len(update.Records) == 0 {
+		view.outdated = view.table.Version >= 0
+	}
 	if !update.FromPeer {
 		// Only a read of this host's own shows that no newer table exists; records from other hosts do not.
 		view.next = max(view.next, update.Next)
@@ -99,21 +110,30 @@
 	table := view.table.Apply(change)
 	view.recordReassigned(table)
 	view.table = table
+	view.fromCopy = false
+	view.outdated = view.outdated && view.readThrough > table.Version
+	view.readThrough = max(view.readThrough, table.Version)
 	view.mutex.Unlock()
 	view.onChange()
 	return true
 }
 
 func (view *Spans) applyRecord(record cherrykeel.KeyedRecord) {
-	if record.Key != SpansKey || record.Offset <= view.table.Version {
+	if record.Key != SpansKey || record.Offset <= view.readThrough {
 		return
 	}
+	view.readThrough = record.Offset
 	table, err := spans.Decode(record.Value, record.Offset)
 	if err != nil {
 		view.recordCorrupt(record, err)
 		return
 	}
 	view.corrupt = false
+	view.outdated = table.Version < view.table.Version
+	if table.Version <= view.table.Version {
+		return
+	}
+	view.fromCopy = cherrykeel.EraOf(record.Offset) > cherrykeel.EraOf(table.Term)
 	view.recordReassigned(table)
 	view.table = table
 }
@@ -127,19 +147,27 @@
 	}
 }
 
-// Version returns the offset of the newest table, or -1.
+// Version returns the version of the newest table, or -1.
 func (view *Spans) Version() int64 {
 	view.mutex.Lock()
 	defer view.mutex.Unlock()
 	return view.table.Version
 }
 
-// IsCorrupt reports whether the newest record of the table cannot be decoded. The keeper has the table and writes it
-// again.
+// IsCorrupt reports whether the newest record of the table cannot be decoded, or holds an older table. The keeper has the
+// table and writes it again.
 func (view *Spans) IsCorrupt() bool {
 	view.mutex.Lock()
 	defer view.mutex.Unlock()
-	return view.corrupt
+	return view.corrupt || view.outdated
+}
+
+// IsFromCopy reports whether this host knows the table only from a store that had come back from a copy since it was
+// written, so that later tables may be lost.
+func (view *Spans) IsFromCopy() bool {
+	view.mutex.Lock()
+	defer view.mutex.Unlock()
+	return view.fromCopy || view.table.Version < 0 && cherrykeel.EraOf(view.next) > 0
 }
 
 // SetMaxLeaseDuration sets the function that returns the longest lease duration.
--- a/watch/upstreams.go
+++ b/watch/upstreams.go
@@ -12,9 +12,9 @@
 	"cherrykeel/permit"
 )
 
-// reregistrationTime is how long upstreams have, after the store has become available again, to renew entries that have
+// ReregistrationTime is how long upstreams have, after the store has become available again, to renew entries that have
 // expired; the platform promises that a running one is registered again within about two seconds.
-const reregistrationTime = 2200 * time.Millisecond
+const ReregistrationTime = 2200 * time.Millisecond
 
 // coldRestartThreshold is by how much the end of an upstream's cold phase has to move to count as a new cold phase. It
 // also moves by the age of the entry, which is read twice a second.
@@ -103,6 +103,9 @@
 			changed = upstreams.markMissing(record.Key, record.Offset) || changed
 			continue
 		}
+		if update.Restored && upstreams.skipCopied(record) {
+			continue
+		}
 		changed = upstreams.applyEntry(record, update.Snapshot) || changed
 	}
 	if update.Snapshot {
--- a/watch/zones.go
+++ b/watch/zones.go
@@ -88,18 +88,22 @@
 }
 
 // orders returns the records about zones. A snapshot lacks deleted records, and the record that deleted one may no
-// longer be kept; for a zone that the snapshot lacks, the evacuation has ended by the end of the snapshot.
+// longer be kept; for a zone that the snapshot lacks, the evacuation has ended by the end of the snapshot. If the store has
+// come back from a copy, an order at no higher offset than the known one may be outdated; the next snapshot shows what
+// holds.
 func (zones *Zones) orders(update Update) []cherrykeel.KeyedRecord {
 	var orders []cherrykeel.KeyedRecord
 	listed := map[string]bool{}
 	for _, record := range update.Records {
 		zone, isOrder := strings.CutPrefix(record.Key, zones.prefix)
-		if isOrder {
+		known, exists := zones.zones[zone]
+		isOutdated := update.Restored && exists && cherrykeel.OffsetOf(record.Offset) <= cherrykeel.OffsetOf(known.Offset)
+		if isOrder && !isOutdated {
 			orders = append(orders, record)
 			listed[zone] = true
 		}
 	}
-	if !update.Snapshot {
+	if !update.Snapshot || update.Restored {
 		return orders
 	}
 	for zone := range zones.zones {
