In each era of the store the keeper's role is claimed anew, by who knew the table; else all upstreams are asked

Callers and upstreams saw (OWNER): a key granted with fence 15 after 16, all hosts just started; and an owner that left kept its keys. Cause: term and fence are offsets, which went back; hosts that start read a table that lacks the last owners, and no write at the known end succeeds. Now terms and fences are positions over eras, and nothing is written in an era before a claim: by the living keeper at once with the table that it has, by another host that knows it after 1.5 s, by one that read the copy alone only when all upstreams have had time to write again. That one marks the table as uncertain and has every other upstream of the service release a key before its owner is granted it, or waits for the longest lease; no key is transferred meanwhile. Ruled out: granting at once by the higher fence (a fence on one upstream does not stop another); waiting 12 s for all.

--- a/grants/change.go
+++ b/grants/change.go
@@ -38,7 +38,7 @@
 // updateTable writes the next table if upstreams have joined, left or become unavailable, or if the load has shifted.
 func (keeper *Keeper) updateTable(ctx context.Context, table spans.Table, next int64, now cherrykeel.Instant) {
 	keeper.releaseSpansInTransfer(ctx, table, now)
-	if keeper.writing || now < keeper.writeAfter || keeper.reclaimAfterRefusal(ctx, table, next) || keeper.reclaimForReturned(ctx, table, next, now) {
+	if keeper.writing || now < keeper.writeAfter || keeper.claimInNewEra(ctx, table, next) || keeper.reclaimAfterRefusal(ctx, table, next) || keeper.reclaimForReturned(ctx, table, next, now) {
 		return
 	}
 	balance := now.Sub(keeper.plannedAt) >= planInterval
@@ -47,6 +47,13 @@
 	}
 	changed := keeper.table.IsCorrupt()
 	proposal := table.Clone()
+	if keeper.isUncertain {
+		return
+	}
+	if table.Uncertain {
+		proposal.Uncertain = false
+		changed = true
+	}
 	for _, service := range keeper.environment.KeyedServices() {
 		list, differs := table.NextSpans(service.Name, keeper.planInput(service.Name, table.Services[service.Name], next, balance, now))
 		if differs {
--- a/grants/claim.go
+++ b/grants/claim.go
@@ -28,10 +28,28 @@
 	storelessClaimDelay = time.Second
 	// maxAnnounceDelay bounds how much later than its table a host's announcement may arrive.
 	maxAnnounceDelay = 500 * time.Millisecond
+	// eraClaimDelay is how long the keeper has to claim a new term after the store has come back from a copy, before another
+	// host does: it lists the table within half a second.
+	eraClaimDelay = 1500 * time.Millisecond
+	// betterKnowledgeDelay is for how long a host leaves the claim to another one that knows a later table.
+	betterKnowledgeDelay = 3 * time.Second
+	// maxVersionAge is the maximum age of another host's report that counts for which tables there have been.
+	maxVersionAge = 10 * time.Second
+	// conflictDelay is the pause after a write that another one came before; a read that shows that one takes longer.
+	conflictDelay = 10 * time.Millisecond
 	// writeRetryDelay is the pause after a failed write.
 	writeRetryDelay = 500 * time.Millisecond
 )
 
+// reasonRestored is the reason of a claim in a new era.
+const reasonRestored = "the store has come back from a copy"
+
+// isEraUnclaimed reports whether the keeper's role has not been claimed since the store came back from a copy; next is the
+// offset that the next table will get.
+func isEraUnclaimed(table spans.Table, next int64) bool {
+	return cherrykeel.EraOf(next) > cherrykeel.EraOf(table.Term)
+}
+
 // considerClaim claims the keeper's role if no host has it or its holder cannot fulfil it.
 func (keeper *Keeper) considerClaim(ctx context.Context, table spans.Table, next int64, now cherrykeel.Instant) {
 	if keeper.writing || now < keeper.writeAfter || !keeper.canKeep(now) {
@@ -39,6 +57,11 @@
 		return
 	}
 	reason := keeper.vacancyReason(table, now)
+	if isEraUnclaimed(table, next) {
+		reason = keeper.eraVacancyReason(table, reason, now)
+	} else {
+		keeper.eraUnclaimedSince = 0
+	}
 	if reason == "" {
 		keeper.vacant = false
 		return
@@ -86,6 +109,40 @@
 	return "the keeper sends no reports"
 }
 
+// eraVacancyReason is vacancyReason while the role has not been claimed in the store's era. A host that knows the table
+// from the copy alone waits until all upstreams and hosts have had time to write their records again, and one that knows
+// of a later table leaves the claim to the host that has it.
+func (keeper *Keeper) eraVacancyReason(table spans.Table, reason string, now cherrykeel.Instant) string {
+	if keeper.eraUnclaimedSince == 0 {
+		keeper.eraUnclaimedSince = now
+	}
+	unclaimed := now.Sub(keeper.eraUnclaimedSince)
+	if reason == "" && unclaimed >= eraClaimDelay {
+		reason = reasonRestored
+	}
+	isUnsettled := keeper.table.IsFromCopy() && keeper.environment.StoreAvailableFor() < keeper.environment.ReregistrationTime()
+	leavesClaim := keeper.lacksTable(table) && unclaimed < betterKnowledgeDelay
+	if isUnsettled || leavesClaim {
+		return ""
+	}
+	return reason
+}
+
+// lacksTable reports whether another host has reported a later table than the one known here.
+func (keeper *Keeper) lacksTable(table spans.Table) bool {
+	for _, received := range keeper.mesh.Reports(maxVersionAge) {
+		if received.Report.TableVersion() > table.Version {
+			return true
+		}
+	}
+	return false
+}
+
+// mayLackOwners reports whether upstreams may hold keys of which the table names other owners.
+func (keeper *Keeper) mayLackOwners(table spans.Table, next int64) bool {
+	return table.Uncertain || isEraUnclaimed(table, next) && (keeper.table.IsFromCopy() || keeper.lacksTable(table))
+}
+
 // hasKeeperRestarted reports whether the keeper's process is another incarnation than the table names. A table that is
 // newer than the host's last announcement names the newer process, whose announcement is on its way.
 func (keeper *Keeper) hasKeeperRestarted(table spans.Table, now cherrykeel.Instant) bool {
@@ -123,9 +180,10 @@
 
 func (keeper *Keeper) claim(ctx context.Context, table spans.Table, next int64, reason string) {
 	claimed := table.ClaimedBy(keeper.self.Name, keeper.self.Incarnation, next)
+	claimed.Uncertain = keeper.mayLackOwners(table, next)
 	keeper.lastClaim = claimAttempt{offset: next, replacedTerm: table.Term}
 	events.Log(keeper.logger, events.KeeperClaimed,
-		zap.String("Reason", reason), zap.String("Before", table.Keeper), zap.Int64("OldTerm", table.Term), zap.Int64("At", next))
+		zap.String("Reason", reason), zap.String("Before", table.Keeper), zap.Int64("OldTerm", table.Term), zap.Int64("At", next), zap.Int64("Version", table.Version), zap.Bool("Uncertain", claimed.Uncertain))
 	keeper.writeTable(ctx, claimed, next)
 }
 
@@ -148,6 +206,7 @@
 				keeper.table.ApplyOwnWrite(value, at)
 				return
 			}
+			keeper.writeAfter = now.Add(conflictDelay)
 			if !errors.Is(err, cherrykeel.ErrConflict) {
 				keeper.writeAfter = now.Add(writeRetryDelay)
 				events.Log(keeper.logger, events.WriteFailed, zap.Int64("At", at), zap.Error(err))
@@ -220,6 +279,9 @@
 	}
 	lastArrival := keeper.majorityKnowsSince.Add(maxEvidenceAge + maxReportDelay + maxArrivalDelay)
 	until := spans.LatestLeaseEnd(lastArrival, keeper.bounds().MaxLeaseDuration)
+	if keeper.unknownOwners != nil {
+		keeper.unknownOwners.until = until
+	}
 	for _, owner := range keeper.ledger.BoundUnknownLeases(until) {
 		keeper.contact(owner).recordLease(until)
 	}
--- a/grants/keeper.go
+++ b/grants/keeper.go
@@ -53,8 +53,11 @@
 	Current() (spans.Table, int64, bool)
 	// ApplyOwnWrite applies a table that this host has written.
 	ApplyOwnWrite(value []byte, offset int64)
-	// IsCorrupt reports whether the newest record of the table cannot be decoded; the keeper then writes the table again.
+	// IsCorrupt reports whether the newest record of the table cannot be decoded, or is an older table; the keeper then
+	// writes the table again.
 	IsCorrupt() bool
+	// IsFromCopy reports whether the table is known only from a store that has come back from a copy since it was written.
+	IsFromCopy() bool
 }
 
 // Environment provides the upstreams, the settings, and the state of the store as this host sees them.
@@ -72,6 +75,8 @@
 	// StoreAvailableFor returns for how long the store has been available to this host without a failure; 0 if it is
 	// not.
 	StoreAvailableFor() time.Duration
+	// ReregistrationTime returns the time within which all upstreams write their entries to a store that serves them.
+	ReregistrationTime() time.Duration
 	// IsResting reports whether an upstream wants no request from this host now; RecordRest records that it wants none for
 	// a time.
 	IsResting(id string) bool
@@ -141,6 +146,12 @@
 	vacantSince          cherrykeel.Instant
 	keeperStoreless      bool
 	keeperStorelessSince cherrykeel.Instant
+	// eraUnclaimedSince is since when this host has known that the role has not been claimed in the store's era, or 0.
+	eraUnclaimedSince cherrykeel.Instant
+	// unknownOwners is set while the table is uncertain, and isUncertain while upstreams may hold keys that it names other
+	// owners of.
+	unknownOwners *unknownOwners
+	isUncertain   bool
 
 	// needsTick means that the last result allows an action that should not wait for the next tick. An answered renewal
 	// allows none: with 231 owners there are about 600 of them a second, and each tick takes half a millisecond, which
@@ -258,7 +269,7 @@
 		return
 	}
 	keeper.enterTerm(table, now)
-	keeper.removeSettledTransfers(next)
+	keeper.removeSettledTransfers(table, next)
 	if !keeper.isConfirmed(table.Term, now) {
 		return
 	}
@@ -267,6 +278,7 @@
 	keeper.recordIncarnations()
 	keeper.ledger.RemoveExpired(now)
 	keeper.publishFinal(now, false)
+	keeper.isUncertain = !keeper.releaseUnknownOwners(ctx, table, now)
 	keeper.updateTable(ctx, table, next, now)
 	keeper.probeOwners(ctx, table, now)
 	keeper.renewGrants(ctx, table, now)
@@ -279,6 +291,7 @@
 	}
 	events.Log(keeper.logger, events.KeeperResigned, zap.Int64("Term", keeper.term), zap.String("Keeper", table.Keeper), zap.Int64("NewTerm", table.Term))
 	keeper.term = -1
+	keeper.unknownOwners = nil
 	keeper.publishedFinal.Store(nil)
 	keeper.grants = map[spans.GrantedSpan]*grantState{}
 	keeper.releases = map[spans.GrantedSpan]*releaseState{}
@@ -299,5 +312,7 @@
 	keeper.contacts = map[string]*contact{}
 	keeper.ledger = spans.Ledger{}
 	keeper.inheritOwners(table, now)
-	events.Log(keeper.logger, events.KeeperClaimed, zap.Int64("Term", table.Term), zap.Int("Hosts", keeper.mesh.HostCount()))
+	keeper.unknownOwners = nil
+	keeper.recordUnknownOwners(table)
+	events.Log(keeper.logger, events.KeeperClaimed, zap.Int64("Term", table.Term), zap.Int("Hosts", keeper.mesh.HostCount()), zap.Bool("Uncertain", table.Uncertain))
 }
--- a/grants/standin_test.go
+++ b/grants/standin_test.go
@@ -49,6 +49,8 @@
 func (smallEnvironment) HostCount() int                                       { return 1 }
 func (smallEnvironment) Current() (spans.Table, int64, bool)                  { return spans.Table{}, 0, false }
 func (smallEnvironment) ApplyOwnWrite([]byte, int64)                          {}
+func (smallEnvironment) IsFromCopy() bool                                     { return false }
+func (smallEnvironment) ReregistrationTime() time.Duration                    { return 0 }
 func (smallEnvironment) IsCorrupt() bool                                      { return false }
 
 // storelessEnvironment is a smallEnvironment whose store is unavailable.
--- a/grants/transfer.go
+++ b/grants/transfer.go
@@ -37,9 +37,10 @@
 }
 
 // removeSettledTransfers removes the transfers of writes whose offset is taken by now: the known table shows their
-// outcome, unless the newest record of the table cannot be decoded.
-func (keeper *Keeper) removeSettledTransfers(next int64) {
-	if keeper.table.IsCorrupt() {
+// outcome, unless the newest record of the table cannot be decoded. In a new era the outcome is unknown until the next
+// claim: another host may have read the written table before it was lost, and claim with it.
+func (keeper *Keeper) removeSettledTransfers(table spans.Table, next int64) {
+	if keeper.table.IsCorrupt() || isEraUnclaimed(table, next) {
 		return
 	}
 	kept := keeper.transfers[:0]
