A host that learns the copy's table from an announcement doesn't take it for complete

Cause: a host that has just read the copy announces the table, and the receiver counted it as known. Now a table counts as complete only if the host has read the topic in the era in which the table was written.

--- a/watch/restored_test.go
+++ b/watch/restored_test.go
@@ -144,4 +144,23 @@
 		Expect(knowing.Owner("s", 0).ID).To(Equal("b"))
 		Expect(knowing.IsCorrupt()).To(BeTrue())
 	})
+
+	// Guards against hosts that take the copy's table for complete since another host that has just read it announces it.
+	DescribeTable("is not known better by an announcement", func(readFirst bool) {
+		term := cherrykeel.Position(1, 20)
+		table := spans.Table{Version: cherrykeel.Position(1, 25), Term: term, Keeper: "h", Incarnation: "i"}
+		value, err := table.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		view := NewSpans(clock, zap.NewNop(), func() {}, func(spans.Table, int64) {})
+		listing := Update{Snapshot: true, Next: cherrykeel.Position(2, 26), Records: []cherrykeel.KeyedRecord{{Key: SpansKey, Value: value, Offset: cherrykeel.Position(2, 25)}}}
+		if readFirst {
+			view.Apply(Update{Snapshot: true, Next: cherrykeel.Position(2, 20)})
+		}
+		Expect(view.ApplyChange(table, -1)).To(BeTrue())
+		view.Apply(listing)
+		Expect(view.IsFromCopy()).To(BeTrue())
+	},
+		Entry("before it has read the topic", false),
+		Entry("after it has read the topic", true),
+	)
 })
--- a/watch/table.go
+++ b/watch/table.go
@@ -83,6 +83,9 @@
 		// Only a read of this host's own shows that no newer table exists; records from other hosts do not.
 		view.next = max(view.next, update.Next)
 		view.hasRead = true
+		if cherrykeel.EraOf(view.next) == cherrykeel.EraOf(view.table.Term) {
+			view.fromCopy = false
+		}
 	}
 	table := view.table
 	view.mutex.Unlock()
@@ -110,7 +113,8 @@
 	table := view.table.Apply(change)
 	view.recordReassigned(table)
 	view.table = table
-	view.fromCopy = false
+	// The sender may know the table from the copy alone, as this host does.
+	view.fromCopy = !view.hasRead || cherrykeel.EraOf(view.next) > cherrykeel.EraOf(table.Term)
 	view.outdated = view.outdated && view.readThrough > table.Version
 	view.readThrough = max(view.readThrough, table.Version)
 	view.mutex.Unlock()
