A host that has just started sends its record to the others once more

Callers see: a host goes on sending requests to an upstream that has told another host that it leaves, while the store is away. Cause: a host writes its record and sends it at once, to the hosts that it has read of by then, which may be none; the others learn of it from the store, or not while that is away.

--- a/entry/announce.go
+++ b/entry/announce.go
@@ -35,7 +35,13 @@
 	}
 	interval := announceInterval
 	written := int64(-1)
+	mustRepeat := false
 	for ctx.Err() == nil {
+		if mustRepeat {
+			// When the record was written, this host may not have read yet which other hosts there are.
+			mustRepeat = false
+			host.sendOwnRecord(value, written)
+		}
 		incarnation, _ := host.peers.Incarnation(host.self.Name)
 		isMissing := host.mustAnnounce.Swap(false) || incarnation != host.self.Incarnation
 		if isMissing && !host.stopping.Load() {
@@ -47,8 +53,9 @@
 			} else {
 				interval = announceInterval
 				written = offset
+				mustRepeat = true
 				host.topics.hosts.ApplyReceived([]cherrykeel.KeyedRecord{{Key: host.self.Name, Value: value, Offset: offset}})
-				host.mesh.Announce(topicHosts, []cherrykeel.KeyedRecord{{Key: host.self.Name, Value: value, Offset: offset}}, share.NoPreviousChange)
+				host.sendOwnRecord(value, offset)
 			}
 		}
 		host.readEarlierHosts(written)
@@ -56,6 +63,12 @@
 	}
 }
 
+// sendOwnRecord sends this host's record to the other hosts.
+func (host *Host) sendOwnRecord(value []byte, offset int64) {
+	record := cherrykeel.KeyedRecord{Key: host.self.Name, Value: value, Offset: offset}
+	host.mesh.Announce(topicHosts, []cherrykeel.KeyedRecord{record}, share.NoPreviousChange)
+}
+
 // readEarlierHosts triggers a read of the hosts' topic if it has records before this host's own that this host lacks.
 // Hosts that start at the same moment have read the topic before any of them had written its own record, and there may
 // be no other host to announce the records.
