Callers' longest idle connections are closed when there are too many

Now a host with callers' connections on more than half of its descriptors closes those that have been idle for longest, at least half a second, a sixteenth of the limit at a time and ten times a second at most; one with a request, or with bytes of one, is never closed.

--- a/caller/server.go
+++ b/caller/server.go
@@ -22,6 +22,13 @@
 	// memoryRetryAfter is the Retry-After value, in seconds, for a request refused for lack of body memory: about the
 	// time in which the bodies in memory are forwarded.
 	memoryRetryAfter = "0.3"
+	// evictedShare is the share of the connections' limit that is closed at once if idle ones have to make room: to look
+	// for them at each accept would make accepting slow just then.
+	evictedShare = 1.0 / 16
+	// evictInterval bounds how often idle connections are looked for, and minEvictedIdle is how long one must have been
+	// idle: the request of a new one is on its way.
+	evictInterval  = 100 * time.Millisecond
+	minEvictedIdle = 500 * time.Millisecond
 	// acceptRetryDelay is the delay after a failed accept, for example when the process has run out of descriptors.
 	acceptRetryDelay = 20 * time.Millisecond
 )
@@ -40,6 +47,10 @@
 	limits  func() cherrykeel.CallerLimits
 	memory  *bodyMemory
 	logger  *zap.Logger
+	// connLimit is the number of connections beyond which idle ones are closed; 0 means none.
+	connLimit int
+	// evictedAt is when idle connections were last looked for; only Serve's goroutine uses it.
+	evictedAt time.Time
 
 	stopping atomic.Bool
 	mutex    sync.Mutex
@@ -63,6 +74,14 @@
 	}
 }
 
+// WithConnLimit sets the number of connections beyond which those that have been idle for longest are closed. Without it a
+// host whose callers open ever more connections runs out of descriptors, and accepts nothing while it says that it is ready.
+func WithConnLimit(limit int) Option {
+	return func(server *Server) {
+		server.connLimit = limit
+	}
+}
+
 // WithLogger sets the logger for refused requests, panics and failures to accept.
 func WithLogger(logger *zap.Logger) Option {
 	return func(server *Server) {
@@ -93,6 +112,7 @@
 			// Counted before its goroutine starts: a stopping host waits until OpenConns returns 0, and would
 			// otherwise exit before the connection is served.
 			go server.serve(server.addConn(socket))
+			server.evictIdle()
 			continue
 		}
 		if errors.Is(err, net.ErrClosed) {
@@ -133,6 +153,31 @@
 	}
 }
 
+// evictIdle closes the connections that have been idle for longest if there are more than the limit allows.
+func (server *Server) evictIdle() {
+	now := time.Now()
+	if server.connLimit <= 0 || server.OpenConns() <= server.connLimit || now.Sub(server.evictedAt) < evictInterval {
+		return
+	}
+	server.evictedAt = now
+	idleSince := map[*conn]time.Time{}
+	for _, conn := range server.openConns() {
+		since := conn.idleStart()
+		if now.Sub(since) >= minEvictedIdle {
+			idleSince[conn] = since
+		}
+	}
+	oldest := slices.SortedFunc(maps.Keys(idleSince), func(a, b *conn) int { return idleSince[a].Compare(idleSince[b]) })
+	most := max(1, int(evictedShare*float64(server.connLimit)))
+	closed := 0
+	for _, conn := range oldest {
+		if closed < most && conn.closeIfIdle() {
+			closed++
+		}
+	}
+	events.Log(server.logger, events.IdleConnsClosed, zap.Int("Open", server.OpenConns()), zap.Int("Limit", server.connLimit), zap.Int("Idle", len(oldest)), zap.Int("Closed", closed))
+}
+
 func (server *Server) openConns() []*conn {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
--- a/caller/write.go
+++ b/caller/write.go
@@ -54,11 +54,20 @@
 	conn.stateChanged.Broadcast()
 }
 
-// closeIfIdle closes the connection if it is idle.
-func (conn *conn) closeIfIdle() {
-	if conn.stopIfIdle() {
+// closeIfIdle closes the connection if it is idle, and reports whether it was.
+func (conn *conn) closeIfIdle() bool {
+	idle := conn.stopIfIdle()
+	if idle {
 		_ = conn.socket.Close()
 	}
+	return idle
+}
+
+// idleStart returns the time of the last answer, or of the accept if there was none.
+func (conn *conn) idleStart() time.Time {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	return conn.idleSince
 }
 
 // stopIfIdle stops reading the connection, and reports true, if every request is answered, the caller has acknowledged
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -50,7 +50,8 @@
 		DenyList: host.denyList,
 	})
 	host.server = caller.New(host.relay, caller.WithLimits(host.limits), caller.WithLogger(host.logger),
-		caller.WithBodyMemoryLimit(int64(bodyShare*float64(host.settings.MemoryBytes))))
+		caller.WithBodyMemoryLimit(int64(bodyShare*float64(host.settings.MemoryBytes))),
+		caller.WithConnLimit(int(callerShare*float64(host.settings.MaxDescriptors))))
 	host.routes = watch.NewRoutes(host.platform.RoutesKey, host.platform.DecodeRoutes, host.logger, host.applyRoutes, host.announcer(topicSettings))
 	host.zones = watch.NewZones(host.platform.EvacuationPrefix, host.clock, host.logger, host.applyUpstreams, host.announcer(topicSettings))
 	host.upstreams = watch.NewUpstreams(host.platform.DecodeUpstream, host.clock, host.logger,
--- a/entry/host.go
+++ b/entry/host.go
@@ -34,6 +34,9 @@
 	idleTimeout = 8 * time.Second
 	// incarnationLength is long enough to tell the incarnations of one host apart.
 	incarnationLength = 8
+	// callerShare is the share of the descriptors that callers' connections may take before idle ones are closed; a
+	// quarter may serve other hosts, and the rest is for upstreams, the store and the readiness check.
+	callerShare = 0.5
 	// bodyShare is the share of the memory that buffered bodies may take.
 	bodyShare = 0.25
 )
@@ -96,9 +99,9 @@
 	// acceptEnded is closed when no further connection will be accepted.
 	acceptEnded chan struct{}
 	// mustExit is closed when the process must exit.
-	mustExit     chan struct{}
-	ready        atomic.Bool
-	stopping     atomic.Bool
+	mustExit chan struct{}
+	ready    atomic.Bool
+	stopping atomic.Bool
 	// mustAnnounce is set when the store lacks this host's record since it came back from a copy.
 	mustAnnounce atomic.Bool
 	mutex        sync.Mutex
