--- a/entry/restored.go
+++ b/entry/restored.go
@@ -1,15 +1,15 @@
 package entry
 
 import (
+	"go.uber.org/zap"
+
 	"cherrykeel"
 	"cherrykeel/events"
 	"cherrykeel/share"
 	"cherrykeel/watch"
-
-	"go.uber.org/zap"
 )
 
-// maxRestoringRank bounds the hosts that write what a copy lacks again for all.
+// maxRestoringRank is the highest rank of the hosts that write what a copy lacks again for all.
 const maxRestoringRank = 1
 
 // handleRestored handles the first listing of a topic after the store has come back from a copy: the other topics are
@@ -32,7 +32,7 @@
 	host.restoreDenials(listed)
 }
 
-// restoreDenials writes the stored records of requests that a copy lacks again. One of the first hosts does so for all.
+// restoreDenials writes the stored records of requests that a copy lacks again. The first hosts do so for all.
 func (host *Host) restoreDenials(listed map[string]string) {
 	if host.rank() > maxRestoringRank {
 		return
--- a/grants/fakes_test.go
+++ b/grants/fakes_test.go
@@ -49,8 +49,6 @@
 	ended      map[string]bool
 	rank       int
 	corrupt    bool
-	// fromCopy means that the table is known only from a copy of the store.
-	fromCopy bool
 	// rests holds the rests that upstreams have asked for; they do not end.
 	rests map[string]time.Duration
 }
@@ -118,14 +116,6 @@
 	return store.corrupt
 }
 
-func (store *fakeStore) IsFromCopy() bool {
-	store.mutex.Lock()
-	defer store.mutex.Unlock()
-	return store.fromCopy
-}
-
-func (store *fakeStore) ReregistrationTime() time.Duration { return 0 }
-
 func (store *fakeStore) KeyedServices() []cherrykeel.RoutedService {
 	return []cherrykeel.RoutedService{{Name: service, Keyed: true, HealthPath: "/health"}}
 }
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -26,8 +26,7 @@
 	listed int
 }
 
-// fleet has hosts that share one service's retry budget. Each request takes part in all callbacks of a scenario, and the
-// counts are kept by step of virtual time.
+// fleet has hosts that share one service's retry budget; requests and retries are counted by step of virtual time.
 type fleet struct {
 	bounds   cherrykeel.Bounds
 	hosts    []*fleetHost
@@ -119,8 +118,8 @@
 	return sum
 }
 
-// everyRequest is a rate of requests in a step; lahore's valuer gets 490 a second.
-const everyRequest = 5
+// requestsPerStep makes 500 requests a second, a busy service's.
+const requestsPerStep = 5
 
 var _ = Describe("the retry budget of a fleet", func() {
 	// Guards against hosts that bring their slack again with each start: upstreams get more retries than the platform allows.
@@ -150,7 +149,7 @@
 			if at >= 20*time.Second {
 				failing = 1
 			}
-			fleet.serve(everyRequest, failing, 1)
+			fleet.serve(requestsPerStep, failing, 1)
 		})
 		Expect(fleet.mostExcess()).To(BeNumerically("<=", 0))
 	})
@@ -174,7 +173,7 @@
 					host.listed = 36
 				}
 			}
-			fleet.serve(everyRequest, 1, 2)
+			fleet.serve(requestsPerStep, 1, 2)
 		})
 		Expect(fleet.mostExcess()).To(BeNumerically("<=", 0))
 	})
@@ -203,7 +202,7 @@
 	// Guards against a budget that is kept only since callers are left without retries.
 	It("allows a calm fleet all retries of one request in ten", func() {
 		fleet := newFleet(11, 6)
-		fleet.run(func(time.Duration) { fleet.serve(everyRequest, 0.1, 1) })
+		fleet.run(func(time.Duration) { fleet.serve(requestsPerStep, 0.1, 1) })
 		Expect(fleet.granted).To(BeNumerically(">", 98*fleet.wanted/100))
 	})
 
@@ -215,7 +214,7 @@
 			if at >= 20*time.Second && at < 21*time.Second {
 				failing = 1.0 / 6
 			}
-			fleet.serve(everyRequest, failing, 1)
+			fleet.serve(requestsPerStep, failing, 1)
 		})
 		Expect(fleet.granted).To(Equal(fleet.wanted))
 	})
@@ -231,7 +230,7 @@
 				}
 			}
 			before := fleet.granted
-			fleet.serve(everyRequest, 0.08, 1)
+			fleet.serve(requestsPerStep, 0.08, 1)
 			if at > 21*time.Second && at < 25*time.Second {
 				after += fleet.granted - before
 			}
