--- a/reach/table.go
+++ b/reach/table.go
@@ -65,6 +65,8 @@
 	// failures counts consecutive attempts that neither this host nor another one could complete.
 	failures    int
 	closedUntil cherrykeel.Instant
+	// untold means that it is closed though no host could tell about the upstream itself.
+	untold bool
 	// refusedUntil is until when the address is known to refuse connections from every host.
 	refusedUntil cherrykeel.Instant
 	usedAt       cherrykeel.Instant
@@ -81,6 +83,8 @@
 	paths map[string]*path
 	// lastMisses are the newest misses of two different addresses, the newest first.
 	lastMisses [2]miss
+	// untoldUntil is the end of the longest time for which an address is closed that no host could tell about.
+	untoldUntil cherrykeel.Instant
 	// random returns a number in [0, 1).
 	random func() float64
 }
@@ -178,6 +182,7 @@
 	table.rememberMiss(address, now)
 	path.failures = 0
 	path.closedUntil, path.refusedUntil = 0, 0
+	table.reopenUntold(now)
 	path.directAt = now.Add(table.directPause())
 	if path.lost || !refused && path.misses < missesUntilLost && !table.isSuspect(address, now) {
 		return Unchanged
@@ -198,14 +203,36 @@
 func (table *Table) RecordTunneled(address string, now cherrykeel.Instant) {
 	path := table.path(address, now)
 	path.failures = 0
+	table.reopenUntold(now)
+}
+
+// reopenUntold ends the time for which addresses are closed that no host could tell about: one is known now that opens
+// connections.
+func (table *Table) reopenUntold(now cherrykeel.Instant) {
+	if now >= table.untoldUntil {
+		return
+	}
+	table.untoldUntil = 0
+	for _, path := range table.paths {
+		if path.untold {
+			path.closedUntil = 0
+		}
+	}
 }
 
 // RecordUnreached records that neither this host nor those that it asked could connect to an address, and reports
-// whether that is new.
-func (table *Table) RecordUnreached(address string, now cherrykeel.Instant) bool {
+// whether that is new. The time for which the address is closed grows only while hosts that reach other upstreams say
+// so: else the cause are the links of those that were asked.
+func (table *Table) RecordUnreached(address string, replies Replies, now cherrykeel.Instant) bool {
 	path := table.path(address, now)
-	path.closedUntil = now.Add(min(minClosedTime<<min(path.failures, 4), maxClosedTime))
 	path.failures++
+	path.untold = replies.telling() == 0
+	if path.untold {
+		path.closedUntil = now.Add(minClosedTime)
+		table.untoldUntil = max(table.untoldUntil, path.closedUntil)
+		return path.failures == 1
+	}
+	path.closedUntil = now.Add(min(minClosedTime<<min(path.failures-1, 4), maxClosedTime))
 	return path.failures == 1
 }
 
@@ -214,7 +241,7 @@
 func (table *Table) RecordRefused(address string, now cherrykeel.Instant) {
 	path := table.path(address, now)
 	if path.lost {
-		table.RecordUnreached(address, now)
+		table.RecordUnreached(address, Replies{Refused: 1}, now)
 		return
 	}
 	path.misses = 0
@@ -226,7 +253,7 @@
 // the likelier cause.
 func (table *Table) IsProcessEnd(address string, replies Replies, now cherrykeel.Instant) bool {
 	switch {
-	case replies.Unreached > 0 && replies.Refused == 0:
+	case replies.Refused == 0 && replies.Unreached+replies.Missing > 0:
 		return false
 	case replies.Refused > 0:
 		return replies.Refused > replies.Unreached
--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"syscall"
 	"time"
 
@@ -60,16 +61,18 @@
 	reply  reach.Reply
 }
 
-// askAll asks the hosts one after the other until one has opened the connection. It asks the next one as soon as the one
-// before has declined, or does not answer. The error is not nil if none has opened it.
+// askAll asks the hosts one after the other until one has opened the connection, or enough have told why they did not. It
+// asks the next one as soon as the one before has declined, or does not answer. The error is not nil if none has opened
+// it, and names those that were asked.
 func (dialer *Dialer) askAll(ctx context.Context, order []cherrykeel.Peer, address string) (askedResult, reach.Replies, error) {
+	var declined []string
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan askedResult, len(order))
 	var replies reach.Replies
 	asked, answered := 0, 0
 	askNext := func() {
-		if asked == len(order) {
+		if asked == len(order) || !replies.AllowsNext(asked-answered) {
 			return
 		}
 		peer := order[asked]
@@ -97,10 +100,11 @@
 				dialer.recordReply(result.peer.Name, address, result.reply)
 			}
 			replies.Add(result.reply)
+			declined = append(declined, result.peer.Name+": "+result.reply.String())
 			askNext()
 		}
 	}
-	return askedResult{}, replies, errors.WithStack(errNoHost)
+	return askedResult{}, replies, errors.Wrap(errNoHost, strings.Join(declined, ", "))
 }
 
 // closeLater closes the connections of hosts whose answer came after another host's.
--- a/tunnel/dialer.go
+++ b/tunnel/dialer.go
@@ -143,7 +143,7 @@
 		dialer.table.RecordRefused(attempt.address, now)
 		return errors.WithStack(os.NewSyscallError("connect", syscall.ECONNREFUSED))
 	}
-	if dialer.table.RecordUnreached(attempt.address, now) {
+	if dialer.table.RecordUnreached(attempt.address, attempt.replies, now) {
 		dialer.logPath(events.UpstreamUnreached, attempt.address, zap.Int("Asked", attempt.replies.Total()), zap.Error(err))
 	}
 	return errors.Wrap(ErrUnreached, err.Error())
--- a/tunnel/message.go
+++ b/tunnel/message.go
@@ -56,7 +56,7 @@
 	case stateRefused:
 		return reach.Refused
 	case stateUnreached:
-		return reach.Unreached
+		return reach.Missing
 	default:
 		return reach.Declined
 	}
