An answer's head is bounded in bytes, with the informational answers before it

Now a head may have 32 KiB, informational answers included, on every connection of the pool, tunneled ones too; beyond that the connection is closed and the request is unknown at once. Not chosen: a bound on time alone (a drip of bytes holds nothing and ends with the request), the library's transport, which repeats requests by itself.

--- a/conns/conn.go
+++ b/conns/conn.go
@@ -16,6 +16,7 @@
 type conn struct {
 	address string
 	socket  net.Conn
+	source  *headReader
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	// writtenBytes counts the bytes of the current request that were handed to the socket.
@@ -30,7 +31,8 @@
 
 func newConn(address string, socket net.Conn) *conn {
 	conn := &conn{address: address, socket: socket}
-	conn.reader = bufio.NewReaderSize(socket, bufferSize)
+	conn.source = &headReader{source: socket}
+	conn.reader = bufio.NewReaderSize(conn.source, bufferSize)
 	conn.writer = bufio.NewWriterSize(countingWriter{conn}, bufferSize)
 	return conn
 }
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -107,7 +107,7 @@
 			err = errors.WithMessage(err, "through "+conn.via())
 		}
 		pool.discard(conn)
-		if progress == Sent && ctx.Err() == nil && !pool.isBroken(conn) {
+		if progress == Sent && ctx.Err() == nil && !pool.isBroken(conn) && !errors.Is(err, ErrHeadTooLong) {
 			pool.recordLoss(idle)
 		}
 		return nil, progress, err
@@ -129,7 +129,7 @@
 	}
 	response, err := conn.readHead(request)
 	if err != nil {
-		return nil, Sent, brokenError(err)
+		return nil, Sent, err
 	}
 	if isCloseDelimited(response) && !(allowCloseDelimited && response.StatusCode != http.StatusSwitchingProtocols) {
 		return nil, AnswerBegun, errors.WithStack(ErrCloseDelimited)
@@ -154,20 +154,6 @@
 	return PartlySent
 }
 
-// readHead reads the head of the final answer and skips informational ones.
-func (conn *conn) readHead(request *http.Request) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(conn.reader, request)
-		if err != nil {
-			return nil, err
-		}
-		informational := response.StatusCode >= 100 && response.StatusCode < 200
-		if !informational || response.StatusCode == http.StatusSwitchingProtocols {
-			return response, nil
-		}
-	}
-}
-
 // isCloseDelimited reports whether the answer ends only with its connection.
 func isCloseDelimited(response *http.Response) bool {
 	chunked := len(response.TransferEncoding) > 0
