Upstreams' answers share a bounded memory on each host, and small pieces of a body count as one

All answers of a host share a tenth of its memory, by the rule that callers' bodies had: one may take half of what the others leave, and 16 KiB are always granted. The rule moved from caller to package memory. There it also counted each piece of a chunked body alone, so that one in pieces of up to 16 KiB was never refused; now what a body holds already counts (a spec grows one by 512 bytes).

An answer beyond its bound is an unknown outcome at once, is no sign of a crash (it is not probed for one), counts as a failure of the upstream, and its repeat is charged to the retry budget as before. Event 516 names request and upstream. What an answer states of its length is not believed beyond 64 KiB, since it may send less.

Left: an answer is copied twice for its caller, and the copies wait uncounted for a slow one.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -22,7 +22,7 @@
 	// aborted is set if the handler panicked: the connection then closes without a byte of this answer.
 	aborted bool
 	request *http.Request
-	// acquired is the number of bytes to release to bodyMemory after the request.
+	// acquired is the number of bytes to release after the request.
 	acquired int64
 	// closeAfter is set if the connection closes after this answer, as the caller requested or the host decided.
 	closeAfter bool
--- a/caller/body.go
+++ b/caller/body.go
@@ -7,43 +7,16 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 
 	"github.com/pkg/errors"
-)
-
-// bodyMemory bounds the request bodies in memory, so that large ones cannot get the process killed together with all its
-// requests. A body may take at most half of the memory that is left, so that a few large bodies leave room for the usual
-// small ones.
-type bodyMemory struct {
-	mutex sync.Mutex
-	limit int64
-	inUse int64
-}
 
-// alwaysGrantedBytes is the size up to which memory is always granted: refusing a body this small is not worthwhile.
-const alwaysGrantedBytes = 16 << 10
-
-func (bodyMemory *bodyMemory) acquire(size int64) bool {
-	bodyMemory.mutex.Lock()
-	defer bodyMemory.mutex.Unlock()
-	if size > alwaysGrantedBytes && size > (bodyMemory.limit-bodyMemory.inUse)/2 {
-		return false
-	}
-	bodyMemory.inUse += size
-	return true
-}
-
-func (bodyMemory *bodyMemory) release(size int64) {
-	bodyMemory.mutex.Lock()
-	defer bodyMemory.mutex.Unlock()
-	bodyMemory.inUse -= size
-}
+	"cherrykeel/memory"
+)
 
 // body is a request's complete body.
 type body struct {
 	data []byte
-	// acquired is the number of bytes to release to bodyMemory after the request.
+	// acquired is the number of bytes to release after the request.
 	acquired int64
 }
 
@@ -63,10 +36,10 @@
 	return bufferedBody.data
 }
 
-// bodyReader reads one body, up to limit bytes and as far as bodyMemory has room.
+// bodyReader reads one body, up to limit bytes and as far as the memory has room.
 type bodyReader struct {
 	reader *bufio.Reader
-	memory *bodyMemory
+	memory *memory.Limit
 	limit  int64
 	body   body
 }
@@ -79,7 +52,7 @@
 		err = bodyReader.readMore(length)
 	}
 	if err != nil {
-		bodyReader.memory.release(bodyReader.body.acquired)
+		bodyReader.memory.Release(bodyReader.body.acquired)
 		return body{}, err
 	}
 	return bodyReader.body, nil
@@ -91,7 +64,7 @@
 	if size > bodyReader.limit-already {
 		return errors.WithStack(ErrBodyTooLarge)
 	}
-	if !bodyReader.memory.acquire(size) {
+	if !bodyReader.memory.Acquire(bodyReader.body.acquired, size) {
 		return errors.WithStack(ErrNoMemory)
 	}
 	bodyReader.body.acquired += size
--- a/caller/dispatch.go
+++ b/caller/dispatch.go
@@ -48,7 +48,7 @@
 func (conn *conn) dispatch(request *http.Request, body body) bool {
 	answer := conn.newAnswer(request)
 	if !conn.admit(answer) {
-		conn.server.memory.release(body.acquired)
+		conn.server.memory.Release(body.acquired)
 		if !conn.isAccepting() {
 			conn.logRequestAfterClose()
 		}
@@ -69,7 +69,7 @@
 // handle runs the handler and recovers from its panics.
 func (conn *conn) handle(answer *answer, request *http.Request) {
 	defer answer.finish()
-	defer conn.server.memory.release(answer.acquired)
+	defer conn.server.memory.Release(answer.acquired)
 	defer func() {
 		failure := recover()
 		if failure == nil {
--- a/caller/server.go
+++ b/caller/server.go
@@ -14,6 +14,7 @@
 
 	"cherrykeel"
 	"cherrykeel/events"
+	"cherrykeel/memory"
 )
 
 const (
@@ -45,7 +46,7 @@
 type Server struct {
 	handler http.Handler
 	limits  func() cherrykeel.CallerLimits
-	memory  *bodyMemory
+	memory  *memory.Limit
 	logger  *zap.Logger
 	// connLimit is the number of connections beyond which idle ones are closed; 0 means none.
 	connLimit int
@@ -70,7 +71,7 @@
 // WithBodyMemoryLimit bounds the request bodies in memory, in bytes.
 func WithBodyMemoryLimit(limit int64) Option {
 	return func(server *Server) {
-		server.memory.limit = limit
+		server.memory = memory.NewLimit(limit)
 	}
 }
 
@@ -94,7 +95,7 @@
 	server := &Server{
 		handler: handler,
 		limits:  func() cherrykeel.CallerLimits { return defaultLimits },
-		memory:  &bodyMemory{limit: defaultBodyMemory},
+		memory:  memory.NewLimit(defaultBodyMemory),
 		logger:  zap.NewNop(),
 		conns:   map[*conn]bool{},
 	}
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -8,6 +8,7 @@
 	"cherrykeel/conns"
 	"cherrykeel/deny"
 	"cherrykeel/grants"
+	"cherrykeel/memory"
 	"cherrykeel/permit"
 	"cherrykeel/poison"
 	"cherrykeel/relay"
@@ -47,7 +48,8 @@
 		OnUpstreamLimit: func(upstream permit.Incarnation, heard permit.Statement, request string) {
 			host.recordLimit(upstream, heard, watch.Source{Request: request})
 		},
-		DenyList: host.denyList,
+		DenyList:     host.denyList,
+		AnswerMemory: memory.NewLimit(int64(answerShare * float64(host.settings.MemoryBytes))),
 	})
 	host.server = caller.New(host.relay, caller.WithLimits(host.limits), caller.WithLogger(host.logger),
 		caller.WithBodyMemoryLimit(int64(bodyShare*float64(host.settings.MemoryBytes))),
--- a/entry/host.go
+++ b/entry/host.go
@@ -39,6 +39,8 @@
 	callerShare = 0.5
 	// bodyShare is the share of the memory that buffered bodies may take.
 	bodyShare = 0.25
+	// answerShare is the share of the memory that upstreams' answers may take. An answer is copied twice for its caller.
+	answerShare = 0.1
 )
 
 // Platform holds what a host needs from the platform that it runs on.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -51,14 +51,13 @@
 	abandoned bool
 	// via is the host through which the answer came, or empty.
 	via string
+	// endless means that the upstream sent more bytes than an answer may have.
+	endless bool
 	// withheld means that the request was not sent since the upstream's rest had begun meanwhile.
 	withheld bool
 }
 
 const (
-	// maxAnswerBytes bounds an answer, which is read whole before it is passed on, so that callers never get a
-	// truncated one.
-	maxAnswerBytes = 32 << 20
 	// maxIdleUnrepeatable is how long ago a connection may have been in use to carry a request that is not repeatable:
 	// an upstream may drop an idle connection without notice, and what is sent on it then is reset. Repeatable requests
 	// may use connections up to maxIdleRepeatable.
@@ -137,16 +136,18 @@
 	answer, progress, err := exchange.relay.pool.SendWithOptions(ctx, slot.Upstream.Address, exchange.upstreamRequest(slot.Upstream, remaining), options)
 	if err != nil {
 		result := failedSend(progress, err)
-		result.unanswered = progress.IsUnanswered() && ctx.Err() == nil
+		result.endless = isEndless(err)
+		result.unanswered = progress.IsUnanswered() && ctx.Err() == nil && !result.endless
 		result.abandoned = progress.IsUnanswered() && ctx.Err() != nil
 		return result
 	}
 	defer answer.Close()
 	reply := exchange.relay.dialect.ReadReply(answer.Status, answer.Header)
 	exchange.recordStatements(slot, reply)
-	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes+1))
+	body, err := exchange.readAnswer(answer)
 	result := result{via: answer.Via(), status: answer.Status, header: answer.Header, body: body, load: reply.Load, misdirected: reply.Misdirected}
-	result.unanswered = err != nil && ctx.Err() == nil
+	result.unanswered = err != nil && ctx.Err() == nil && !isEndless(err)
+	result.endless = isEndless(err)
 	result.reset = errors.Is(err, conns.ErrReset)
 	result.fromTarget = err == nil && (reply.Instance == "" || reply.Instance == slot.Upstream.ID)
 	switch {
@@ -164,9 +165,6 @@
 	case err != nil:
 		result.outcome = outcomeUnknown
 		result.detail = err.Error()
-	case len(body) > maxAnswerBytes:
-		result.outcome = outcomeUnknown
-		result.detail = "answer too large"
 	default:
 		result.classify(reply)
 	}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -40,6 +40,8 @@
 	// mayHaveRun is set once an attempt may have run; from then on no answer may state that the request has not run.
 	mayHaveRun bool
 	lastDetail string
+	// heldBytes is the memory of the answers that were read.
+	heldBytes int64
 	// fallback is an upstream's failure after which the request was sent again, or nil.
 	fallback *fallbackAnswer
 	// inputs are the figures behind the scheduler's last decision.
@@ -52,6 +54,7 @@
 func (relay *Relay) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	exchange := &exchange{relay: relay, request: request, writer: writer, arrived: relay.clock.Now(), headers: relay.dialect.ReadRequest(request)}
 	defer exchange.logPanic()
+	defer exchange.releaseAnswers()
 	failure := exchange.prepare()
 	if failure == nil {
 		failure = exchange.run()
@@ -141,6 +144,9 @@
 		callerGone := ctx.Err() != nil
 		now := exchange.relay.clock.Now()
 		exchange.recordEvidence(slot, result, now)
+		if result.endless {
+			exchange.logEndless(slot, result)
+		}
 		if result.outcome == answered && !exchange.canRetryAtNewOwner(result, now) {
 			exchange.writeAnswer(slot, result)
 			return nil
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -14,6 +14,7 @@
 	"cherrykeel/conns"
 	"cherrykeel/deny"
 	"cherrykeel/flow"
+	"cherrykeel/memory"
 	"cherrykeel/permit"
 	"cherrykeel/poison"
 )
@@ -44,6 +45,8 @@
 	// OnUpstreamLimit is called with what an upstream says of its rate limit in an answer, and with the ID of the answered
 	// request.
 	OnUpstreamLimit func(upstream permit.Incarnation, heard permit.Statement, request string)
+	// AnswerMemory bounds the answers in memory; nil means a limit of 64 MiB.
+	AnswerMemory *memory.Limit
 	// DenyList has the requests that were running when upstreams crashed; nil means an empty list.
 	DenyList *deny.List
 }
@@ -74,6 +77,9 @@
 	if settings.DenyList == nil {
 		settings.DenyList = deny.New(deny.Settings{Clock: settings.Clock, Logger: settings.Logger})
 	}
+	if settings.AnswerMemory == nil {
+		settings.AnswerMemory = memory.NewLimit(defaultAnswerMemory)
+	}
 	if settings.OnUpstreamLimit == nil {
 		settings.OnUpstreamLimit = func(permit.Incarnation, permit.Statement, string) {}
 	}
