A refusal counts as the end of an upstream only if whoever says so reaches another upstream of its service

Hosts of a zone that are cut by resets confirmed each other that the upstreams had crashed: a neighbour that does not know yet that it is cut is refused as well, and said so.

Now a host that can't connect for another one tries up to three other upstreams of that service before it answers. If none accepts, it says that its own links are lost; that counts as nothing known of the upstream, here and at the host that asked. Such a result is kept for 0.3 s, one that links work never, since a cut may have begun since. Not tried are upstreams whose own end is known, so that a service that loses one upstream after the other is still seen to. An upstream that has closed a connection under a request within a second, in order and directly, has ended itself: links that are cut reset or bring nothing. Hosts of the build before don't say whether they checked; what they say counts only while this host's own links work. Event 638 names who confirmed a refusal that was believed.

Cost: a refused or silent upstream brings three hosts to open one connection each to another one, once a second at most while the refusal is remembered; nothing on connections that work.

--- a/conns/conn.go
+++ b/conns/conn.go
@@ -23,6 +23,8 @@
 	writtenBytes int
 	// broken means that the connection must not be used again; Pool.mutex guards it.
 	broken bool
+	// closedUnderRequest means that the upstream closed the connection in order, before the whole answer.
+	closedUnderRequest bool
 	// idleSince is when the last request ended; zero for a new connection.
 	idleSince time.Time
 	// idleLimit is how long the connection may be idle and still be reused.
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -107,6 +107,9 @@
 			err = errors.WithMessage(err, "through "+conn.via())
 		}
 		pool.discard(conn)
+		if conn.closedUnderRequest && conn.via() == "" && ctx.Err() == nil {
+			pool.onClosed(conn.address)
+		}
 		if progress == Sent && ctx.Err() == nil && !pool.isBroken(conn) && !errors.Is(err, ErrHeadTooLong) {
 			pool.recordLoss(idle)
 		}
--- a/conns/head.go
+++ b/conns/head.go
@@ -59,6 +59,7 @@
 			return nil, errors.WithStack(ErrHeadTooLong)
 		}
 		if err != nil {
+			conn.closedUnderRequest = errors.Is(err, io.ErrUnexpectedEOF)
 			return nil, brokenError(err)
 		}
 		informational := response.StatusCode >= 100 && response.StatusCode < 200
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -38,6 +38,7 @@
 	idleTimeout         time.Duration
 	userTimeout         time.Duration
 	dialFunc            DialFunc
+	onClosed            func(address string)
 	allowCloseDelimited bool
 	mutex               sync.Mutex
 	addresses           map[string]*addressPool
@@ -97,6 +98,14 @@
 	}
 }
 
+// WithOnClosed sets a function that is called with the address of an upstream that has closed a direct connection under a
+// request, as a process does that ends.
+func WithOnClosed(onClosed func(address string)) Option {
+	return func(pool *Pool) {
+		pool.onClosed = onClosed
+	}
+}
+
 // WithCloseDelimited accepts answers that have no length and end with an orderly close of their connection.
 func WithCloseDelimited() Option {
 	return func(pool *Pool) {
@@ -106,7 +115,7 @@
 
 // NewPool returns an empty pool.
 func NewPool(options ...Option) *Pool {
-	pool := &Pool{dialTimeout: defaultDialTimeout, idleTimeout: defaultIdleTimeout, addresses: map[string]*addressPool{}}
+	pool := &Pool{dialTimeout: defaultDialTimeout, idleTimeout: defaultIdleTimeout, addresses: map[string]*addressPool{}, onClosed: func(string) {}}
 	for _, option := range options {
 		option(pool)
 	}
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -30,7 +30,7 @@
 	host.mesh.SetPermitHandler(host.rateLimits)
 	host.mesh.SetDefaultEra(host.defaultEra)
 	host.newTunnels()
-	host.conns = conns.NewPool(conns.WithDial(host.dialer.DialContext), conns.WithIdleTimeout(idleTimeout), conns.WithCloseDelimited())
+	host.conns = conns.NewPool(conns.WithDial(host.dialer.DialContext), conns.WithOnClosed(host.dialer.RecordClosed), conns.WithIdleTimeout(idleTimeout), conns.WithCloseDelimited())
 	host.pendingDenials = deny.NewPendingRecords()
 	host.denyList = deny.New(deny.Settings{
 		Clock: host.clock, Logger: host.logger, IsConnectionRefused: host.conns.IsRefused,
--- a/entry/reach.go
+++ b/entry/reach.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -27,7 +28,7 @@
 func (host *Host) newTunnels() {
 	host.dialer = tunnel.NewDialer(tunnel.Settings{
 		Self: host.self, Clock: host.clock, Logger: host.logger, Scope: host.scope, Dial: host.dial, UserTimeout: userTimeout,
-		FindUpstream: host.appliedUpstreams.findAddress, ShortName: share.ShortName,
+		FindUpstream: host.appliedUpstreams.findAddress, ShortName: share.ShortName, FindOthers: host.appliedUpstreams.findOthers,
 		OnLost: host.handleLostLink, OnRestored: host.handleRestoredLink,
 	})
 	descriptors := tunnelShare * float64(host.settings.MaxDescriptors)
@@ -117,6 +118,24 @@
 	return upstream, listed
 }
 
+// findOthers returns the addresses of selected upstreams, up to a number of them. They begin at a random place of the
+// list, so that many checks spread.
+func (upstreamList *upstreamList) findOthers(limit int, isSelected func(upstream cherrykeel.Upstream) bool) []string {
+	list := upstreamList.current()
+	var addresses []string
+	if len(list) == 0 {
+		return addresses
+	}
+	begin := rand.IntN(len(list))
+	for i := range list {
+		other := list[(begin+i)%len(list)]
+		if len(addresses) < limit && isSelected(other) {
+			addresses = append(addresses, other.Address)
+		}
+	}
+	return addresses
+}
+
 // store replaces the list.
 func (upstreamList *upstreamList) store(list []cherrykeel.Upstream) {
 	byAddress := make(map[string]cherrykeel.Upstream, len(list))
--- a/events/events.go
+++ b/events/events.go
@@ -125,6 +125,7 @@
 	TunnelsLeft         = define(634, zap.WarnLevel, "connections for other hosts were cut by the end of this one")
 	LimitNamed          = define(635, zap.WarnLevel, "upstream named a limit, or another one, in an answer")
 	LimitEnded          = define(636, zap.InfoLevel, "upstream names no limit any more")
+	RefusalBelieved     = define(638, zap.InfoLevel, "upstream's process has ended, by refused connections")
 	StoreRestored       = define(640, zap.WarnLevel, "store has come back from a copy")
 	RecordRestored      = define(641, zap.WarnLevel, "record that the store's copy lacks is written again")
 	PermitsGiven        = define(637, zap.InfoLevel, "permits of an upstream that names a limit were handed out")
--- a/reach/fleet_test.go
+++ b/reach/fleet_test.go
@@ -131,11 +131,11 @@
 		host.table.RecordMiss(address, fleet.refused, end)
 	case opened:
 		host.table.RecordTunneled(address, end)
-	case (fleet.refused && plan.Direct || replies.Refused > 0) && host.table.IsProcessEnd(address, replies, end):
+	case (fleet.refused && plan.Direct || replies.Refused > 0) && host.table.IsProcessEnd(address, replies, reach.LinksLost, end):
 		fleet.ended++
 		host.table.RecordRefused(address, end)
 	default:
-		host.table.RecordUnreached(address, replies, end)
+		host.table.RecordUnreached(address, replies, reach.LinksLost, end)
 	}
 	return opened
 }
@@ -165,14 +165,10 @@
 	case !asked.cut:
 		asked.table.RecordConnected(address, at)
 		return reach.Opened, modelRoundTrip
-	case asked.table.IsLost(address):
-		return reach.Missing, modelRoundTrip
-	case !fleet.refused:
-		return reach.Missing, modelServeTimeout
-	case len(asked.table.Lost()) > 0:
+	case asked.table.IsLost(address) || fleet.refused:
 		return reach.Missing, modelRoundTrip
 	default:
-		return reach.Refused, modelRoundTrip
+		return reach.Missing, modelServeTimeout
 	}
 }
 
--- a/reach/peers.go
+++ b/reach/peers.go
@@ -140,7 +140,7 @@
 	case Missing:
 		peer.missingUntil = now.Add(missingTime)
 		peer.decline(address, now)
-	case Refused, Unreached:
+	case Refused, Unchecked, Unreached:
 		peer.decline(address, now)
 	case Declined, Silent:
 		peer.lastUntil = now.Add(silentTime)
--- a/reach/table.go
+++ b/reach/table.go
@@ -27,6 +27,9 @@
 	maxClosedTime = 2 * time.Second
 	// refusedTime is for how long a refusal that other hosts have confirmed is not confirmed again.
 	refusedTime = time.Second
+	// closedTime is for how long after an upstream has closed a connection under a request a refusal is its own: links that
+	// are cut reset connections or bring nothing, and only a process that ends closes them.
+	closedTime = time.Second
 	// forgetTime is how long an address without a connection attempt is remembered.
 	forgetTime = time.Minute
 )
@@ -65,11 +68,15 @@
 	// failures counts consecutive attempts that neither this host nor another one could complete.
 	failures    int
 	closedUntil cherrykeel.Instant
-	// untold means that it is closed though no host could tell about the upstream itself.
+	// untold means that no host could tell about the upstream itself when it was tried last.
 	untold bool
 	// refusedUntil is until when the address is known to refuse connections from every host.
 	refusedUntil cherrykeel.Instant
-	usedAt       cherrykeel.Instant
+	// closedAt is when the process at the address last closed a connection under a request.
+	closedAt cherrykeel.Instant
+	// ended means that the process at the address was found to have ended, and that no connection was opened since.
+	ended  bool
+	usedAt cherrykeel.Instant
 }
 
 // miss is the newest miss of an address.
@@ -166,6 +173,7 @@
 func (table *Table) RecordConnected(address string, now cherrykeel.Instant) Change {
 	path := table.path(address, now)
 	path.misses, path.failures = 0, 0
+	path.ended, path.untold = false, false
 	path.closedUntil, path.refusedUntil = 0, 0
 	if !path.lost {
 		return Unchanged
@@ -181,6 +189,7 @@
 	path.misses++
 	table.rememberMiss(address, now)
 	path.failures = 0
+	path.ended = false
 	path.closedUntil, path.refusedUntil = 0, 0
 	table.reopenUntold(now)
 	path.directAt = now.Add(table.directPause())
@@ -222,11 +231,11 @@
 
 // RecordUnreached records that neither this host nor those that it asked could connect to an address, and reports
 // whether that is new. The time for which the address is closed grows only while hosts that reach other upstreams say
-// so: else the cause are the links of those that were asked.
-func (table *Table) RecordUnreached(address string, replies Replies, now cherrykeel.Instant) bool {
+// so, or this host's own links work: else links are the cause, its own or of those that were asked.
+func (table *Table) RecordUnreached(address string, replies Replies, own Links, now cherrykeel.Instant) bool {
 	path := table.path(address, now)
 	path.failures++
-	path.untold = replies.telling() == 0
+	path.untold = replies.telling() == 0 && own == LinksLost
 	if path.untold {
 		path.closedUntil = now.Add(minClosedTime)
 		table.untoldUntil = max(table.untoldUntil, path.closedUntil)
@@ -240,26 +249,64 @@
 // refusal comes at once, and an upstream may have started again.
 func (table *Table) RecordRefused(address string, now cherrykeel.Instant) {
 	path := table.path(address, now)
+	path.ended = true
 	if path.lost {
-		table.RecordUnreached(address, Replies{Refused: 1}, now)
+		table.RecordUnreached(address, Replies{Refused: 1}, LinksUnknown, now)
 		return
 	}
 	path.misses = 0
 	path.refusedUntil = now.Add(refusedTime)
 }
 
-// IsProcessEnd reports whether a refused connection shows that no process listens at the address: other hosts have been
-// refused as well. While this host misses other addresses, only they count; if none of them answered, its own links are
-// the likelier cause.
-func (table *Table) IsProcessEnd(address string, replies Replies, now cherrykeel.Instant) bool {
+// IsProcessEnd reports whether a refused connection shows that no process listens at the address: most other hosts whose
+// links work have been refused as well. What hosts say that have not checked their links counts only as long as this
+// host's own are not lost, and where no other host answered, its own have to work.
+func (table *Table) IsProcessEnd(address string, replies Replies, own Links, now cherrykeel.Instant) bool {
 	switch {
-	case replies.Refused == 0 && replies.Unreached+replies.Missing > 0:
-		return false
-	case replies.Refused > 0:
+	case replies.Refused > 0 || replies.Unreached > 0:
 		return replies.Refused > replies.Unreached
+	case own == LinksProven:
+		return true
+	case own == LinksLost:
+		return false
+	case replies.Unchecked > 0:
+		return replies.Unchecked > replies.Missing
+	case replies.Missing > 0:
+		return false
 	default:
-		return !table.isSuspect(address, now) && len(table.Lost()) == 0
+		return own == LinksWork || !table.isSuspect(address, now) && len(table.Lost()) == 0
+	}
+}
+
+// RecordEnd records that the process at an address was found to have ended when another host asked for it.
+func (table *Table) RecordEnd(address string, now cherrykeel.Instant) {
+	table.path(address, now).ended = true
+}
+
+// RecordClosed records that the process at an address has closed a direct connection under a request.
+func (table *Table) RecordClosed(address string, now cherrykeel.Instant) {
+	table.path(address, now).closedAt = now
+}
+
+// WasClosed reports whether the process at an address has closed a direct connection under a request a moment ago.
+func (table *Table) WasClosed(address string, now cherrykeel.Instant) bool {
+	path, known := table.paths[address]
+	return known && path.wasClosed(now)
+}
+
+func (path *path) wasClosed(now cherrykeel.Instant) bool {
+	return path.closedAt != 0 && now.Sub(path.closedAt) < closedTime
+}
+
+// Ended returns the addresses whose process has ended, as far as this host knows, or may have ended a moment ago.
+func (table *Table) Ended(now cherrykeel.Instant) map[string]bool {
+	ended := map[string]bool{}
+	for address, path := range table.paths {
+		if path.ended || path.wasClosed(now) {
+			ended[address] = true
+		}
 	}
+	return ended
 }
 
 // ClosedFor returns for how long no connection to an address is tried, since no host is known that reaches it.
@@ -271,6 +318,13 @@
 	return max(0, path.closedUntil.Sub(now))
 }
 
+// IsUntold reports whether neither this host nor those that it asked could tell about an upstream when they could not
+// connect to it last: their own links are lost.
+func (table *Table) IsUntold(address string) bool {
+	path, known := table.paths[address]
+	return known && path.untold && path.failures > 0
+}
+
 // IsLost reports whether this host does not reach an address itself.
 func (table *Table) IsLost(address string) bool {
 	path, known := table.paths[address]
--- a/reach/table_test.go
+++ b/reach/table_test.go
@@ -82,7 +82,7 @@
 		var closed []time.Duration
 		at := now
 		for range 6 {
-			table.RecordUnreached(first, reach.Replies{Unreached: 1}, at)
+			table.RecordUnreached(first, reach.Replies{Unreached: 1}, reach.LinksWork, at)
 			closed = append(closed, table.ClosedFor(first, at))
 			Expect(table.Plan(first, at)).To(Equal(reach.Plan{}))
 			at = at.Add(table.ClosedFor(first, at))
@@ -92,6 +92,20 @@
 		Expect(closed[5]).To(Equal(2 * time.Second))
 	})
 
+	// Guards against callers who wait for 2 s though a host is known that opens connections: an address was closed by the
+	// answers of hosts that had lost their own links.
+	It("is closed shortly while nobody can tell about the upstream, until one is known that opens connections", func() {
+		for range 6 {
+			table.RecordUnreached(first, reach.Replies{Missing: 9}, reach.LinksLost, now)
+			Expect(table.ClosedFor(first, now)).To(Equal(200 * time.Millisecond))
+			Expect(table.IsUntold(first)).To(BeTrue())
+		}
+		table.RecordTunneled(second, now)
+		Expect(table.Plan(first, now).Tunnel).To(BeTrue())
+		table.RecordUnreached(first, reach.Replies{Missing: 9}, reach.LinksWork, now)
+		Expect(table.IsUntold(first)).To(BeFalse())
+	})
+
 	It("is tried directly alone for a while after a refusal that others have confirmed", func() {
 		table.RecordRefused(first, now)
 		Expect(table.Plan(first, now)).To(Equal(reach.Plan{Direct: true}))
@@ -114,18 +128,28 @@
 
 	// Guards against ordinary requests that are denied everywhere: a cut host's refused connection counted as the crash of an
 	// upstream that serves all others.
-	DescribeTable("shows the end of a process by a refusal", func(replies reach.Replies, misses bool, expected bool) {
+	DescribeTable("shows the end of a process by a refusal", func(replies reach.Replies, own reach.Links, misses bool, expected bool) {
 		if misses {
 			table.RecordMiss(second, true, now)
 		}
-		Expect(table.IsProcessEnd(first, replies, now)).To(Equal(expected))
+		Expect(table.IsProcessEnd(first, replies, own, now)).To(Equal(expected))
 	},
-		Entry("that two other hosts confirm", reach.Replies{Refused: 2}, false, true),
-		Entry("that other hosts confirm, though this one misses links", reach.Replies{Refused: 1, Others: 1}, true, true),
-		Entry("not when others do not reach it either", reach.Replies{Unreached: 2}, false, false),
-		Entry("not when as many cannot tell", reach.Replies{Refused: 1, Unreached: 1}, false, false),
-		Entry("where no other host can be asked", reach.Replies{}, false, true),
-		Entry("not where none can be asked and this one misses links", reach.Replies{Others: 2}, true, false),
+		Entry("that two other hosts confirm", reach.Replies{Refused: 2}, reach.LinksUnknown, false, true),
+		Entry("that other hosts confirm, though this one misses links", reach.Replies{Refused: 1, Others: 1}, reach.LinksLost, true, true),
+		Entry("not when others do not reach it either", reach.Replies{Unreached: 2}, reach.LinksUnknown, false, false),
+		Entry("not when as many cannot reach it", reach.Replies{Refused: 1, Unreached: 1}, reach.LinksUnknown, false, false),
+		Entry("that one confirms, though others miss links", reach.Replies{Refused: 1, Missing: 5}, reach.LinksUnknown, false, true),
+		Entry("that the upstream itself has announced by closing a connection", reach.Replies{Missing: 2}, reach.LinksProven, false, true),
+		Entry("not when it has closed one and others do not reach it", reach.Replies{Unreached: 1}, reach.LinksProven, false, false),
+		Entry("not when others miss links", reach.Replies{Missing: 1}, reach.LinksWork, false, false),
+		Entry("that others confirm without a check, while this host's links work", reach.Replies{Unchecked: 2}, reach.LinksWork, false, true),
+		Entry("that others confirm without a check, where there is nothing to check by", reach.Replies{Unchecked: 2}, reach.LinksUnknown, false, true),
+		Entry("not by others without a check, while this host's links are lost", reach.Replies{Unchecked: 3}, reach.LinksLost, false, false),
+		Entry("not by others without a check, when as many miss links", reach.Replies{Unchecked: 1, Missing: 1}, reach.LinksWork, false, false),
+		Entry("where no other host can be asked", reach.Replies{}, reach.LinksUnknown, false, true),
+		Entry("where no other host can be asked and this one's links work", reach.Replies{Others: 2}, reach.LinksWork, true, true),
+		Entry("not where none can be asked and this one's links are lost", reach.Replies{}, reach.LinksLost, false, false),
+		Entry("not where none can be asked and this one misses links", reach.Replies{Others: 2}, reach.LinksUnknown, true, false),
 	)
 })
 
--- a/tunnel/attempt.go
+++ b/tunnel/attempt.go
@@ -18,6 +18,8 @@
 	// answered instead of opening the connection.
 	directError error
 	replies     reach.Replies
+	// declined names the hosts that were asked with their replies.
+	declined []string
 }
 
 type directResult struct {
@@ -26,9 +28,8 @@
 }
 
 type tunnelResult struct {
-	asked   askedResult
-	replies reach.Replies
-	err     error
+	asked askedResult
+	err   error
 }
 
 // run returns the first connection that is open.
@@ -69,7 +70,7 @@
 				go discardDirect(direct)
 				return attempt.dialer.newConn(attempt, result.asked), nil
 			}
-			attempt.replies, failure = result.replies, result.err
+			attempt.replies, attempt.declined, failure = result.asked.replies, result.asked.declined, result.err
 		}
 	}
 	return nil, failure
@@ -87,8 +88,8 @@
 func (attempt *attempt) startTunnel(ctx context.Context) chan tunnelResult {
 	results := make(chan tunnelResult, 1)
 	go func() {
-		asked, replies, err := attempt.dialer.askAll(ctx, attempt.dialer.order(attempt.address), attempt.address)
-		results <- tunnelResult{asked: asked, replies: replies, err: err}
+		asked, err := attempt.dialer.askAll(ctx, attempt.dialer.order(attempt.address), attempt.address)
+		results <- tunnelResult{asked: asked, err: err}
 	}()
 	return results
 }
--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"strings"
 	"syscall"
 	"time"
 
@@ -34,52 +33,58 @@
 	}
 	socket := opened.(*net.TCPConn)
 	stop := context.AfterFunc(ctx, func() { _ = socket.SetDeadline(time.Unix(1, 0)) })
-	state, err := dialer.call(socket, address)
+	answer, err := dialer.call(socket, openCall{Host: dialer.self.Name, Incarnation: dialer.self.Incarnation, Address: address})
 	inTime := stop()
-	if err == nil && state == stateOpened && inTime {
+	if err == nil && answer.State == stateOpened && inTime {
 		return socket, reach.Opened
 	}
 	reset(socket)
 	if err != nil || !inTime {
 		return nil, reach.Silent
 	}
-	return nil, state.reply()
+	return nil, answer.reply()
 }
 
-func (dialer *Dialer) call(socket *net.TCPConn, address string) (state, error) {
-	err := writeCall(socket, openCall{Host: dialer.self.Name, Incarnation: dialer.self.Incarnation, Address: address})
+func (dialer *Dialer) call(socket *net.TCPConn, call openCall) (openAnswer, error) {
+	err := writeCall(socket, call)
 	if err != nil {
-		return "", err
+		return openAnswer{}, err
 	}
 	return readAnswer(socket)
 }
 
-// askedResult is the result of asking one host.
-type askedResult struct {
+// reply is what one host has answered.
+type reply struct {
 	peer   cherrykeel.Peer
 	socket *net.TCPConn
 	reply  reach.Reply
 }
 
+// askedResult is the result of asking hosts for a connection: the one that has opened it, or what they replied instead.
+type askedResult struct {
+	reply
+	replies reach.Replies
+	// declined names the hosts that did not open it, with their replies.
+	declined []string
+}
+
 // askAll asks the hosts one after the other until one has opened the connection, or enough have told why they did not. It
-// asks the next one as soon as the one before has declined, or does not answer. The error is not nil if none has opened
-// it, and names those that were asked.
-func (dialer *Dialer) askAll(ctx context.Context, order []cherrykeel.Peer, address string) (askedResult, reach.Replies, error) {
-	var declined []string
+// asks the next one as soon as the one before has declined, or does not answer. The error is not nil if none has opened it.
+func (dialer *Dialer) askAll(ctx context.Context, peers []cherrykeel.Peer, address string) (askedResult, error) {
+	var asking askedResult
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan askedResult, len(order))
-	var replies reach.Replies
+	results := make(chan reply, len(peers))
 	asked, answered := 0, 0
 	askNext := func() {
-		if asked == len(order) || !replies.AllowsNext(asked-answered) {
+		if asked == len(peers) || !asking.replies.AllowsNext(asked-answered) {
 			return
 		}
-		peer := order[asked]
+		peer := peers[asked]
 		asked++
 		go func() {
-			socket, reply := dialer.ask(ctx, peer, address)
-			results <- askedResult{peer: peer, socket: socket, reply: reply}
+			socket, answered := dialer.ask(ctx, peer, address)
+			results <- reply{peer: peer, socket: socket, reply: answered}
 		}()
 	}
 	askNext()
@@ -94,21 +99,22 @@
 			if result.reply == reach.Opened {
 				dialer.recordReply(result.peer.Name, address, result.reply)
 				go closeLater(results, asked-answered)
-				return result, replies, nil
+				asking.reply = result
+				return asking, nil
 			}
 			if ctx.Err() == nil {
 				dialer.recordReply(result.peer.Name, address, result.reply)
 			}
-			replies.Add(result.reply)
-			declined = append(declined, result.peer.Name+": "+result.reply.String())
+			asking.replies.Add(result.reply)
+			asking.declined = append(asking.declined, result.peer.Name+": "+result.reply.String())
 			askNext()
 		}
 	}
-	return askedResult{}, replies, errors.Wrap(errNoHost, strings.Join(declined, ", "))
+	return asking, errors.WithStack(errNoHost)
 }
 
 // closeLater closes the connections of hosts whose answer came after another host's.
-func closeLater(results <-chan askedResult, count int) {
+func closeLater(results <-chan reply, count int) {
 	for range count {
 		result := <-results
 		if result.socket != nil {
--- a/tunnel/dialer.go
+++ b/tunnel/dialer.go
@@ -41,6 +41,8 @@
 	UserTimeout time.Duration
 	// FindUpstream returns the upstream with an address.
 	FindUpstream func(address string) (cherrykeel.Upstream, bool)
+	// FindOthers returns the addresses of selected upstreams, up to a number of them, each time other ones.
+	FindOthers func(limit int, isSelected func(upstream cherrykeel.Upstream) bool) []string
 	// ShortName returns an upstream's name in the reports of hosts.
 	ShortName func(id string) string
 	// OnLost is called with an address that this host no longer reaches itself. If its link is silent, open connections
@@ -63,6 +65,8 @@
 	// tunnels are the open tunnels, and orders the open connections for orders.
 	tunnels map[*conn]bool
 	orders  map[*orderConn]bool
+	// linksLostAt is when the links to a service were last found not to work, by service.
+	linksLostAt map[string]cherrykeel.Instant
 	// linksLost is whether the log last said that links are lost.
 	linksLost bool
 }
@@ -71,7 +75,7 @@
 func NewDialer(settings Settings) *Dialer {
 	return &Dialer{
 		Settings: settings, self: settings.Self, clock: settings.Clock, peerDialer: conns.NewDialer(askTimeout, settings.UserTimeout),
-		table: reach.NewTable(rand.Float64), peers: reach.NewPeers(settings.Self.Zone, rand.Float64), tunnels: map[*conn]bool{}, orders: map[*orderConn]bool{},
+		table: reach.NewTable(rand.Float64), peers: reach.NewPeers(settings.Self.Zone, rand.Float64), tunnels: map[*conn]bool{}, orders: map[*orderConn]bool{}, linksLostAt: map[string]cherrykeel.Instant{},
 	}
 }
 
@@ -132,19 +136,24 @@
 
 // recordFailure records that a connection could not be opened, and returns the error that shows its cause.
 func (dialer *Dialer) recordFailure(attempt *attempt, err error) error {
-	dialer.mutex.Lock()
-	defer dialer.mutex.Unlock()
-	now := dialer.clock.Now()
 	refused := isRefused(attempt.directError) || attempt.replies.Refused > 0
 	if refused && !attempt.plan.Tunnel {
 		return err
 	}
-	if refused && dialer.table.IsProcessEnd(attempt.address, attempt.replies, now) {
+	links := reach.LinksUnknown
+	if attempt.replies.NeedsOwnLinks() {
+		links = dialer.checkOwnLinks(attempt.address)
+	}
+	dialer.mutex.Lock()
+	defer dialer.mutex.Unlock()
+	now := dialer.clock.Now()
+	if refused && dialer.table.IsProcessEnd(attempt.address, attempt.replies, links, now) {
 		dialer.table.RecordRefused(attempt.address, now)
+		dialer.logPath(events.RefusalBelieved, attempt.address, zap.Strings("Replies", attempt.declined), zap.Stringer("OwnLinks", links))
 		return errors.WithStack(os.NewSyscallError("connect", syscall.ECONNREFUSED))
 	}
-	if dialer.table.RecordUnreached(attempt.address, attempt.replies, now) {
-		dialer.logPath(events.UpstreamUnreached, attempt.address, zap.Int("Asked", attempt.replies.Total()), zap.Error(err))
+	if dialer.table.RecordUnreached(attempt.address, attempt.replies, links, now) {
+		dialer.logPath(events.UpstreamUnreached, attempt.address, zap.Int("Asked", attempt.replies.Total()), zap.Strings("Replies", attempt.declined), zap.Stringer("OwnLinks", links), zap.Error(err))
 	}
 	return errors.Wrap(ErrUnreached, err.Error())
 }
--- a/tunnel/message.go
+++ b/tunnel/message.go
@@ -33,8 +33,20 @@
 // openAnswer answers an openCall.
 type openAnswer struct {
 	State state
+	// Links tells whether the links of the host that answers are the cause. Hosts of earlier builds do not tell.
+	Links linksState `json:",omitempty"`
 }
 
+// linksState is the state of a host's links to the upstreams of a service.
+type linksState string
+
+// The states of links.
+const (
+	linksUnknown linksState = ""
+	linksWork    linksState = "Work"
+	linksLost    linksState = "Lost"
+)
+
 // state is the result of an openCall.
 type state string
 
@@ -48,14 +60,19 @@
 	stateUnknown   state = "Unknown"
 )
 
-// reply returns what a result means to the host that asked.
-func (state state) reply() reach.Reply {
-	switch state {
-	case stateOpened:
+// reply returns what an answer means to the host that asked.
+func (answer openAnswer) reply() reach.Reply {
+	works := answer.Links == linksWork
+	switch {
+	case answer.State == stateOpened:
 		return reach.Opened
-	case stateRefused:
+	case answer.State == stateRefused && works:
 		return reach.Refused
-	case stateUnreached:
+	case answer.State == stateRefused:
+		return reach.Unchecked
+	case answer.State == stateUnreached && works:
+		return reach.Unreached
+	case answer.State == stateUnreached:
 		return reach.Missing
 	default:
 		return reach.Declined
@@ -122,8 +139,8 @@
 }
 
 // writeAnswer writes the answer to an openCall.
-func writeAnswer(conn net.Conn, state state) error {
-	result, err := json.Marshal(openAnswer{State: state})
+func writeAnswer(conn net.Conn, answer openAnswer) error {
+	result, err := json.Marshal(answer)
 	if err != nil {
 		return errors.WithStack(err)
 	}
@@ -132,15 +149,15 @@
 }
 
 // readAnswer reads the answer to an openCall.
-func readAnswer(conn net.Conn) (state, error) {
+func readAnswer(conn net.Conn) (openAnswer, error) {
 	var response jsonrpc2.Response
 	err := readMessage(conn, &response)
 	if err != nil {
-		return "", err
+		return openAnswer{}, err
 	}
 	var answer openAnswer
 	if response.Result == nil || json.Unmarshal(*response.Result, &answer) != nil {
-		return "", errors.WithStack(ErrMalformed)
+		return openAnswer{}, errors.WithStack(ErrMalformed)
 	}
-	return answer.State, nil
+	return answer, nil
 }
--- a/tunnel/return.go
+++ b/tunnel/return.go
@@ -1,9 +1,6 @@
 package tunnel
 
-import (
-	"context"
-	"time"
-)
+import "time"
 
 const (
 	// maxTries bounds the direct attempts that one call of TryLost makes.
@@ -19,17 +16,6 @@
 	due := dialer.table.TakeDue(maxTries, dialer.clock.Now())
 	dialer.mutex.Unlock()
 	for _, address := range due {
-		go dialer.tryDirect(address)
-	}
-}
-
-func (dialer *Dialer) tryDirect(address string) {
-	ctx, cancel := context.WithTimeout(context.Background(), tryTimeout)
-	defer cancel()
-	opened, err := dialer.Dial(ctx, "tcp", address)
-	if err != nil {
-		return
+		go dialer.tryDirect(address, tryTimeout)
 	}
-	_ = opened.Close()
-	dialer.recordConnected(address)
 }
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -100,16 +100,16 @@
 	}
 	generation, state := server.admit(call, near.RemoteAddr())
 	if state != stateOpened {
-		server.decline(near, state)
+		server.decline(near, openAnswer{State: state})
 		return
 	}
 	defer server.leave(call.Host)
-	far, state := server.connect(call.Address)
-	if state != stateOpened {
-		server.decline(near, state)
+	far, answer := server.connect(call.Address)
+	if answer.State != stateOpened {
+		server.decline(near, answer)
 		return
 	}
-	err = writeAnswer(near, stateOpened)
+	err = writeAnswer(near, answer)
 	if err != nil {
 		reset(near)
 		reset(far)
@@ -128,8 +128,8 @@
 }
 
 // decline answers that no connection was opened. The connection is closed in order, so that the answer arrives.
-func (server *Server) decline(near *net.TCPConn, state state) {
-	_ = writeAnswer(near, state)
+func (server *Server) decline(near *net.TCPConn, answer openAnswer) {
+	_ = writeAnswer(near, answer)
 	_ = near.Close()
 }
 
@@ -199,26 +199,51 @@
 	return server.guard.Check(server.dialer.clock.Now()) == generation
 }
 
-// connect opens a direct connection to an upstream. It never asks a further host.
-func (server *Server) connect(address string) (*net.TCPConn, state) {
+// connect opens a direct connection to an upstream. It never asks a further host. If it fails, the answer tells whether
+// this host's links to the upstream's service work: all hosts of an availability zone may have lost theirs, and without
+// that they would confirm each other that the upstream's process has ended.
+func (server *Server) connect(address string) (*net.TCPConn, openAnswer) {
 	dialer := server.dialer
-	if dialer.isLost(address) {
-		return nil, stateUnreached
+	if dialer.knowsLinksLost(address) {
+		return nil, openAnswer{State: stateUnreached, Links: linksLost}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), serveTimeout)
 	defer cancel()
 	opened, err := dialer.Dial(ctx, "tcp", address)
-	switch {
-	case err == nil:
+	if err == nil {
 		dialer.recordConnected(address)
-		return opened.(*net.TCPConn), stateOpened
-	case isRefused(err) && !dialer.missesLinks():
-		return nil, stateRefused
+		return opened.(*net.TCPConn), openAnswer{State: stateOpened}
+	}
+	links := dialer.checkLinks(address)
+	switch {
+	case links == reach.LinksLost:
+		return nil, openAnswer{State: stateUnreached, Links: linksLost}
+	case isRefused(err):
+		dialer.recordEnd(address, links)
+		return nil, openAnswer{State: stateRefused, Links: linksOf(links)}
 	default:
-		return nil, stateUnreached
+		return nil, openAnswer{State: stateUnreached, Links: linksOf(links)}
 	}
 }
 
+// recordEnd records that an upstream's process has ended, if this host's own links are not the likelier cause.
+func (dialer *Dialer) recordEnd(address string, links reach.Links) {
+	if links == reach.LinksUnknown {
+		return
+	}
+	dialer.mutex.Lock()
+	defer dialer.mutex.Unlock()
+	dialer.table.RecordEnd(address, dialer.clock.Now())
+}
+
+// linksOf returns the state of links as messages have it.
+func linksOf(links reach.Links) linksState {
+	if links == reach.LinksUnknown {
+		return linksUnknown
+	}
+	return linksWork
+}
+
 // isKnown reports whether a call comes from another host of ours, in its present incarnation.
 func (dialer *Dialer) isKnown(call openCall, from net.Addr) bool {
 	dialer.mutex.Lock()
@@ -235,17 +260,3 @@
 	actual, err := netip.ParseAddrPort(from.String())
 	return err == nil && expected.Addr().Unmap() == actual.Addr().Unmap()
 }
-
-// isLost reports whether this host does not reach an address itself.
-func (dialer *Dialer) isLost(address string) bool {
-	dialer.mutex.Lock()
-	defer dialer.mutex.Unlock()
-	return dialer.table.IsLost(address)
-}
-
-// missesLinks reports whether this host misses any upstream, so that a refusal may be its own.
-func (dialer *Dialer) missesLinks() bool {
-	dialer.mutex.Lock()
-	defer dialer.mutex.Unlock()
-	return len(dialer.table.Lost()) > 0
-}
--- a/tunnel/status.go
+++ b/tunnel/status.go
@@ -34,6 +34,14 @@
 	return dialer.table.LostFor(address, dialer.clock.Now())
 }
 
+// IsUntold reports whether neither this host nor those that it asked could tell about the upstream at an address when they
+// could not connect to it last.
+func (dialer *Dialer) IsUntold(address string) bool {
+	dialer.mutex.Lock()
+	defer dialer.mutex.Unlock()
+	return dialer.table.IsUntold(address)
+}
+
 // Tunnels returns the number of open tunnels through each other host.
 func (dialer *Dialer) Tunnels() map[string]int {
 	dialer.mutex.Lock()
@@ -53,6 +61,7 @@
 		_, listed := dialer.FindUpstream(address)
 		return listed
 	}, dialer.clock.Now())
+	dialer.forgetLinks(dialer.clock.Now())
 	dialer.logSummary()
 }
 
--- a/tunnel/suite_test.go
+++ b/tunnel/suite_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"net"
 	"os"
 	"sync"
@@ -88,7 +89,7 @@
 	}
 	host.dialer = tunnel.NewDialer(tunnel.Settings{
 		Self: host.peer, Clock: host.clock, Logger: zap.NewNop(), Scope: tally.NoopScope, Dial: host.dial, UserTimeout: 500 * time.Millisecond,
-		FindUpstream: network.find, ShortName: func(id string) string { return id },
+		FindUpstream: network.find, ShortName: func(id string) string { return id }, FindOthers: network.findOthers,
 		OnLost: func(address string, silent bool) {
 			if silent {
 				host.silences <- address
@@ -107,6 +108,39 @@
 	return cherrykeel.Upstream{ID: "u-" + address, Address: address}, network.listed[address]
 }
 
+// newHostOfBuildBefore returns a host that answers each call with a state and tells nothing about its links.
+func newHostOfBuildBefore(state string) cherrykeel.Peer {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	answer := `{"id":"","result":{"State":"` + state + `"},"jsonrpc":"2.0"}`
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 1024))
+			_, _ = conn.Write(binary.BigEndian.AppendUint16(nil, uint16(len(answer))))
+			_, _ = conn.Write([]byte(answer))
+		}
+	}()
+	return cherrykeel.Peer{Name: "before", Incarnation: "before-1", InternalAddress: listener.Addr().String(), Zone: "z"}
+}
+
+// findOthers returns addresses of listed upstreams.
+func (network *network) findOthers(limit int, isSelected func(upstream cherrykeel.Upstream) bool) []string {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	var others []string
+	for other := range network.listed {
+		if len(others) < limit && isSelected(cherrykeel.Upstream{Address: other}) {
+			others = append(others, other)
+		}
+	}
+	return others
+}
+
 // list makes an address that of an upstream.
 func (network *network) list(address string) string {
 	network.mutex.Lock()
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -9,6 +9,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"cherrykeel"
+	"cherrykeel/fakes"
 	"cherrykeel/reach"
 	"cherrykeel/tunnel"
 )
@@ -108,6 +110,43 @@
 		Expect(err).To(MatchError(tunnel.ErrUnreached))
 	})
 
+	// Guards against hosts of one availability zone that lose their links together, are refused everywhere, and confirm
+	// each other that upstreams have crashed which serve all other hosts.
+	It("is not refused as by the upstream if those that are asked are refused everywhere", func() {
+		network := newNetwork(4)
+		address := network.listen(echo)
+		network.listen(echo)
+		for _, host := range network.hosts {
+			host.refuse()
+		}
+		_, err := network.hosts[0].open(address)
+		Expect(err).To(MatchError(tunnel.ErrUnreached))
+	})
+
+	// Guards against crashes that no host marks any more: hosts that are refused doubt their own links.
+	It("is refused as by the upstream if its process has ended and others still accept", func() {
+		network := newNetwork(3)
+		network.listen(echo)
+		_, err := network.hosts[0].open(network.list(fakes.FreeAddress()))
+		Expect(err).To(MatchError(syscall.ECONNREFUSED))
+	})
+
+	// Guards against hosts of the build before, which confirm a refusal though they may be cut themselves.
+	DescribeTable("is refused as by the upstream where a host confirms it that has not checked its links", func(cut bool, expected error) {
+		network := newNetwork(1)
+		network.listen(echo)
+		before := newHostOfBuildBefore("Refused")
+		network.hosts[0].dialer.SetPeers([]cherrykeel.Peer{before})
+		if cut {
+			network.hosts[0].refuse()
+		}
+		_, err := network.hosts[0].open(network.list(fakes.FreeAddress()))
+		Expect(err).To(MatchError(expected))
+	},
+		Entry("only if this host's own links work", false, syscall.ECONNREFUSED),
+		Entry("not if this host is refused everywhere", true, tunnel.ErrUnreached),
+	)
+
 	// Guards against connection attempts for each request while nobody reaches the upstream.
 	It("is not tried for a while after nobody has reached it", func() {
 		network := newNetwork(2)
