A keeper without links doesn't give its owners up, has room in tunnels kept for it, and says why it keeps

Once hosts of other zones are asked the keeper grants through them; two ways remained in which its place could still cost keys: two grants that found no way within 150 ms made an owner count as unavailable for 5 s, twice its lease, though the links of the hosts that were asked were the cause; and callers of the cut hosts could take all tunnels of the few hosts that reach the upstreams, or close an address again and again before a grant came.

Now a grant that failed while no host could tell about the upstream is no evidence against it, a tenth of the tunnels is kept for orders, and orders don't wait for a closed address to open. Old hosts ignore the new field of the call. Events 714 and 715 say that a keeper reaches nobody, keeps, and by how many upstreams nobody can tell of.

The spec of a host's limit now has one tunnel more, the one kept for orders, so that it still sees four opened and the fifth declined.

--- a/entry/environment.go
+++ b/entry/environment.go
@@ -88,6 +88,11 @@
 	return environment.host.dialer.LostFor(address)
 }
 
+// IsLinkUncertain implements grants.Environment.
+func (environment *environment) IsLinkUncertain(address string) bool {
+	return environment.host.dialer.IsUntold(address)
+}
+
 // findUpstream returns the present incarnation of an upstream.
 func (environment *environment) findUpstream(id string) (cherrykeel.Upstream, bool) {
 	for _, upstream := range environment.Upstreams() {
--- a/events/events.go
+++ b/events/events.go
@@ -147,6 +147,8 @@
 	LeaseDurationChanged = define(710, zap.InfoLevel, "lease durations are long, or back to usual")
 	SpanTransferable     = define(711, zap.InfoLevel, "free span is about to be transferred")
 	GrantOverdue         = define(712, zap.WarnLevel, "grant waited too long for a worker")
+	KeeperCutOff         = define(714, zap.WarnLevel, "this keeper reaches no owner, and keeps its role")
+	KeeperReaches        = define(715, zap.InfoLevel, "this keeper reaches owners again")
 	UnknownOwnerReleased = define(713, zap.InfoLevel, "upstream has released keys that it may have held under a lost table")
 )
 
--- a/grants/keeper.go
+++ b/grants/keeper.go
@@ -84,6 +84,9 @@
 	// LinkLostFor returns for how long this host has not reached an upstream's address itself while another host did; 0 if
 	// it reaches it.
 	LinkLostFor(address string) time.Duration
+	// IsLinkUncertain reports whether neither this host nor those that it asked could tell about an upstream when they
+	// could not connect to its address last, since their own links were lost.
+	IsLinkUncertain(address string) bool
 	// PeerIncarnation returns the incarnation that a host last announced, and how long ago the announcement was read.
 	PeerIncarnation(name string) (string, time.Duration, bool)
 	// Rank returns this host's position among the reachable hosts, starting at 0.
@@ -111,8 +114,13 @@
 	stopRequests   chan chan struct{}
 
 	// The fields below are used only by the goroutine of Run.
-	term         int64
-	unconfirmed  bool
+	term        int64
+	unconfirmed bool
+	// acceptedAt is when an owner last accepted a grant, or when the term began. cutOff means that none did for a while,
+	// since cutOffAt.
+	acceptedAt   cherrykeel.Instant
+	cutOff       bool
+	cutOffAt     cherrykeel.Instant
 	ledger       spans.Ledger
 	demand       map[string]*spans.Demand
 	speedReports map[string]map[string]speedReport
@@ -282,6 +290,7 @@
 	keeper.updateTable(ctx, table, next, now)
 	keeper.probeOwners(ctx, table, now)
 	keeper.renewGrants(ctx, table, now)
+	keeper.logCutOff(table, now)
 }
 
 // leaveTerm discards the state of the present term when another host has become the keeper.
@@ -306,6 +315,7 @@
 		return
 	}
 	keeper.term = table.Term
+	keeper.acceptedAt, keeper.cutOff = now, false
 	keeper.majorityKnows = false
 	keeper.grants = map[spans.GrantedSpan]*grantState{}
 	keeper.releases = map[spans.GrantedSpan]*releaseState{}
--- a/grants/rest_fakes_test.go
+++ b/grants/rest_fakes_test.go
@@ -14,6 +14,8 @@
 
 func (store *fakeStore) LinkLostFor(string) time.Duration { return 0 }
 
+func (store *fakeStore) IsLinkUncertain(string) bool { return false }
+
 func (store *fakeStore) IsFromCopy() bool { return false }
 
 func (store *fakeStore) ReregistrationTime() time.Duration { return 0 }
--- a/grants/send.go
+++ b/grants/send.go
@@ -95,6 +95,7 @@
 func (keeper *Keeper) recordGrantAccepted(key spans.GrantedSpan, state *grantState, grant cherrykeel.SpanGrant, fields []zap.Field, now cherrykeel.Instant) {
 	until := spans.LatestLeaseEnd(now, grant.LeaseDuration)
 	keeper.ledger.RecordLease(key, until)
+	keeper.acceptedAt = now
 	contact := keeper.contact(key.Owner)
 	contact.recordLease(until)
 	contact.recordAnswer()
@@ -106,7 +107,8 @@
 }
 
 // recordNoAnswer records that a grant was not answered. That is no evidence against the upstream if the grant had too
-// little time, was meant for an earlier incarnation, or was under way when this host's link to the upstream was lost.
+// little time, was meant for an earlier incarnation, or was under way when this host's link to the upstream was lost, or if no host that was asked for a connection could tell
+// about the upstream: it would get no grant for seconds though another host is found that reaches it.
 func (keeper *Keeper) recordNoAnswer(owner string, state *grantState, result grantResult, fields []zap.Field, now cherrykeel.Instant) {
 	contact := keeper.contact(owner)
 	fields = append(fields, zap.Duration("Waited", result.waited), zap.Error(result.err))
@@ -115,7 +117,7 @@
 		state.overdue = true
 		events.Log(keeper.logger, events.GrantOverdue, fields...)
 	case contact.startedAt > state.upstream.StartedAt:
-	case keeper.lostLinkDuring(state.upstream.Address, result):
+	case keeper.environment.IsLinkUncertain(state.upstream.Address) || keeper.lostLinkDuring(state.upstream.Address, result):
 		state.overdue = true
 		events.Log(keeper.logger, events.GrantOverdue, fields...)
 	default:
--- a/grants/standin_test.go
+++ b/grants/standin_test.go
@@ -43,6 +43,7 @@
 func (smallEnvironment) IsResting(string) bool                                { return false }
 func (smallEnvironment) RecordRest(string, time.Duration)                     {}
 func (smallEnvironment) LinkLostFor(string) time.Duration                     { return 0 }
+func (smallEnvironment) IsLinkUncertain(string) bool                          { return false }
 func (smallEnvironment) Rank() int                                            { return 0 }
 func (smallEnvironment) Reports(time.Duration) []share.ReceivedReport         { return nil }
 func (smallEnvironment) TimeSinceReport(string) (time.Duration, bool)         { return 0, false }
--- a/reach/table.go
+++ b/reach/table.go
@@ -113,10 +113,17 @@
 
 // Plan returns how the next connection to an address is opened.
 func (table *Table) Plan(address string, now cherrykeel.Instant) Plan {
+	if now < table.path(address, now).closedUntil {
+		return Plan{}
+	}
+	return table.PlanOrder(address, now)
+}
+
+// PlanOrder is Plan for a connection that carries orders only. It does not wait until a closed address is open again: an
+// owner without a renewal loses its keys, and callers' attempts may close an address time and again.
+func (table *Table) PlanOrder(address string, now cherrykeel.Instant) Plan {
 	path := table.path(address, now)
 	switch {
-	case now < path.closedUntil:
-		return Plan{}
 	case path.lost && now < path.directAt:
 		return Plan{Tunnel: true}
 	case path.lost:
--- a/tunnel/attempt.go
+++ b/tunnel/attempt.go
@@ -14,6 +14,8 @@
 	network string
 	address string
 	plan    reach.Plan
+	// order means that the connection carries orders to the upstream only.
+	order bool
 	// directError is the error of the direct attempt, nil while there is none. replies counts what other hosts have
 	// answered instead of opening the connection.
 	directError error
@@ -88,7 +90,7 @@
 func (attempt *attempt) startTunnel(ctx context.Context) chan tunnelResult {
 	results := make(chan tunnelResult, 1)
 	go func() {
-		asked, err := attempt.dialer.askAll(ctx, attempt.dialer.order(attempt.address), attempt.address)
+		asked, err := attempt.dialer.askAll(ctx, attempt.dialer.order(attempt.address), attempt.address, attempt.order)
 		results <- tunnelResult{asked: asked, err: err}
 	}()
 	return results
--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -21,7 +21,7 @@
 )
 
 // ask asks one host for a connection to an address.
-func (dialer *Dialer) ask(ctx context.Context, peer cherrykeel.Peer, address string) (*net.TCPConn, reach.Reply) {
+func (dialer *Dialer) ask(ctx context.Context, peer cherrykeel.Peer, address string, order bool) (*net.TCPConn, reach.Reply) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	opened, err := dialer.peerDialer.DialContext(ctx, "tcp", peer.InternalAddress)
@@ -33,7 +33,7 @@
 	}
 	socket := opened.(*net.TCPConn)
 	stop := context.AfterFunc(ctx, func() { _ = socket.SetDeadline(time.Unix(1, 0)) })
-	answer, err := dialer.call(socket, openCall{Host: dialer.self.Name, Incarnation: dialer.self.Incarnation, Address: address})
+	answer, err := dialer.call(socket, openCall{Host: dialer.self.Name, Incarnation: dialer.self.Incarnation, Address: address, Order: order})
 	inTime := stop()
 	if err == nil && answer.State == stateOpened && inTime {
 		return socket, reach.Opened
@@ -70,7 +70,7 @@
 
 // askAll asks the hosts one after the other until one has opened the connection, or enough have told why they did not. It
 // asks the next one as soon as the one before has declined, or does not answer. The error is not nil if none has opened it.
-func (dialer *Dialer) askAll(ctx context.Context, peers []cherrykeel.Peer, address string) (askedResult, error) {
+func (dialer *Dialer) askAll(ctx context.Context, peers []cherrykeel.Peer, address string, order bool) (askedResult, error) {
 	var asking askedResult
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -83,7 +83,7 @@
 		peer := peers[asked]
 		asked++
 		go func() {
-			socket, answered := dialer.ask(ctx, peer, address)
+			socket, answered := dialer.ask(ctx, peer, address, order)
 			results <- reply{peer: peer, socket: socket, reply: answered}
 		}()
 	}
--- a/tunnel/dialer.go
+++ b/tunnel/dialer.go
@@ -103,13 +103,18 @@
 // DialContext opens a connection to an upstream's address; it has the form of net.Dialer's. An error that is
 // ECONNREFUSED means that no process listens there, as far as other hosts could be asked.
 func (dialer *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	plan := dialer.plan(address)
+	return dialer.open(ctx, network, address, false)
+}
+
+// open opens a connection; order tells that it carries orders only.
+func (dialer *Dialer) open(ctx context.Context, network, address string, order bool) (net.Conn, error) {
+	plan := dialer.plan(address, order)
 	if !plan.Direct && !plan.Tunnel {
 		return nil, errors.WithStack(ErrUnreached)
 	}
 	bounded, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	attempt := &attempt{dialer: dialer, network: network, address: address, plan: plan}
+	attempt := &attempt{dialer: dialer, network: network, address: address, plan: plan, order: order}
 	opened, err := attempt.run(bounded)
 	if err == nil {
 		return opened, nil
@@ -120,9 +125,12 @@
 	return nil, dialer.recordFailure(attempt, err)
 }
 
-func (dialer *Dialer) plan(address string) reach.Plan {
+func (dialer *Dialer) plan(address string, order bool) reach.Plan {
 	dialer.mutex.Lock()
 	defer dialer.mutex.Unlock()
+	if order {
+		return dialer.table.PlanOrder(address, dialer.clock.Now())
+	}
 	return dialer.table.Plan(address, dialer.clock.Now())
 }
 
--- a/tunnel/message.go
+++ b/tunnel/message.go
@@ -28,6 +28,8 @@
 	Incarnation string
 	// Address is the upstream's.
 	Address string
+	// Order tells that the connection carries orders to the upstream only, such as grants.
+	Order bool `json:",omitempty"`
 }
 
 // openAnswer answers an openCall.
--- a/tunnel/orders.go
+++ b/tunnel/orders.go
@@ -20,7 +20,7 @@
 // DialOrder is DialContext for a connection that carries only what may be repeated. It is closed as soon as its link is
 // silent, or the host through which it goes stops.
 func (dialer *Dialer) DialOrder(ctx context.Context, network, address string) (net.Conn, error) {
-	opened, err := dialer.DialContext(ctx, network, address)
+	opened, err := dialer.open(ctx, network, address, true)
 	if err != nil {
 		return nil, err
 	}
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -24,6 +24,8 @@
 	serveTimeout = 100 * time.Millisecond
 	// guardInterval is how often the process checks that it was not suspended while tunnels are open.
 	guardInterval = 100 * time.Millisecond
+	// orderPart is the part of the tunnels that is kept for orders: one of so many, and one at least.
+	orderPart = 10
 	// logInterval bounds the lines on each host that has tunnels here.
 	logInterval = 10 * time.Second
 )
@@ -146,7 +148,7 @@
 	}
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
-	if server.total >= server.maxTunnels {
+	if server.total >= server.limitFor(call) {
 		return 0, stateFull
 	}
 	server.total++
@@ -165,6 +167,15 @@
 	return generation, stateOpened
 }
 
+// limitFor returns how many tunnels may be open when a call is served. Without room of their own for orders, the callers of
+// a zone that has lost its links could keep its keeper from all owners, and all keys would lose theirs.
+func (server *Server) limitFor(call openCall) int {
+	if call.Order {
+		return server.maxTunnels
+	}
+	return server.maxTunnels - max(1, server.maxTunnels/orderPart)
+}
+
 // leave counts the end of a tunnel.
 func (server *Server) leave(host string) {
 	server.mutex.Lock()
--- a/tunnel/suite_test.go
+++ b/tunnel/suite_test.go
@@ -97,7 +97,8 @@
 		},
 		OnRestored: func() { host.restored.Add(1) },
 	})
-	host.server = tunnel.NewServer(host.dialer, 4)
+	// One of them is kept for orders.
+	host.server = tunnel.NewServer(host.dialer, 5)
 	go host.server.Serve(listener)
 	return host
 }
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -1,6 +1,7 @@
 package tunnel_test
 
 import (
+	"context"
 	"io"
 	"net"
 	"syscall"
@@ -316,6 +317,24 @@
 		Expect(network.hosts[1].server.Total()).To(Equal(4))
 	})
 
+	// Guards against keys without an owner: callers of hosts without links take all connections of the only host that
+	// reaches the upstreams, and the keeper gets none.
+	It("has room for orders when it declines others", func() {
+		network := newNetwork(2)
+		address := network.listen(echo)
+		network.hosts[0].refuse()
+		for range 4 {
+			conn, err := network.hosts[0].open(address)
+			Expect(err).NotTo(HaveOccurred())
+			defer conn.Close()
+		}
+		_, err := network.hosts[0].open(address)
+		Expect(err).To(HaveOccurred())
+		order, err := network.hosts[0].dialer.DialOrder(context.Background(), "tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		defer order.Close()
+	})
+
 	// Guards against requests that a planned stop cuts: a host that stops would end while others still open connections
 	// through it.
 	It("declines when it stops, and lets open connections go on", func() {
