--- a/cmd/cherrykeel/entry.go
+++ b/cmd/cherrykeel/entry.go
@@ -29,6 +29,8 @@
 	grantIdleTimeout = 5 * time.Second
 	// storeIdleTimeout is how long idle connections to the store stay open.
 	storeIdleTimeout = 30 * time.Second
+	// maxHeaderBytes bounds the head of an answer of the store.
+	maxHeaderBytes = 64 << 10
 	// memoryLimitShare is the share of the allowed memory that is set as the soft limit of the garbage collector.
 	memoryLimitShare = 0.6
 	// settingsPollInterval is how often the settings file is read, since it may change without a signal.
@@ -135,9 +137,10 @@
 // so that a call that was given up is not delivered later.
 func newTransport(dial conns.DialFunc, idleTimeout time.Duration) *http.Transport {
 	return &http.Transport{
-		DialContext:         conns.ResetOnClose(dial),
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: 8,
-		IdleConnTimeout:     idleTimeout,
+		DialContext:            conns.ResetOnClose(dial),
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    8,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		IdleConnTimeout:        idleTimeout,
 	}
 }
