--- a/reach/table.go
+++ b/reach/table.go
@@ -113,16 +113,21 @@
 
 // Plan returns how the next connection to an address is opened.
 func (table *Table) Plan(address string, now cherrykeel.Instant) Plan {
-	if now < table.path(address, now).closedUntil {
+	path := table.path(address, now)
+	if now < path.closedUntil {
 		return Plan{}
 	}
-	return table.PlanOrder(address, now)
+	return table.planPath(path, address, now)
 }
 
 // PlanOrder is Plan for a connection that carries orders only. It does not wait until a closed address is open again: an
 // owner without a renewal loses its keys, and callers' attempts may close an address time and again.
 func (table *Table) PlanOrder(address string, now cherrykeel.Instant) Plan {
-	path := table.path(address, now)
+	return table.planPath(table.path(address, now), address, now)
+}
+
+// planPath plans a connection regardless of whether its address is closed.
+func (table *Table) planPath(path *path, address string, now cherrykeel.Instant) Plan {
 	switch {
 	case path.lost && now < path.directAt:
 		return Plan{Tunnel: true}
