A host that reaches only a part of a service's upstreams confirms no refusal

Now links work only if each that is tried accepts, two where there are as many, and no link to the service is known to be lost; else the host cannot tell, and neither can the host that asks believe an unchecked refusal.

--- a/reach/reply.go
+++ b/reach/reply.go
@@ -37,15 +37,17 @@
 const (
 	// LinksUnknown means that there is no other upstream to connect to.
 	LinksUnknown Links = iota
-	// LinksWork means that the host could connect to another upstream of the service.
+	// LinksWork means that the host could connect to other upstreams of the service, to each that was tried.
 	LinksWork
 	// LinksLost means that it could connect to none.
 	LinksLost
+	// LinksPartial means that the host could connect to some and not to others.
+	LinksPartial
 	// LinksProven means that the upstream itself has closed a connection of the host a moment ago.
 	LinksProven
 )
 
-var linksNames = [...]string{"unknown", "work", "lost", "proven"}
+var linksNames = [...]string{"unknown", "work", "lost", "partial", "proven"}
 
 // String returns the name used in logs.
 func (links Links) String() string {
--- a/reach/table.go
+++ b/reach/table.go
@@ -272,14 +272,14 @@
 
 // IsProcessEnd reports whether a refused connection shows that no process listens at the address: most other hosts whose
 // links work have been refused as well. What hosts say that have not checked their links counts only as long as this
-// host's own are not lost, and where no other host answered, its own have to work.
+// host's own all work as far as it can tell, and where no other host answered, its own have to work.
 func (table *Table) IsProcessEnd(address string, replies Replies, own Links, now cherrykeel.Instant) bool {
 	switch {
 	case replies.Refused > 0 || replies.Unreached > 0:
 		return replies.Refused > replies.Unreached
 	case own == LinksProven:
 		return true
-	case own == LinksLost:
+	case own == LinksLost || own == LinksPartial:
 		return false
 	case replies.Unchecked > 0:
 		return replies.Unchecked > replies.Missing
--- a/reach/table_test.go
+++ b/reach/table_test.go
@@ -145,6 +145,7 @@
 		Entry("that others confirm without a check, while this host's links work", reach.Replies{Unchecked: 2}, reach.LinksWork, false, true),
 		Entry("that others confirm without a check, where there is nothing to check by", reach.Replies{Unchecked: 2}, reach.LinksUnknown, false, true),
 		Entry("not by others without a check, while this host's links are lost", reach.Replies{Unchecked: 3}, reach.LinksLost, false, false),
+		Entry("not by others without a check, while this host misses a part of its links", reach.Replies{Unchecked: 3}, reach.LinksPartial, false, false),
 		Entry("not by others without a check, when as many miss links", reach.Replies{Unchecked: 1, Missing: 1}, reach.LinksWork, false, false),
 		Entry("where no other host can be asked", reach.Replies{}, reach.LinksUnknown, false, true),
 		Entry("where no other host can be asked and this one's links work", reach.Replies{Others: 2}, reach.LinksWork, true, true),
--- a/tunnel/links.go
+++ b/tunnel/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"cherrykeel"
@@ -9,8 +10,10 @@
 )
 
 const (
-	// maxSiblings is how many other upstreams are tried to learn whether this host's links work.
-	maxSiblings = 3
+	// maxSiblings is how many other upstreams are tried to learn whether this host's links work, and enoughSiblings how many
+	// have to accept.
+	maxSiblings    = 3
+	enoughSiblings = 2
 	// siblingTimeout bounds the connection to one of them.
 	siblingTimeout = 25 * time.Millisecond
 	// lostLinksTime is for how long links that were found not to work are not tried again for other hosts.
@@ -18,8 +21,9 @@
 )
 
 // checkLinks reports whether this host's links to the service of an address work, by connections to other upstreams of
-// it. That one of them can't be connected to shows nothing else: an upstream whose process has ended refuses connections
-// as links that are cut do. The result that links work is never remembered, since they may have been cut just now.
+// it: they work if all that are tried accept, and are lost if none does. Otherwise, or if the link to another one is known
+// to be lost, they are partial, which tells nothing about the address: an upstream whose process has ended refuses connections as links that are cut do. The result
+// that links work is never remembered, since they may have been cut just now.
 func (dialer *Dialer) checkLinks(address string) reach.Links {
 	if dialer.wasClosed(address) {
 		return reach.LinksProven
@@ -32,16 +36,53 @@
 		})
 	}
 	siblings, others := find(true), find(false)
+	tried := siblings
+	if len(siblings) == 0 {
+		tried = others
+	}
+	accepted, failed := dialer.tryEach(tried)
 	switch {
-	case dialer.connectsToAny(siblings):
+	case accepted == 0 && failed > 0:
+		dialer.recordLinksLost(upstream.Service)
+		return reach.LinksLost
+	case failed > 0 || dialer.hasLostLink(upstream.Service):
+		return reach.LinksPartial
+	case len(siblings) > 0:
 		return reach.LinksWork
-	case len(siblings) == 0 && (len(others) == 0 || dialer.connectsToAny(others)):
+	default:
 		return reach.LinksUnknown
 	}
+}
+
+// tryEach tries to connect to addresses until enough have accepted, and returns how many have and how many have not.
+func (dialer *Dialer) tryEach(addresses []string) (accepted, failed int) {
+	for _, address := range addresses {
+		if dialer.tryDirect(address, siblingTimeout) {
+			accepted++
+		} else {
+			failed++
+		}
+		if accepted == enoughSiblings {
+			break
+		}
+	}
+	return accepted, failed
+}
+
+func (dialer *Dialer) recordLinksLost(service string) {
 	dialer.mutex.Lock()
 	defer dialer.mutex.Unlock()
-	dialer.linksLostAt[upstream.Service] = dialer.clock.Now()
-	return reach.LinksLost
+	dialer.linksLostAt[service] = dialer.clock.Now()
+}
+
+// hasLostLink reports whether this host does not reach some upstream of a service itself.
+func (dialer *Dialer) hasLostLink(service string) bool {
+	dialer.mutex.Lock()
+	defer dialer.mutex.Unlock()
+	return slices.ContainsFunc(dialer.table.Lost(), func(address string) bool {
+		upstream, _ := dialer.FindUpstream(address)
+		return upstream.Service == service
+	})
 }
 
 // checkOwnLinks is checkLinks for a connection of this host's own. Links that were lost a moment ago are not tried again.
@@ -75,15 +116,6 @@
 	dialer.table.RecordClosed(address, dialer.clock.Now())
 }
 
-func (dialer *Dialer) connectsToAny(addresses []string) bool {
-	for _, address := range addresses {
-		if dialer.tryDirect(address, siblingTimeout) {
-			return true
-		}
-	}
-	return false
-}
-
 // knowsLinksLost reports whether this host's links to the service of an address were found not to work a moment ago, or
 // its link to the address itself is lost.
 func (dialer *Dialer) knowsLinksLost(address string) bool {
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -229,6 +229,8 @@
 	switch {
 	case links == reach.LinksLost:
 		return nil, openAnswer{State: stateUnreached, Links: linksLost}
+	case links == reach.LinksPartial:
+		return nil, openAnswer{State: stateUnreached}
 	case isRefused(err):
 		dialer.recordEnd(address, links)
 		return nil, openAnswer{State: stateRefused, Links: linksOf(links)}
--- a/tunnel/suite_test.go
+++ b/tunnel/suite_test.go
@@ -55,8 +55,10 @@
 	dialer   *tunnel.Dialer
 	server   *tunnel.Server
 	listener net.Listener
-	// dialError, if set, is what the host's direct connections fail with; silent makes them hang instead.
+	// dialError, if set, is what the host's direct connections fail with, except those to the address reached; silent makes
+	// them hang instead.
 	dialError atomic.Pointer[error]
+	reached   atomic.Pointer[string]
 	silent    atomic.Bool
 	dials     atomic.Int64
 	restored  atomic.Int64
@@ -190,7 +192,8 @@
 		return nil, os.ErrDeadlineExceeded
 	}
 	failure := host.dialError.Load()
-	if failure != nil {
+	reached := host.reached.Load()
+	if failure != nil && (reached == nil || *reached != address) {
 		return nil, *failure
 	}
 	return (&net.Dialer{}).DialContext(ctx, network, address)
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -124,6 +124,25 @@
 		Expect(err).To(MatchError(tunnel.ErrUnreached))
 	})
 
+	// Guards against hosts that are cut from some upstreams of a service and confirm the end of those, since they reach
+	// another one.
+	It("is not refused as by the upstream if those that are asked have lost another upstream of its service", func() {
+		network := newNetwork(3)
+		address, other, reached := network.listen(echo), network.listen(echo), network.listen(echo)
+		for _, host := range network.hosts[:2] {
+			host.refuse()
+			host.reached.Store(&reached)
+		}
+		for _, host := range network.hosts[:2] {
+			_, err := host.open(other)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		_ = network.hosts[2].listener.Close()
+		_, err := network.hosts[0].open(address)
+		Expect(err).To(HaveOccurred())
+		Expect(err).NotTo(MatchError(syscall.ECONNREFUSED))
+	})
+
 	// Guards against crashes that no host marks any more: hosts that are refused doubt their own links.
 	It("is refused as by the upstream if its process has ended and others still accept", func() {
 		network := newNetwork(3)
