Hosts never asked don't count as hosts without links, and one that opens connections is kept when an upstream ends

And a host that opened connections was forgotten as such when it could not connect to an upstream that had ended. Both specs fail without the change. The specs of the order now start each at the same time, and not where the last left the clock.

--- a/reach/order.go
+++ b/reach/order.go
@@ -119,7 +119,7 @@
 		case peer.Zone != peers.zone:
 		case peer.opens:
 			opening++
-		case now < peer.missingUntil.Add(zoneMemory):
+		case peer.missingUntil != 0 && now < peer.missingUntil.Add(zoneMemory):
 			missing++
 		}
 	}
--- a/reach/peers.go
+++ b/reach/peers.go
@@ -49,7 +49,7 @@
 	status    Status
 	// stops is set once the host has reported that it stops; it never goes on after that.
 	stops bool
-	// opens means that the last connection that it was asked for was opened.
+	// opens means that it has opened a connection, and nothing has shown since that it would not open others.
 	opens bool
 	// missingUntil is until when it counts as missing links of its own, lastUntil until when it is asked last, and
 	// noneUntil until when it is asked nothing.
@@ -132,19 +132,22 @@
 	if !known {
 		return
 	}
-	peer.opens = reply == Opened
 	switch reply {
 	case Opened:
+		peer.opens = true
 		peer.lastUntil, peer.missingUntil = 0, 0
 		delete(peer.declinedUntil, address)
 	case Missing:
+		peer.opens = false
 		peer.missingUntil = now.Add(missingTime)
 		peer.decline(address, now)
 	case Refused, Unchecked, Unreached:
 		peer.decline(address, now)
 	case Declined, Silent:
+		peer.opens = false
 		peer.lastUntil = now.Add(silentTime)
 	case Incapable:
+		peer.opens = false
 		peer.noneUntil = now.Add(incapableTime)
 	}
 }
--- a/reach/peers_test.go
+++ b/reach/peers_test.go
@@ -31,8 +31,9 @@
 
 var _ = Describe("the hosts to ask", func() {
 	var peers *reach.Peers
-	now := cherrykeel.Instant(time.Hour)
+	var now cherrykeel.Instant
 	BeforeEach(func() {
+		now = cherrykeel.Instant(time.Hour)
 		random := rand.New(rand.NewPCG(1, 2))
 		peers = reach.NewPeers("z1", random.Float64)
 		peers.Set(hostList("z1", "z1", "z2", "z2", "z2"))
@@ -61,6 +62,27 @@
 		}
 	})
 
+	// Guards against bytes between zones for nothing: hosts that were never asked counted as hosts without links in the
+	// first minute after a machine's start.
+	It("begin in the own zone also shortly after the start of the machine", func() {
+		now = cherrykeel.Instant(time.Second)
+		for range 20 {
+			Expect(order()[0]).To(BeElementOf("host-0", "host-1"))
+		}
+	})
+
+	// Guards against a host whose only way is forgotten since an upstream has ended, which that way could not connect to.
+	It("go on with a host that opens connections after it could not connect to an upstream that has ended", func() {
+		peers.Record("host-0", first, reach.Missing, now)
+		peers.Record("host-1", first, reach.Missing, now)
+		peers.Record("host-3", first, reach.Opened, now)
+		peers.Record("host-3", second, reach.Refused, now)
+		peers.Record("host-3", second, reach.Unreached, now)
+		for range 20 {
+			Expect(order()[:2]).To(ContainElement("host-3"))
+		}
+	})
+
 	It("are nine at the most", func() {
 		peers.Set(hostList(slices.Repeat([]string{"z1", "z2", "z3"}, 8)...))
 		Expect(order()).To(HaveLen(9))
