--- a/grants/send.go
+++ b/grants/send.go
@@ -107,8 +107,9 @@
 }
 
 // recordNoAnswer records that a grant was not answered. That is no evidence against the upstream if the grant had too
-// little time, was meant for an earlier incarnation, or was under way when this host's link to the upstream was lost, or if no host that was asked for a connection could tell
-// about the upstream: it would get no grant for seconds though another host is found that reaches it.
+// little time, was meant for an earlier incarnation, or was under way when this host's link to the upstream was lost. Nor
+// is it if no host that was asked for a connection could tell about the upstream: it would get no grant for seconds though
+// another host is found that reaches it.
 func (keeper *Keeper) recordNoAnswer(owner string, state *grantState, result grantResult, fields []zap.Field, now cherrykeel.Instant) {
 	contact := keeper.contact(owner)
 	fields = append(fields, zap.Duration("Waited", result.waited), zap.Error(result.err))
--- a/relay/body.go
+++ b/relay/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"slices"
 
 	"github.com/pkg/errors"
@@ -16,7 +17,7 @@
 	maxAnswerBytes = 32 << 20
 	// minReadBytes and maxFirstReadBytes bound the first buffer for an answer, which doubles when it is full. What an answer
 	// states of its length is not believed beyond that: it may send less.
-	minReadBytes      = 4 << 10
+	minReadBytes      = 512
 	maxFirstReadBytes = 64 << 10
 	// defaultAnswerMemory bounds the answers in memory, in bytes, if Settings.AnswerMemory sets no other limit.
 	defaultAnswerMemory = 64 << 20
@@ -90,7 +91,12 @@
 // to be none.
 func (exchange *exchange) readAnswer(answer *conns.Answer) ([]byte, error) {
 	body := &heldBody{memory: exchange.relay.AnswerMemory}
-	err := body.read(answer, answer.Length)
+	length := answer.Length
+	if exchange.request.Method == http.MethodHead {
+		// It states the length of a body that does not come.
+		length = 0
+	}
+	err := body.read(answer, length)
 	if err != nil {
 		body.memory.Release(body.acquired)
 		return nil, err
--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -10,15 +11,42 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 
 	"cherrykeel"
+	"cherrykeel/events"
 	"cherrykeel/memory"
 )
 
+// forbidRepeats replaces the relay's route by one whose requests may not be repeated.
+func forbidRepeats(relay *Relay) {
+	relay.SetRoutes(cherrykeel.RouteSet{
+		Version: 1, Services: map[string]cherrykeel.RoutedService{"s": {Name: "s"}},
+		Routes: []cherrykeel.Route{{Domain: "h", PathPrefix: "/", Timeout: 20 * time.Second, TargetLatency: 20 * time.Second, MaxAttempts: 2, SplitTargets: []cherrykeel.SplitTarget{splitTarget("s", 1)}}},
+	})
+}
+
 var _ = Describe("answers whose bodies have no end", func() {
 	const limitBytes = 2 << 20
 	piece := []byte(strings.Repeat("x", 16<<10))
 
+	// Guards against the answer to a HEAD request that is given up for the length of a body that does not come.
+	It("are not those that state a length and have no body", func() {
+		server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+			writer.Header().Set("Content-Length", strconv.Itoa(2*maxAnswerBytes))
+		}))
+		DeferCleanup(server.Close)
+		core, lines := observer.New(zapcore.WarnLevel)
+		relay := newStoppingRelay(cherrykeel.NoKey, cherrykeel.Upstream{ID: "a", Service: "s", Address: server.Listener.Addr().String(), Slots: 1})
+		relay.Logger = zap.New(core)
+		forbidRepeats(relay)
+		relay.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodHead, "http://h/", nil))
+		Expect(lines.FilterField(zap.Int("Event", events.AnswerEndless.Number)).Len()).To(BeZero())
+		Expect(lines.FilterField(zap.Int("Event", events.RequestFailed.Number)).Len()).To(Equal(1))
+	})
+
 	// Guards against a host that is ended for its memory by several answers without end, each of which is below its own
 	// bound.
 	It("take no more than the memory for answers, all together, and are given up long before their deadline", func() {
@@ -34,10 +62,7 @@
 		}))
 		DeferCleanup(server.Close)
 		relay := newStoppingRelay(cherrykeel.NoKey, cherrykeel.Upstream{ID: "a", Service: "s", Address: server.Listener.Addr().String(), Slots: 32})
-		relay.SetRoutes(cherrykeel.RouteSet{
-			Version: 1, Services: map[string]cherrykeel.RoutedService{"s": {Name: "s"}},
-			Routes: []cherrykeel.Route{{Domain: "h", PathPrefix: "/", Timeout: 20 * time.Second, TargetLatency: 20 * time.Second, MaxAttempts: 2, SplitTargets: []cherrykeel.SplitTarget{splitTarget("s", 1)}}},
-		})
+		forbidRepeats(relay)
 		relay.AnswerMemory = memory.NewLimit(limitBytes)
 		relay.pool.SetLimit(server.Listener.Addr().String(), 32)
 		var most atomic.Int64
