--- a/grants/change.go
+++ b/grants/change.go
@@ -38,7 +38,7 @@
 // updateTable writes the next table if upstreams have joined, left or become unavailable, or if the load has shifted.
 func (keeper *Keeper) updateTable(ctx context.Context, table spans.Table, next int64, now cherrykeel.Instant) {
 	keeper.releaseSpansInTransfer(ctx, table, now)
-	if keeper.writing || now < keeper.writeAfter || keeper.claimInNewEra(ctx, table, next) || keeper.reclaimAfterRefusal(ctx, table, next) || keeper.reclaimForReturned(ctx, table, next, now) {
+	if keeper.writing || now < keeper.writeAfter || keeper.claimInNewEra(ctx, table, next) || keeper.reclaimAfterRefusal(ctx, table, next, now) || keeper.reclaimForReturned(ctx, table, next, now) {
 		return
 	}
 	balance := now.Sub(keeper.plannedAt) >= planInterval
@@ -70,11 +70,24 @@
 }
 
 // reclaimAfterRefusal claims a new term if an upstream has refused a grant because it has seen a higher fence: it would
-// refuse the same fence again and again.
-func (keeper *Keeper) reclaimAfterRefusal(ctx context.Context, table spans.Table, next int64) bool {
+// refuse the same fence again and again. The pauses between such claims grow: where the fences of new terms stay below
+// the one that was seen, claim after claim would take the store's time and come before the claim of any other host.
+func (keeper *Keeper) reclaimAfterRefusal(ctx context.Context, table spans.Table, next int64, now cherrykeel.Instant) bool {
+	if now < keeper.reclaimAfter || !keeper.hasRefusedGrant() {
+		return false
+	}
+	if now.Sub(keeper.reclaimAfter) > forgetReclaims {
+		keeper.reclaimPause = 0
+	}
+	keeper.reclaimPause = min(max(minReclaimPause, 2*keeper.reclaimPause), maxReclaimPause)
+	keeper.reclaimAfter = now.Add(keeper.reclaimPause)
+	keeper.claim(ctx, table, next, "a grant was refused because of a higher fence")
+	return true
+}
+
+func (keeper *Keeper) hasRefusedGrant() bool {
 	for _, state := range keeper.grants {
 		if state.refused {
-			keeper.claim(ctx, table, next, "a grant was refused because of a higher fence")
 			return true
 		}
 	}
--- a/grants/claim.go
+++ b/grants/claim.go
@@ -37,6 +37,11 @@
 	maxVersionAge = 10 * time.Second
 	// conflictDelay is the pause after a write that another one came before; a read that shows that one takes longer.
 	conflictDelay = 10 * time.Millisecond
+	// minReclaimPause is the pause after a claim for a refused grant; it doubles with each further one, up to
+	// maxReclaimPause, and starts again when there was none for forgetReclaims.
+	minReclaimPause = 50 * time.Millisecond
+	maxReclaimPause = 2 * time.Second
+	forgetReclaims  = 10 * time.Second
 	// writeRetryDelay is the pause after a failed write.
 	writeRetryDelay = 500 * time.Millisecond
 )
--- a/grants/keeper.go
+++ b/grants/keeper.go
@@ -118,9 +118,12 @@
 	unconfirmed bool
 	// acceptedAt is when an owner last accepted a grant, or when the term began. cutOff means that none did for a while,
 	// since cutOffAt.
-	acceptedAt   cherrykeel.Instant
-	cutOff       bool
-	cutOffAt     cherrykeel.Instant
+	acceptedAt cherrykeel.Instant
+	cutOff     bool
+	cutOffAt   cherrykeel.Instant
+	// reclaimAfter is when a term may be claimed for a refused grant again, and reclaimPause the pause before that.
+	reclaimAfter cherrykeel.Instant
+	reclaimPause time.Duration
 	ledger       spans.Ledger
 	demand       map[string]*spans.Demand
 	speedReports map[string]map[string]speedReport
--- a/grants/overtaken_test.go
+++ b/grants/overtaken_test.go
@@ -65,6 +65,6 @@
 		clock.Advance(200 * time.Millisecond)
 		close(busy)
 		processResult(keeper)
-		Expect(keeper.reclaimAfterRefusal(context.Background(), moving, 6)).To(BeFalse())
+		Expect(keeper.reclaimAfterRefusal(context.Background(), moving, 6, keeper.clock.Now())).To(BeFalse())
 	})
 })
