--- a/reach/order.go
+++ b/reach/order.go
@@ -1,8 +1,6 @@
 package reach
 
-import (
-	"cherrykeel"
-)
+import "cherrykeel"
 
 // doubt is how unlikely it is that a host opens a connection to an address.
 type doubt int
