--- a/review/standins/server.go
+++ b/review/standins/server.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -39,7 +40,11 @@
 	// onRun is called when a request begins to run.
 	onRun func(id string)
 
+	// unframed is the share of answers that have no length and end with their connection.
+	unframed atomic.Value
+
 	mutex   sync.Mutex
+	conns   map[*serverConn]bool
 	fence   [keyCount]int64
 	held    [keyCount]time.Time
 	running map[int]int
@@ -52,10 +57,14 @@
 	net.Conn
 	reader *bufio.Reader
 	second []byte
+	// host names the host whose requests came on the connection.
+	host string
 }
 
 func startServer(server *server) *server {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	var config net.ListenConfig
+	config.SetMultipathTCP(false)
+	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	cannotRun(err)
 	server.listener = listener.(*net.TCPListener)
 	server.address = listener.Addr().String()
@@ -63,6 +72,8 @@
 	server.places = make(chan struct{}, server.slots)
 	server.shed.Store(0.0)
 	server.twice.Store(0.0)
+	server.unframed.Store(0.0)
+	server.conns = map[*serverConn]bool{}
 	go func() {
 		for {
 			socket, err := listener.Accept()
@@ -93,7 +104,15 @@
 }
 
 func (server *server) serve(conn *serverConn) {
-	defer conn.Close()
+	server.mutex.Lock()
+	server.conns[conn] = true
+	server.mutex.Unlock()
+	defer func() {
+		server.mutex.Lock()
+		delete(server.conns, conn)
+		server.mutex.Unlock()
+		_ = conn.Close()
+	}()
 	for {
 		_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
 		request, err := http.ReadRequest(conn.reader)
@@ -281,3 +300,15 @@
 	time.Sleep(time.Duration((0.5 + rand.Float64()) * float64(server.work)))
 	return server.send(conn, request, 200, "Server-Stamp: "+stamp+"\r\n"+server.load(), []byte("done "+id))
 }
+
+// resetFrom resets the connections on which a host's requests came.
+func (server *server) resetFrom(host string) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	for conn := range server.conns {
+		if conn.host == host {
+			_ = conn.Conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
+	}
+}
