--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(record *record, trouble bool) bool{
 	"second-answer": secondAnswer,
 	"early-end":     earlyEnd,
+	"stray-entry":   strayEntry,
 }
 
 func main() {
--- a/review/standins/server.go
+++ b/review/standins/server.go
@@ -43,8 +43,12 @@
 	// unframed is the share of answers that have no length and end with their connection.
 	unframed atomic.Value
 
-	mutex   sync.Mutex
-	conns   map[*serverConn]bool
+	mutex sync.Mutex
+	conns map[*serverConn]bool
+	state string
+	ended bool
+	// onGrant is called with the keys that a grant gives to the server, which did not hold them before.
+	onGrant func(server *server, from, to int, fresh map[int]bool)
 	fence   [keyCount]int64
 	held    [keyCount]time.Time
 	running map[int]int
@@ -83,18 +87,51 @@
 			go server.serve(&serverConn{Conn: socket, reader: bufio.NewReader(socket)})
 		}
 	}()
-	server.beat("ready")
+	server.state = "ready"
+	server.beat()
 	go func() {
-		for {
+		for !server.hasEnded() {
 			time.Sleep(1500 * time.Millisecond)
-			server.beat("ready")
+			server.beat()
 		}
 	}()
 	return server
 }
 
+func (server *server) hasEnded() bool {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return server.ended
+}
+
+// drain reports that the server leaves; it goes on serving.
+func (server *server) drain() {
+	server.mutex.Lock()
+	server.state = "draining"
+	server.mutex.Unlock()
+	server.beat()
+}
+
+// end ends the server and removes its entry.
+func (server *server) end() {
+	server.mutex.Lock()
+	server.ended = true
+	for conn := range server.conns {
+		_ = conn.Close()
+	}
+	server.mutex.Unlock()
+	_ = server.listener.Close()
+	server.store.put("keyed.servers", server.id, nil)
+}
+
 // beat writes the server's entry.
-func (server *server) beat(state string) {
+func (server *server) beat() {
+	server.mutex.Lock()
+	state, ended := server.state, server.ended
+	server.mutex.Unlock()
+	if ended {
+		return
+	}
 	sequence := atomic.AddInt64(&server.sequence, 1)
 	server.store.put("keyed.servers", server.id, map[string]any{
 		"address": server.address,
@@ -195,11 +232,19 @@
 			status = 409
 		}
 	}
+	fresh := map[int]bool{}
 	for key := order.FromRev; key <= order.Target && status == 200; key++ {
+		if !server.held[key].After(time.Now()) {
+			fresh[key] = true
+		}
 		server.fence[key] = order.Fence
 		server.held[key] = until
 	}
 	server.mutex.Unlock()
+	if len(fresh) > 0 && server.onGrant != nil {
+		server.record.line("%s is granted keys %d to %d for %s, fence %d", server.id, order.FromRev, order.Target, hold, order.Fence)
+		server.onGrant(server, order.FromRev, order.Target, fresh)
+	}
 	return server.send(conn, request, status, "", nil)
 }
 
@@ -214,6 +259,9 @@
 		server.held[key] = time.Time{}
 	}
 	server.mutex.Unlock()
+	if server.onGrant != nil {
+		server.record.line("%s is asked to release keys %d to %d, fence %d", server.id, order.FromRev, order.Target, order.Fence)
+	}
 	for server.isRunning(order.FromRev, order.Target) {
 		time.Sleep(2 * time.Millisecond)
 	}
