--- a/review/standins/earlyend.go
+++ b/review/standins/earlyend.go
@@ -141,13 +141,13 @@
 		}
 		time.Sleep(2 * time.Second)
 		setUnframed(garbled, trouble, unframed)
-		for range 2 {
-			time.Sleep(1500 * time.Millisecond)
+		for range 3 {
+			time.Sleep(1300 * time.Millisecond)
 			if trouble {
 				killSome(record, killed)
 			}
 		}
-		time.Sleep(1500 * time.Millisecond)
+		time.Sleep(600 * time.Millisecond)
 		setUnframed(garbled, false, 0)
 		time.Sleep(cutFor - 6500*time.Millisecond)
 		if trouble {
