--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/cherrykeel ] && [ -x target/review ] || exit 2
-exec target/review stray-entry review/1
+exec target/review stray-entry "${TROUBLE:-1}" review/1/record.txt
