Logs tell by which evidence an upstream counts as ended, and on which connection an answer came

No line told who said that a process has ended, nor which send of a request an answer was taken for, so the hypotheses could not be told apart: an entry, an answer of another upstream, or a lease's end; the answer of this send, of an earlier one on the same connection, or of one that crossed through another host.

Event 642 names the evidence (EndedBy) once for each incarnation; 505 and 506 have Conn, the serial number of the connection on which the answer came.

--- a/conns/conn.go
+++ b/conns/conn.go
@@ -14,6 +14,8 @@
 
 // conn is a connection to an upstream, used by one request at a time.
 type conn struct {
+	// serial tells the pool's connections apart in logs.
+	serial  int64
 	address string
 	socket  net.Conn
 	source  *headReader
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -54,6 +54,11 @@
 	return answer.conn.via()
 }
 
+// Connection returns the serial number of the connection on which the answer came, for logs.
+func (answer *Answer) Connection() int64 {
+	return answer.conn.serial
+}
+
 // Send writes the request and reads the head of its answer; the end of the context makes the connection fail. If Send
 // returns an error, Progress is how far the request got, and a connection on which it was sent is closed.
 func (pool *Pool) Send(ctx context.Context, address string, request *http.Request) (*Answer, Progress, error) {
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -40,6 +41,7 @@
 	dialFunc            DialFunc
 	onClosed            func(address string)
 	allowCloseDelimited bool
+	lastSerial          atomic.Int64
 	mutex               sync.Mutex
 	addresses           map[string]*addressPool
 	// idleLosses and freshLosses count the connections lost under a request, after idle time and without it. Both start
@@ -244,6 +246,7 @@
 		return nil, errors.Wrap(connectError(err), err.Error())
 	}
 	conn := newConn(address, socket)
+	conn.serial = pool.lastSerial.Add(1)
 	conn.idleLimit = pool.idleTimeout
 	if conn.via() != "" {
 		wait *= 2
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -88,7 +88,7 @@
 	took := exchange.relay.clock.Now().Sub(exchange.arrived)
 	exchange.relay.meter.recordServed(exchange.dispatcher.name, result.status, took)
 	events.Log(exchange.relay.Logger, events.RequestServed, append(exchange.logFields(),
-		zap.Int("Status", result.status), zap.String("Upstream", slot.Upstream.ID), zap.String("Via", result.via), zap.Int("Load", slot.Load), zap.Bool("Trial", slot.Probe),
+		zap.Int("Status", result.status), zap.String("Upstream", slot.Upstream.ID), zap.String("Via", result.via), zap.Int64("Conn", result.connection), zap.Int("Load", slot.Load), zap.Bool("Trial", slot.Probe),
 		zap.Int("Others", exchange.inputs.RemoteLoad), zap.Int64("Fence", exchange.inputs.Fence), zap.Duration("Expected", exchange.inputs.TimeToAnswer),
 		zap.Int("Attempts", exchange.attempts), zap.Duration("Waited", slot.StartedAt.Sub(exchange.arrived)), zap.Duration("Took", took), zap.Error(err))...)
 }
@@ -147,7 +147,7 @@
 // logAttempt logs an attempt whose answer, if there is one, is not passed on at once.
 func (exchange *exchange) logAttempt(slot *flow.Slot, result result) {
 	events.Log(exchange.relay.Logger, events.AttemptEnded, append(exchange.logFields(),
-		zap.String("Upstream", slot.Upstream.ID), zap.String("Address", slot.Upstream.Address), zap.String("Via", result.via), zap.Int("Load", slot.Load), zap.Bool("Trial", slot.Probe),
+		zap.String("Upstream", slot.Upstream.ID), zap.String("Address", slot.Upstream.Address), zap.String("Via", result.via), zap.Int64("Conn", result.connection), zap.Int("Load", slot.Load), zap.Bool("Trial", slot.Probe),
 		zap.Int("Attempt", exchange.attempts), zap.Bool("MayHaveRun", result.outcome == outcomeUnknown), zap.Int("Status", result.status),
 		zap.String("Detail", result.detail), zap.Duration("Took", exchange.relay.clock.Now().Sub(slot.StartedAt)))...)
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -49,6 +49,8 @@
 	// came.
 	reset     bool
 	abandoned bool
+	// connection is the serial number of the connection on which an answer came, or 0.
+	connection int64
 	// via is the host through which the answer came, or empty.
 	via string
 	// endless means that the upstream sent more bytes than an answer may have.
@@ -145,7 +147,7 @@
 	reply := exchange.relay.dialect.ReadReply(answer.Status, answer.Header)
 	exchange.recordStatements(slot, reply)
 	body, err := exchange.readAnswer(answer)
-	result := result{via: answer.Via(), status: answer.Status, header: answer.Header, body: body, load: reply.Load, misdirected: reply.Misdirected}
+	result := result{connection: answer.Connection(), via: answer.Via(), status: answer.Status, header: answer.Header, body: body, load: reply.Load, misdirected: reply.Misdirected}
 	result.unanswered = err != nil && ctx.Err() == nil && !isEndless(err)
 	result.endless = isEndless(err)
 	result.reset = errors.Is(err, conns.ErrReset)
--- a/watch/upstreams.go
+++ b/watch/upstreams.go
@@ -64,6 +64,8 @@
 	gone    bool
 	// ended means that the process is known to have ended.
 	ended bool
+	// endLogged means that the log says by which evidence its process counts as ended.
+	endLogged bool
 	// leavingSince is when a host first received an answer in which this incarnation stated that it is leaving, or 0.
 	leavingSince cherrykeel.Instant
 	// limit is what the answers of this incarnation say of its rate limit.
@@ -197,6 +199,7 @@
 	changed := known && !old.ended
 	if changed {
 		old.ended = true
+		upstreams.logEnd(old, "answer")
 		if !old.gone {
 			upstreams.markGone(old, 0)
 		}
@@ -264,6 +267,17 @@
 	return upstreams.invalidCount
 }
 
+// logEnd logs, once for each incarnation, by which evidence its process counts as ended.
+func (upstreams *Upstreams) logEnd(entry *entry, evidence string) {
+	if entry.endLogged {
+		return
+	}
+	entry.endLogged = true
+	events.Log(upstreams.logger, events.UpstreamEnded,
+		zap.String("Upstream", entry.upstream.ID), zap.String("Service", entry.upstream.Service), zap.String("Address", entry.upstream.Address),
+		zap.Int64("Born", entry.upstream.StartedAt), zap.String("EndedBy", evidence))
+}
+
 // IsReplaced reports whether another upstream has registered at the address after the given one, or has answered there.
 // In both cases the process of the given one has ended.
 func (upstreams *Upstreams) IsReplaced(id, address string) bool {
@@ -275,6 +289,7 @@
 	}
 	for other, entry := range upstreams.entries {
 		if known && other != id && entry.upstream.Address == address && entry.isSuccessorOf(this) {
+			upstreams.logEnd(this, "entry of "+other)
 			return true
 		}
 	}
