An entry ends no upstream: only an answer at its address does; entries of services that the settings lack are held back

Cause: what an entry says was taken for what a process does. watch.IsReplaced: any later entry with a server's address, of whatever service, counted as the end of that server's process; the keeper dropped its leases from the ledger (RecordProcessEnd) and renewed none. Hypotheses: an entry, an answer of another server (421), the end of a lease. Event 642 told them apart: "entry of agent-000N" for four of four owners, then 711 with FreeBy "process ended".

Now only an answer of another instance at the address ends a process: to a grant, a request, a release (on a connection of its own; was not heeded before), or to the question who is there, which the keeper asks an owner that is silent while another entry has its address (grants/identify.go, on a connection of its own, no redirects). The answer counts for the address and the incarnation that was asked: leases granted at another address stay. A known upstream stays one when its service leaves the settings. Beside it: the upstream that was listed first with an address stands for it (links, tunnels).

Not chosen: comparing entries (service, offsets, born) more strictly, since whatever an entry says is its writer's; and believing an entry of a routed service.

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -43,7 +43,7 @@
 		Zone: host.settings.Zone, Bounds: host.currentBounds, Clock: host.clock, Dialect: host.platform.Dialect,
 		Pool:   host.conns,
 		Logger: host.logger, Scope: host.scope, Owner: host.spans.Owner, OnKeyRequest: host.mesh.RecordKeyRequest, HostCount: host.mesh.HostCount,
-		OnMisdirected: host.onMisdirected, OnUpstreamReplaced: func(id string) { host.upstreams.MarkEnded(id) },
+		OnMisdirected: host.onMisdirected, OnUpstreamReplaced: func(upstream cherrykeel.Upstream) { host.upstreams.MarkEnded(upstream) },
 		OnUpstreamLeaving: host.recordLeaving,
 		OnUpstreamLimit: func(upstream permit.Incarnation, heard permit.Statement, request string) {
 			host.recordLimit(upstream, heard, watch.Source{Request: request})
@@ -64,6 +64,7 @@
 	host.topics.hosts = host.newFollower(topicHosts, host.platform.Hosts, host.applyHosts, host.tableSchedule)
 	host.topics.spans = host.newFollower(topicSpans, host.platform.Spans, host.spans.Apply, host.tableSchedule)
 	host.spans.SetMaxLeaseDuration(func() time.Duration { return host.currentBounds().MaxLeaseDuration })
+	host.upstreams.SetServices(host.services)
 	host.upstreams.SetTopicAvailability(host.topics.upstreams.AvailableFor)
 	host.granter = host.platform.NewGranter(host.dialer.DialOrder)
 	host.keeper = grants.New(host.self, host.clock, host.logger, host.platform.Spans, watch.SpansKey, &ownTable{host: host},
--- a/entry/environment.go
+++ b/entry/environment.go
@@ -37,14 +37,19 @@
 	return environment.host.appliedUpstreams.current()
 }
 
-// IsReplaced implements grants.Environment.
-func (environment *environment) IsReplaced(id, address string) bool {
-	return environment.host.upstreams.IsReplaced(id, address)
+// HasEnded implements grants.Environment.
+func (environment *environment) HasEnded(id, address string) bool {
+	return environment.host.upstreams.HasEnded(id, address)
+}
+
+// HasOther implements grants.Environment.
+func (environment *environment) HasOther(id, address string) bool {
+	return environment.host.upstreams.HasOther(id, address)
 }
 
 // NotifyEnded implements grants.Environment.
-func (environment *environment) NotifyEnded(id string) {
-	environment.host.upstreams.MarkEnded(id)
+func (environment *environment) NotifyEnded(upstream cherrykeel.Upstream) {
+	environment.host.upstreams.MarkEnded(upstream)
 }
 
 // RereadTable implements grants.Environment.
--- a/entry/reach.go
+++ b/entry/reach.go
@@ -136,11 +136,16 @@
 	return addresses
 }
 
-// store replaces the list.
+// store replaces the list. Of several upstreams with one address, the one that was listed with it before keeps it: an entry
+// of another writer must not stand for the upstream that runs there.
 func (upstreamList *upstreamList) store(list []cherrykeel.Upstream) {
 	byAddress := make(map[string]cherrykeel.Upstream, len(list))
 	for _, upstream := range list {
-		byAddress[upstream.Address] = upstream
+		known, _ := upstreamList.findAddress(upstream.Address)
+		_, taken := byAddress[upstream.Address]
+		if !taken || known.ID == upstream.ID {
+			byAddress[upstream.Address] = upstream
+		}
 	}
 	upstreamList.list.Store(&list)
 	upstreamList.byAddress.Store(&byAddress)
--- a/entry/upstreams.go
+++ b/entry/upstreams.go
@@ -101,8 +101,15 @@
 	host.zones.Apply(update)
 }
 
+// services returns the services of the settings in force; false while none are known.
+func (host *Host) services() (map[string]cherrykeel.RoutedService, bool) {
+	routes, known := host.routes.Current()
+	return routes.Services, known
+}
+
 // applyRoutes puts routes in force; they determine which services have keys, and the rate limits of cold upstreams.
 func (host *Host) applyRoutes(routes cherrykeel.RouteSet) {
 	host.relay.SetRoutes(routes)
+	host.upstreams.ApplySettings()
 	host.applyUpstreams()
 }
--- a/events/events.go
+++ b/events/events.go
@@ -130,6 +130,7 @@
 	RecordRestored      = define(641, zap.WarnLevel, "record that the store's copy lacks is written again")
 	PermitsGiven        = define(637, zap.InfoLevel, "permits of an upstream that names a limit were handed out")
 	UpstreamEnded       = define(642, zap.InfoLevel, "upstream's process counts as ended")
+	EntryHeldBack       = define(643, zap.InfoLevel, "entry of a service that the settings lack is not used")
 	LinesDropped        = define(618, zap.WarnLevel, "log lines were dropped, since they could not be written fast enough")
 )
 
--- a/grants/bench_test.go
+++ b/grants/bench_test.go
@@ -50,6 +50,8 @@
 // instantGranter answers all orders at once.
 type instantGranter struct{}
 
+func (instantGranter) Identify(context.Context, cherrykeel.Upstream, string) error { return nil }
+
 func (instantGranter) Grant(context.Context, cherrykeel.Upstream, cherrykeel.SpanGrant) error {
 	return nil
 }
--- a/grants/change.go
+++ b/grants/change.go
@@ -247,6 +247,10 @@
 				return
 			}
 			state.attemptEndedAt = ended
+			if errors.Is(err, cherrykeel.ErrUpstreamReplaced) {
+				keeper.recordReplaced(upstream, ended)
+				return
+			}
 			keeper.recordRelease(key, state, handover, err, ended.Sub(now), waited)
 		}
 	})
--- a/grants/claim.go
+++ b/grants/claim.go
@@ -288,6 +288,6 @@
 		keeper.unknownOwners.until = until
 	}
 	for _, owner := range keeper.ledger.BoundUnknownLeases(until) {
-		keeper.contact(owner).recordLease(until)
+		keeper.contact(owner).boundUnknownLeases(until)
 	}
 }
--- a/grants/evidence.go
+++ b/grants/evidence.go
@@ -48,5 +48,5 @@
 	if contact.processEnded {
 		return processEnded, now.Sub(contact.processEndedAt)
 	}
-	return leaseExpired, now.Sub(contact.heldUntil)
+	return leaseExpired, now.Sub(contact.heldUntil())
 }
--- a/grants/final.go
+++ b/grants/final.go
@@ -150,9 +150,7 @@
 			}
 			keeper.ledger.RecordLease(spans.GrantedSpan{Service: service, Owner: owned.Owner, Span: owned.Span(), Fence: owned.Fence}, until)
 			contact := keeper.contact(owned.Owner)
-			if known {
-				contact.recordLease(until)
-			}
+			contact.recordLease(owned.Address, until)
 			contact.departed = before.departed[owned.Owner]
 			contact.departedAt = now
 		}
--- a/grants/keeper.go
+++ b/grants/keeper.go
@@ -66,10 +66,13 @@
 	KeyedServices() []cherrykeel.RoutedService
 	// Upstreams returns all known upstreams, including those that leave.
 	Upstreams() []cherrykeel.Upstream
-	// IsReplaced reports whether another upstream has been listed with the address since.
-	IsReplaced(id, address string) bool
-	// NotifyEnded is called when an upstream's process is found to have ended.
-	NotifyEnded(id string)
+	// HasEnded reports whether an upstream's process is known to have ended, since another upstream has answered at its
+	// address.
+	HasEnded(id, address string) bool
+	// HasOther reports whether another upstream is listed with an upstream's address, which alone shows nothing.
+	HasOther(id, address string) bool
+	// NotifyEnded is called when another upstream has answered at the address of the given one.
+	NotifyEnded(upstream cherrykeel.Upstream)
 	// RereadTable makes the host read the table again.
 	RereadTable()
 	// StoreAvailableFor returns for how long the store has been available to this host without a failure; 0 if it is
@@ -292,6 +295,7 @@
 	keeper.isUncertain = !keeper.releaseUnknownOwners(ctx, table, now)
 	keeper.updateTable(ctx, table, next, now)
 	keeper.probeOwners(ctx, table, now)
+	keeper.identifySilentOwners(ctx, table, now)
 	keeper.renewGrants(ctx, table, now)
 	keeper.logCutOff(table, now)
 }
--- a/grants/order_test.go
+++ b/grants/order_test.go
@@ -15,6 +15,7 @@
 
 // lateGranter is an upstream that grants reach only at their timeout and whose answers are lost; its releases wait.
 type lateGranter struct {
+	unidentified
 	clock    cherrykeel.Clock
 	arrivals chan cherrykeel.Instant
 	release  chan struct{}
--- a/grants/overtaken_test.go
+++ b/grants/overtaken_test.go
@@ -17,6 +17,7 @@
 
 // fencedGranter is an upstream that refuses grants below the highest fence that it has seen.
 type fencedGranter struct {
+	unidentified
 	mutex sync.Mutex
 	fence int64
 }
--- a/grants/phases_test.go
+++ b/grants/phases_test.go
@@ -15,6 +15,7 @@
 
 // hungGranter is a running upstream whose existing connections hang: grants that use them are not answered.
 type hungGranter struct {
+	unidentified
 	hung   map[int]chan struct{}
 	arrive chan int
 }
--- a/grants/renew.go
+++ b/grants/renew.go
@@ -63,8 +63,11 @@
 	// processEnded means that its process is known to have ended, since processEndedAt.
 	processEnded   bool
 	processEndedAt cherrykeel.Instant
-	// heldUntil is the latest end of all leases that it was granted in this term.
-	heldUntil cherrykeel.Instant
+	// held is until when it may hold keys, by the address at which it was granted them.
+	held map[string]cherrykeel.Instant
+	// asking means that the process at its address is being asked who it is; askedAt is when it was asked last.
+	asking  bool
+	askedAt cherrykeel.Instant
 	// startedAt is the start of its present incarnation, if known; restarted means that there was another incarnation
 	// before in this term.
 	startedAt int64
@@ -74,7 +77,7 @@
 func (keeper *Keeper) contact(id string) *contact {
 	known, exists := keeper.contacts[id]
 	if !exists {
-		known = &contact{}
+		known = &contact{held: map[string]cherrykeel.Instant{}}
 		keeper.contacts[id] = known
 	}
 	return known
@@ -84,11 +87,40 @@
 func (contact *contact) recordAnswer() {
 	contact.misses = 0
 	contact.answering = true
+	contact.processEnded = false
 }
 
-// recordLease records that the upstream may hold keys until a time.
-func (contact *contact) recordLease(until cherrykeel.Instant) {
-	contact.heldUntil = max(contact.heldUntil, until)
+// recordLease records that the upstream, at an address, may hold keys until a time.
+func (contact *contact) recordLease(address string, until cherrykeel.Instant) {
+	contact.held[address] = max(contact.held[address], until)
+}
+
+// boundUnknownLeases sets the end of the leases whose end was not known.
+func (contact *contact) boundUnknownLeases(until cherrykeel.Instant) {
+	for address, end := range contact.held {
+		if end == spans.Never {
+			contact.held[address] = until
+		}
+	}
+}
+
+// heldUntil returns the end of the last of the upstream's leases.
+func (contact *contact) heldUntil() cherrykeel.Instant {
+	latest := cherrykeel.Instant(0)
+	for _, until := range contact.held {
+		latest = max(latest, until)
+	}
+	return latest
+}
+
+// mayHoldElsewhere reports whether the upstream may hold keys that it was granted at another address.
+func (contact *contact) mayHoldElsewhere(address string, now cherrykeel.Instant) bool {
+	for other, until := range contact.held {
+		if other != address && until > now {
+			return true
+		}
+	}
+	return false
 }
 
 // recordProcessEnd records that the upstream's process has ended.
@@ -179,15 +211,25 @@
 	}
 }
 
-// recordIncarnationEnd records that an incarnation of an upstream has ended. It does nothing if the next one is already
-// known, since that one may hold keys.
-func (keeper *Keeper) recordIncarnationEnd(upstream cherrykeel.Upstream, now cherrykeel.Instant) {
+// recordReplaced records that another upstream has answered at the address of an incarnation, so that it has ended. It does
+// nothing if the next one is already known, since that one may hold keys.
+func (keeper *Keeper) recordReplaced(upstream cherrykeel.Upstream, now cherrykeel.Instant) {
 	if keeper.contact(upstream.ID).startedAt > upstream.StartedAt {
 		return
 	}
-	keeper.ledger.RecordProcessEnd(upstream.ID)
-	keeper.contact(upstream.ID).recordProcessEnd(now)
-	keeper.environment.NotifyEnded(upstream.ID)
+	keeper.endProcess(upstream.ID, upstream.Address, now)
+	keeper.environment.NotifyEnded(upstream)
+}
+
+// endProcess ends the leases of an upstream whose process at an address has ended. An entry of another writer may have
+// named a wrong address for an upstream that runs: what that one was granted at another address runs out by itself.
+func (keeper *Keeper) endProcess(id, address string, now cherrykeel.Instant) {
+	contact := keeper.contact(id)
+	if contact.mayHoldElsewhere(address, now) {
+		return
+	}
+	keeper.ledger.RecordProcessEnd(id)
+	contact.recordProcessEnd(now)
 }
 
 // recordIncarnations records the upstreams' present incarnations. What was recorded about an earlier one, for instance
@@ -200,7 +242,7 @@
 			continue
 		}
 		if known.startedAt > 0 {
-			*known = contact{departed: known.departed, departedAt: known.departedAt, restarted: true}
+			*known = contact{departed: known.departed, departedAt: known.departedAt, restarted: true, held: known.held}
 		}
 		known.startedAt = upstream.StartedAt
 	}
@@ -208,10 +250,9 @@
 
 // hasProcessEnded reports whether the upstream's process is known to have ended, and records it.
 func (keeper *Keeper) hasProcessEnded(id, address string, now cherrykeel.Instant) bool {
-	if !keeper.environment.IsReplaced(id, address) {
+	if !keeper.environment.HasEnded(id, address) {
 		return false
 	}
-	keeper.ledger.RecordProcessEnd(id)
-	keeper.contact(id).recordProcessEnd(now)
+	keeper.endProcess(id, address, now)
 	return true
 }
--- a/grants/send.go
+++ b/grants/send.go
@@ -31,7 +31,7 @@
 	// after they were transferred.
 	until := spans.LatestLeaseEnd(now.Add(maxArrivalDelay), grant.LeaseDuration)
 	call := keeper.ledger.RecordSent(key, until)
-	keeper.contact(key.Owner).recordLease(until)
+	keeper.contact(key.Owner).recordLease(state.upstream.Address, until)
 	term := keeper.term
 	keeper.workers.grants.Submit(func() {
 		result := keeper.attemptGrant(ctx, state, grant, now)
@@ -85,7 +85,7 @@
 		events.Log(keeper.logger, events.GrantRefused, fields...)
 	case errors.Is(err, cherrykeel.ErrUpstreamReplaced):
 		keeper.needsTick = true
-		keeper.recordIncarnationEnd(state.upstream, now)
+		keeper.recordReplaced(state.upstream, now)
 	default:
 		keeper.recordNoAnswer(key.Owner, state, result, fields, now)
 	}
@@ -97,7 +97,7 @@
 	keeper.ledger.RecordLease(key, until)
 	keeper.acceptedAt = now
 	contact := keeper.contact(key.Owner)
-	contact.recordLease(until)
+	contact.recordLease(state.upstream.Address, until)
 	contact.recordAnswer()
 	if !state.accepted {
 		keeper.markAccepted(state, now)
--- a/grants/successor_test.go
+++ b/grants/successor_test.go
@@ -18,6 +18,7 @@
 // countingGranter records until when each upstream holds its keys, and for how long two of them hold keys at once. Its
 // upstreams keep the longer of two leases.
 type countingGranter struct {
+	unidentified
 	clock   cherrykeel.Clock
 	mutex   sync.Mutex
 	until   map[string]cherrykeel.Instant
--- a/grants/sweep.go
+++ b/grants/sweep.go
@@ -65,6 +65,7 @@
 		// Whatever grant an earlier keeper sent has a lower fence than this term's.
 		held := spans.GrantedSpan{Service: service, Owner: upstream.ID, Span: span, Fence: table.Term - 1}
 		keeper.ledger.RecordLease(held, spans.Never)
+		keeper.contact(upstream.ID).recordLease(upstream.Address, spans.Never)
 		release := spans.GrantedSpan{Service: service, Owner: upstream.ID, Span: span, Fence: table.Term}
 		keeper.unknownOwners.releases[release] = &unknownRelease{upstream: upstream}
 	}
@@ -123,7 +124,7 @@
 		zap.String("Service", key.Service), zap.String("Upstream", key.Owner), zap.Int("First", key.Span.First), zap.Int("Last", key.Span.Last), zap.Int64("Fence", key.Fence),
 	}
 	if errors.Is(err, cherrykeel.ErrUpstreamReplaced) {
-		keeper.recordIncarnationEnd(release.upstream, now)
+		keeper.recordReplaced(release.upstream, now)
 		return
 	}
 	if err != nil {
--- a/keyspan.go
+++ b/keyspan.go
@@ -72,4 +72,7 @@
 	// RestError, which wraps ErrNoAnswer, if the upstream turned the query away and wants no more for a time. It may state
 	// together with that that it is leaving.
 	IsLeaving(ctx context.Context, upstream Upstream, healthPath string) (bool, error)
+	// Identify asks, at an upstream's address and on a connection of its own, who answers there. It returns nil if the
+	// upstream does, ErrUpstreamReplaced if another one does, and ErrNoAnswer if no answer shows it.
+	Identify(ctx context.Context, upstream Upstream, healthPath string) error
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -160,7 +160,7 @@
 	case reply.Misdirected && reply.Instance != "" && reply.Instance != slot.Upstream.ID:
 		result.outcome = notRun
 		result.detail = "another upstream answered at the address"
-		exchange.relay.OnUpstreamReplaced(slot.Upstream.ID)
+		exchange.relay.OnUpstreamReplaced(slot.Upstream)
 	case reply.NotRun:
 		result.outcome = notRun
 		result.detail = "the upstream did not run the request: " + http.StatusText(answer.Status)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -37,8 +37,8 @@
 	HostCount func() int
 	// OnMisdirected is called when an upstream answers that it does not own the request's key.
 	OnMisdirected func()
-	// OnUpstreamReplaced is called with the id of an upstream at whose address another one answers.
-	OnUpstreamReplaced func(id string)
+	// OnUpstreamReplaced is called with an upstream at whose address another one answers.
+	OnUpstreamReplaced func(upstream cherrykeel.Upstream)
 	// OnUpstreamLeaving is called with each upstream that states in an answer that it is leaving, and with the ID of the
 	// answered request, before the answer is passed on.
 	OnUpstreamLeaving func(upstream cherrykeel.Upstream, request string)
--- a/watch/entries.go
+++ b/watch/entries.go
@@ -7,9 +7,8 @@
 	"cherrykeel/events"
 )
 
-// applyEntry applies the record of an upstream and reports whether onChange has to be called. With fromSnapshot set, the
-// record was found in a snapshot of the topic.
-func (upstreams *Upstreams) applyEntry(record cherrykeel.KeyedRecord, fromSnapshot bool) bool {
+// applyEntry applies the record of an upstream and reports whether onChange has to be called.
+func (upstreams *Upstreams) applyEntry(record cherrykeel.KeyedRecord) bool {
 	old, known := upstreams.entries[record.Key]
 	if known && record.Offset <= old.offset {
 		return false
@@ -22,20 +21,26 @@
 	if upstream.RemainingWarmup > 0 {
 		upstream.ColdUntil = upstreams.clock.Now().Add(upstream.RemainingWarmup)
 	}
-	firstOffset, leavingSince, limit := record.Offset, cherrykeel.Instant(0), limitState{}
-	if known {
-		switch {
-		case upstream.StartedAt < old.upstream.StartedAt:
-			// A late record of an earlier incarnation; its Leaving does not apply to the present one.
-			return false
-		case upstream.StartedAt == old.upstream.StartedAt && old.ended:
-			return false
-		case upstream.StartedAt == old.upstream.StartedAt:
-			firstOffset, fromSnapshot, leavingSince, limit = old.firstOffset, old.fromSnapshot, old.leavingSince, old.limit
-		}
+	if upstreams.isUnrouted(upstream) {
+		upstreams.holdBack(record, upstream)
+		return false
+	}
+	delete(upstreams.unrouted, record.Key)
+	return upstreams.applyUpstream(record, upstream)
+}
+
+// applyUpstream applies the decoded record of an upstream, and reports whether onChange has to be called.
+func (upstreams *Upstreams) applyUpstream(record cherrykeel.KeyedRecord, upstream cherrykeel.Upstream) bool {
+	old, known := upstreams.entries[record.Key]
+	if known && (record.Offset <= old.offset || old.isStale(upstream)) {
+		return false
+	}
+	next := &entry{upstream: upstream, offset: record.Offset}
+	if known && upstream.StartedAt == old.upstream.StartedAt {
+		next.leavingSince, next.limit = old.leavingSince, old.limit
 	}
 	upstreams.listValid = false
-	upstreams.entries[record.Key] = &entry{upstream: upstream, offset: record.Offset, firstOffset: firstOffset, fromSnapshot: fromSnapshot, leavingSince: leavingSince, limit: limit}
+	upstreams.entries[record.Key] = next
 	if known && !old.gone && isUnchangedForHosts(old.upstream, upstream) {
 		return false
 	}
@@ -47,6 +52,16 @@
 	return true
 }
 
+// isStale reports whether a record with a higher offset says nothing of an upstream that is newer than this entry: it was
+// written by an earlier incarnation, whose Leaving does not apply to the present one, or by one that has ended. If the
+// entry's incarnation has ended, a record with another address counts: the entry may have been another writer's.
+func (entry *entry) isStale(upstream cherrykeel.Upstream) bool {
+	if entry.ended {
+		return upstream.Address == entry.upstream.Address && upstream.StartedAt <= entry.upstream.StartedAt
+	}
+	return upstream.StartedAt < entry.upstream.StartedAt
+}
+
 // skipCopied reports whether a record of a store that has come back from a copy is left out: if it has no higher offset than
 // the known one, that may be newer, and say for instance that the upstream leaves. The upstream's next heartbeat counts.
 func (upstreams *Upstreams) skipCopied(record cherrykeel.KeyedRecord) bool {
--- a/watch/upstreams.go
+++ b/watch/upstreams.go
@@ -31,8 +31,13 @@
 	onChange func()
 	announce func(records []cherrykeel.KeyedRecord, before int64)
 
+	// services returns the services of the settings in force; false while none are known.
+	services func() (map[string]cherrykeel.RoutedService, bool)
+
 	mutex   sync.Mutex
 	entries map[string]*entry
+	// unrouted has the entries of services that the settings lack, which are not used.
+	unrouted map[string]unroutedEntry
 	// list holds the upstreams that are not gone; it is up to date if listValid is set.
 	list         []cherrykeel.Upstream
 	listValid    bool
@@ -51,21 +56,13 @@
 // entry is what is known of one upstream.
 type entry struct {
 	upstream cherrykeel.Upstream
-	// offset is the offset of the newest record, firstOffset that of the first record that was read of this
-	// incarnation. The first one shows which of two upstreams at one address is the later one, since the entry of the
-	// earlier one may expire long after the later one has registered.
-	offset      int64
-	firstOffset int64
-	// fromSnapshot means that firstOffset was read from a snapshot, which holds only the newest record of this
-	// incarnation: its first record may lie before it.
-	fromSnapshot bool
+	// offset is the offset of the newest record.
+	offset int64
 	// missing means that the store lacks the entry, possibly only because the store was unavailable.
 	missing bool
 	gone    bool
-	// ended means that the process is known to have ended.
+	// ended means that another upstream has answered at the address, so that the process has ended.
 	ended bool
-	// endLogged means that the log says by which evidence its process counts as ended.
-	endLogged bool
 	// leavingSince is when a host first received an answer in which this incarnation stated that it is leaving, or 0.
 	leavingSince cherrykeel.Instant
 	// limit is what the answers of this incarnation say of its rate limit.
@@ -79,7 +76,7 @@
 func NewUpstreams(decode func(string, []byte) (cherrykeel.Upstream, error), clock cherrykeel.Clock, logger *zap.Logger, onChange func(), announce func(records []cherrykeel.KeyedRecord, before int64)) *Upstreams {
 	return &Upstreams{
 		decode: decode, clock: clock, logger: logger, onChange: onChange, announce: announce, offset: -1, previousOffset: -1,
-		entries: map[string]*entry{}, invalidOffsets: map[string]int64{}, availableFor: func() time.Duration { return 0 },
+		entries: map[string]*entry{}, unrouted: map[string]unroutedEntry{}, invalidOffsets: map[string]int64{}, availableFor: func() time.Duration { return 0 },
 	}
 }
 
@@ -98,19 +95,22 @@
 	for _, record := range update.Records {
 		listed[record.Key] = true
 		if update.FromPeer && len(record.Value) == 0 {
+			upstreams.removeUnrouted(record.Key, record.Offset)
 			changed = upstreams.applyRemoval(record.Key, record.Offset) || changed
 			continue
 		}
 		if len(record.Value) == 0 {
+			upstreams.removeUnrouted(record.Key, record.Offset)
 			changed = upstreams.markMissing(record.Key, record.Offset) || changed
 			continue
 		}
 		if update.Restored && upstreams.skipCopied(record) {
 			continue
 		}
-		changed = upstreams.applyEntry(record, update.Snapshot) || changed
+		changed = upstreams.applyEntry(record) || changed
 	}
 	if update.Snapshot {
+		upstreams.removeUnlistedUnrouted(listed)
 		changed = upstreams.markUnlisted(listed) || changed
 	}
 	if update.FromPeer {
@@ -192,16 +192,18 @@
 	return upstreams.list
 }
 
-// MarkEnded records that an upstream's process has ended because another one has answered at its address.
-func (upstreams *Upstreams) MarkEnded(id string) {
+// MarkEnded records that the process of an incarnation has ended, since another upstream has answered at its address. It
+// does nothing if the upstream is listed elsewhere, or as another incarnation, by now: the answer says nothing of that one.
+func (upstreams *Upstreams) MarkEnded(ended cherrykeel.Upstream) {
 	upstreams.mutex.Lock()
-	old, known := upstreams.entries[id]
-	changed := known && !old.ended
+	known, exists := upstreams.entries[ended.ID]
+	same := exists && known.upstream.StartedAt == ended.StartedAt && known.upstream.Address == ended.Address
+	changed := same && !known.ended
 	if changed {
-		old.ended = true
-		upstreams.logEnd(old, "answer")
-		if !old.gone {
-			upstreams.markGone(old, 0)
+		known.ended = true
+		upstreams.logEnd(known)
+		if !known.gone {
+			upstreams.markGone(known, 0)
 		}
 	}
 	upstreams.unlockAndNotify(changed)
@@ -267,43 +269,39 @@
 	return upstreams.invalidCount
 }
 
-// logEnd logs, once for each incarnation, by which evidence its process counts as ended.
-func (upstreams *Upstreams) logEnd(entry *entry, evidence string) {
-	if entry.endLogged {
-		return
-	}
-	entry.endLogged = true
+// logEnd logs by which evidence an upstream's process counts as ended.
+func (upstreams *Upstreams) logEnd(entry *entry) {
 	events.Log(upstreams.logger, events.UpstreamEnded,
 		zap.String("Upstream", entry.upstream.ID), zap.String("Service", entry.upstream.Service), zap.String("Address", entry.upstream.Address),
-		zap.Int64("Born", entry.upstream.StartedAt), zap.String("EndedBy", evidence))
+		zap.Int64("Born", entry.upstream.StartedAt), zap.String("EndedBy", "answer"))
 }
 
-// IsReplaced reports whether another upstream has registered at the address after the given one, or has answered there.
-// In both cases the process of the given one has ended.
-func (upstreams *Upstreams) IsReplaced(id, address string) bool {
+// HasEnded reports whether the process of an upstream at an address is known to have ended, since another upstream has
+// answered there.
+//
+// An entry does not show that, whatever it says: other programs write entries too. One with the address of a running
+// upstream would end its leases, and its keys would be granted to others while it still works on them.
+func (upstreams *Upstreams) HasEnded(id, address string) bool {
+	upstreams.mutex.Lock()
+	defer upstreams.mutex.Unlock()
+	known, exists := upstreams.entries[id]
+	return exists && known.ended && known.upstream.Address == address
+}
+
+// HasOther reports whether the store lists another upstream with the address of the given one. That is a reason to ask
+// who answers there, and shows nothing by itself.
+func (upstreams *Upstreams) HasOther(id, address string) bool {
 	upstreams.mutex.Lock()
 	defer upstreams.mutex.Unlock()
-	this, known := upstreams.entries[id]
-	if known && this.ended {
-		return true
-	}
 	for other, entry := range upstreams.entries {
-		if known && other != id && entry.upstream.Address == address && entry.isSuccessorOf(this) {
-			upstreams.logEnd(this, "entry of "+other)
+		if other != id && !entry.gone && entry.upstream.Address == address {
 			return true
 		}
 	}
-	return false
-}
-
-// isSuccessorOf reports whether this entry's upstream certainly came after the other's at their address. A host that
-// has read a snapshot does not know the offset of this one's first record, and the store may carry out the last
-// heartbeat of an upstream after the next one has registered; in that case the start times have to agree. Start times
-// do not decide alone, since clocks differ.
-func (entry *entry) isSuccessorOf(other *entry) bool {
-	if entry.firstOffset <= other.firstOffset {
-		return false
+	for other, held := range upstreams.unrouted {
+		if other != id && held.upstream.Address == address {
+			return true
+		}
 	}
-	bothKnown := entry.upstream.StartedAt > 0 && other.upstream.StartedAt > 0
-	return !entry.fromSnapshot || !bothKnown || entry.upstream.StartedAt > other.upstream.StartedAt
+	return false
 }
