A request that is sent again uses no connection that carried it before; a refusal counts only if it names the request

Cause: the answer to a send was known by the request's ID alone, and each repeat has the same ID. A late second copy of the first refusal came where the repeat's answer was due, on the same connection, and counted as that. Hypotheses: a copy on the same connection; an answer that crossed through another host; a refusal of the host's own after it had sent. The field Conn of event 506 told: in three of three cases the second attempt had the Conn of the first and was "answered" after 0.2 ms, while the server's run took 60 ms.

A repeat that finds no other idle connection opens one, or takes the place of an idle one at the limit. A refusal without an ID is no longer "not run" (it belongs to no request), unless another instance answers a request that names this one. Why that is enough: bytes of a send come only on its connection, directly or through a host. Not chosen: trusting a copy-free time (nothing bounds it), asking on the connection first (a probe costs more than a connection), believing only safe requests ("not run" must be true for all).

--- /dev/null
+++ b/conns/carried_test.go
@@ -0,0 +1,80 @@
+package conns_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cherrykeel/conns"
+)
+
+var _ = Describe("a request that is sent again", func() {
+	// serveNumbered answers each request with the numbers of its connection and of the request there.
+	serveNumbered := func() string {
+		return serveConns(func(number int64, conn *net.TCPConn) {
+			reader := bufio.NewReader(conn)
+			for count := 1; ; count++ {
+				_, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				body := fmt.Sprintf("%d.%d", number, count)
+				fmt.Fprintf(conn, "HTTP/1.1 503 \r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			}
+		})
+	}
+	send := func(pool *conns.Pool, address, id string) string {
+		request, err := http.NewRequest(http.MethodGet, "http://"+address+"/", nil)
+		Expect(err).NotTo(HaveOccurred())
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		answer, _, err := pool.SendWithOptions(ctx, address, request, conns.SendOptions{MaxIdle: time.Minute, ID: id})
+		Expect(err).NotTo(HaveOccurred())
+		defer answer.Close()
+		body, err := io.ReadAll(answer)
+		Expect(err).NotTo(HaveOccurred())
+		return string(body)
+	}
+
+	// Guards against a second copy of a refusal that is taken for the answer to the repeat, which runs.
+	It("does not use a connection that carried it before, and others do", func() {
+		pool, address := conns.NewPool(), serveNumbered()
+		Expect(send(pool, address, "r1")).To(Equal("1.1"))
+		Expect(send(pool, address, "r1")).To(Equal("2.1"))
+		Expect(send(pool, address, "r2")).To(Equal("2.2"))
+		Expect(send(pool, address, "r1")).To(Equal("3.1"))
+		Expect(send(pool, address, "r2")).To(Equal("3.2"))
+		Expect(send(pool, address, "")).To(HavePrefix("3."))
+		Expect(pool.OpenConns(address)).To(Equal(3))
+	})
+
+	// Guards against a repeat that finds no connection, or opens more than the limit, since all idle ones carried it.
+	It("takes the place of an idle connection where the limit allows no further one", func() {
+		pool, address := conns.NewPool(), serveNumbered()
+		pool.SetLimit(address, 1)
+		for number := range 5 {
+			Expect(send(pool, address, "r1")).To(Equal(fmt.Sprintf("%d.1", number+1)))
+			Expect(pool.OpenConns(address)).To(Equal(1))
+		}
+	})
+
+	// Guards against memory that grows with each request on a connection that is never idle for long.
+	It("is forgotten by a connection that has carried many others since", func() {
+		pool, address := conns.NewPool(), serveNumbered()
+		for number := range 5000 {
+			send(pool, address, fmt.Sprint("r", number))
+		}
+		Expect(pool.OpenConns(address)).To(Equal(1))
+		Expect(strings.HasPrefix(send(pool, address, "r4999"), "2.")).To(BeTrue())
+		Expect(send(pool, address, "r0")).To(HavePrefix("2."))
+		Expect(send(pool, address, "r0")).To(HavePrefix("1."), "which has forgotten it")
+	})
+})
--- a/conns/conn.go
+++ b/conns/conn.go
@@ -21,6 +21,8 @@
 	source  *headReader
 	reader  *bufio.Reader
 	writer  *bufio.Writer
+	// carried has the requests that were sent on the connection.
+	carried carried
 	// writtenBytes counts the bytes of the current request that were handed to the socket.
 	writtenBytes int
 	// broken means that the connection must not be used again; Pool.mutex guards it.
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -73,6 +73,8 @@
 	// ResetWait is how long a new connection must stay open before the first byte is sent; 0 sends at once. An upstream
 	// with too many connections accepts one more and resets it, and a request sent by then may have run.
 	ResetWait time.Duration
+	// ID names the request in its answers; a connection carries each ID once. Empty means that answers name no request.
+	ID string
 	// Repeatable requests are broken off when the link to their address turns out to be silent (Pool.BreakSilent).
 	Repeatable bool
 	// AnswerWithin is the time within which an answer is expected on a connection that was used before; 0 means no
@@ -99,6 +101,7 @@
 		pool.release(conn)
 		return nil, NotSent, errors.WithStack(ErrNotReady)
 	}
+	conn.carried.add(options.ID)
 	conn.writtenBytes = 0
 	idle := conn.idleTime()
 	defer pool.watchForAnswer(conn, options)()
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -193,10 +194,13 @@
 func (pool *Pool) acquire(ctx context.Context, address string, options SendOptions) (*conn, error) {
 	maxIdle := pool.allowedIdle(options.MaxIdle)
 	for {
-		idle, err := pool.reserve(address, options.Repeatable)
+		idle, replaced, err := pool.reserve(address, options)
 		if err != nil {
 			return nil, err
 		}
+		if replaced != nil {
+			_ = replaced.socket.Close()
+		}
 		if idle == nil {
 			return pool.dialForUse(ctx, address, options)
 		}
@@ -207,22 +211,31 @@
 	}
 }
 
-// reserve returns an idle connection, or nil after counting a new one that the caller must establish.
-func (pool *Pool) reserve(address string, repeatable bool) (*conn, error) {
+// reserve returns an idle connection that has not carried the request, or nil after counting a new one that the caller must
+// establish. If the limit allows no further one, the new one takes the place of an idle one, which the caller must close.
+func (pool *Pool) reserve(address string, options SendOptions) (idle, replaced *conn, err error) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	pooled := pool.addressPool(address)
-	if last := len(pooled.idle) - 1; last >= 0 {
-		conn := pooled.idle[last]
-		pooled.idle = pooled.idle[:last]
-		pooled.used[conn] = repeatable
-		return conn, nil
+	for i := len(pooled.idle) - 1; i >= 0; i-- {
+		conn := pooled.idle[i]
+		if conn.carried.has(options.ID) {
+			continue
+		}
+		pooled.idle = slices.Delete(pooled.idle, i, i+1)
+		pooled.used[conn] = options.Repeatable
+		return conn, nil, nil
+	}
+	if pooled.open < pooled.limit {
+		pooled.open++
+		return nil, nil, nil
 	}
-	if pooled.open >= pooled.limit {
-		return nil, errors.WithStack(ErrConnLimit)
+	if len(pooled.idle) == 0 {
+		return nil, nil, errors.WithStack(ErrConnLimit)
 	}
-	pooled.open++
-	return nil, nil
+	oldest := pooled.idle[0]
+	pooled.idle = slices.Delete(pooled.idle, 0, 1)
+	return nil, oldest, nil
 }
 
 // dialForUse is dial for a connection that carries a request at once.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -76,6 +76,9 @@
 // errWrongRequest is the failure of an answer that names another request than the one sent.
 var errWrongRequest = errors.New("answer of another request")
 
+// errUnnamedRefusal is the failure of an answer that says that a request was not run, and not which one.
+var errUnnamedRefusal = errors.New("refusal that names no request")
+
 // hopHeaders are the headers that belong to one connection and are not passed on.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
@@ -133,6 +136,7 @@
 	if !exchange.route.Repeatable {
 		options = conns.SendOptions{MaxIdle: maxIdleUnrepeatable, ResetWait: newConnResetWait}
 	}
+	options.ID = exchange.headers.ID
 	options.AnswerWithin = lateAnswerMargin + lateAnswerFactor*exchange.inputs.TimeToAnswer
 	options.Ready = func() bool { return exchange.isReady(slot) }
 	answer, progress, err := exchange.relay.pool.SendWithOptions(ctx, slot.Upstream.Address, exchange.upstreamRequest(slot.Upstream, remaining), options)
@@ -161,6 +165,11 @@
 		result.outcome = notRun
 		result.detail = "another upstream answered at the address"
 		exchange.relay.OnUpstreamReplaced(slot.Upstream)
+	case reply.NotRun && reply.ID != exchange.headers.ID:
+		// A refusal of no request: it may be bytes that the upstream sent beyond an answer, and this one may be running.
+		result.outcome = outcomeUnknown
+		result.detail = errUnnamedRefusal.Error()
+		result.fromTarget = false
 	case reply.NotRun:
 		result.outcome = notRun
 		result.detail = "the upstream did not run the request: " + http.StatusText(answer.Status)
