A tunnel ends in order only if the upstream has ended it so; other ends are resets, also that of a killed host

Cause: an answer without a length ends with its connection, and a tunnel carries bare bytes: the system closes the sockets of a killed process in order (FIN), which the other host took for the upstream's end. Hypotheses: the end of the host in between, or of its copying on an error, or a lost reset of the upstream; copy.go passes both of the latter on as resets (spec), and the case breaks only with kills.

Now the host in between lets the socket towards the other host linger for no time until both directions have ended in order: whatever ends the process, the system then resets the connection. It says so in its answer (MarksEnd). Through a host of a build before, which says nothing, an answer without a length is a failure (502, or a retry if that is harmless). Why that is enough: an orderly end reaches the host only behind all of the upstream's bytes, by CloseWrite; a machine that loses power sends nothing, and the connection fails by its user timeout. Not chosen: frames around the bytes of a tunnel (each byte copied once more, a second protocol in it), refusing all answers without a length through others (a failure for a sound answer).

--- a/conns/carried_test.go
+++ b/conns/carried_test.go
@@ -78,3 +78,41 @@
 		Expect(send(pool, address, "r0")).To(HavePrefix("1."), "which has forgotten it")
 	})
 })
+
+// passedSocket is a connection through another host.
+type passedSocket struct {
+	*net.TCPConn
+	marksEnd bool
+}
+
+func (socket passedSocket) Via() string    { return "between" }
+func (socket passedSocket) MarksEnd() bool { return socket.marksEnd }
+
+var _ = Describe("an answer without a length", func() {
+	// Guards against a part of an answer that counts as the whole: it ends with its connection, and the end of the host in
+	// between may look like the upstream's.
+	DescribeTable("that comes through another host is taken only if the end shows that it is whole", func(marksEnd bool) {
+		address := serveConns(func(_ int64, conn *net.TCPConn) {
+			_, _ = conn.Read(make([]byte, 1024))
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nbody")
+			_ = conn.Close()
+		})
+		dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+			opened, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return passedSocket{TCPConn: opened.(*net.TCPConn), marksEnd: marksEnd}, nil
+		}
+		progress, err := sendWith(conns.NewPool(conns.WithCloseDelimited(), conns.WithDial(dial)), address, conns.SendOptions{MaxIdle: time.Minute})
+		Expect(progress).To(Equal(conns.AnswerBegun))
+		if marksEnd {
+			Expect(err).NotTo(HaveOccurred())
+			return
+		}
+		Expect(err).To(MatchError(conns.ErrCloseDelimited))
+	},
+		Entry("it does", true),
+		Entry("it does not", false),
+	)
+})
--- a/conns/conn.go
+++ b/conns/conn.go
@@ -63,6 +63,12 @@
 	return tunneled.Via()
 }
 
+// marksEnd reports whether an orderly end of the connection is the upstream's. The end of a host in between may look the same.
+func (conn *conn) marksEnd() bool {
+	tunneled, ok := conn.socket.(interface{ MarksEnd() bool })
+	return !ok || tunneled.MarksEnd()
+}
+
 // isStale reports whether the connection goes another way than new ones should.
 func (conn *conn) isStale() bool {
 	stale, ok := conn.socket.(interface{ IsStale() bool })
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -142,7 +142,7 @@
 	if err != nil {
 		return nil, Sent, err
 	}
-	if isCloseDelimited(response) && !(allowCloseDelimited && response.StatusCode != http.StatusSwitchingProtocols) {
+	if isCloseDelimited(response) && !(allowCloseDelimited && conn.marksEnd() && response.StatusCode != http.StatusSwitchingProtocols) {
 		return nil, AnswerBegun, errors.WithStack(ErrCloseDelimited)
 	}
 	answer := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, response: response, conn: conn}
--- a/tunnel/attempt.go
+++ b/tunnel/attempt.go
@@ -99,7 +99,7 @@
 // newConn returns the tunnel that another host has opened.
 func (dialer *Dialer) newConn(attempt *attempt, asked askedResult) net.Conn {
 	dialer.recordTunneled(attempt, asked.peer.Name)
-	opened := &conn{TCPConn: asked.socket, dialer: dialer, host: asked.peer.Name, address: attempt.address}
+	opened := &conn{TCPConn: asked.socket, dialer: dialer, host: asked.peer.Name, address: attempt.address, marksEnd: asked.marksEnd}
 	dialer.remember(opened)
 	return opened
 }
--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -21,28 +21,28 @@
 )
 
 // ask asks one host for a connection to an address.
-func (dialer *Dialer) ask(ctx context.Context, peer cherrykeel.Peer, address string, order bool) (*net.TCPConn, reach.Reply) {
+func (dialer *Dialer) ask(ctx context.Context, peer cherrykeel.Peer, address string, order bool) (openedTunnel, reach.Reply) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	opened, err := dialer.peerDialer.DialContext(ctx, "tcp", peer.InternalAddress)
 	if err != nil {
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			return nil, reach.Incapable
+			return openedTunnel{}, reach.Incapable
 		}
-		return nil, reach.Silent
+		return openedTunnel{}, reach.Silent
 	}
 	socket := opened.(*net.TCPConn)
 	stop := context.AfterFunc(ctx, func() { _ = socket.SetDeadline(time.Unix(1, 0)) })
 	answer, err := dialer.call(socket, openCall{Host: dialer.self.Name, Incarnation: dialer.self.Incarnation, Address: address, Order: order})
 	inTime := stop()
 	if err == nil && answer.State == stateOpened && inTime {
-		return socket, reach.Opened
+		return openedTunnel{socket: socket, marksEnd: answer.MarksEnd}, reach.Opened
 	}
 	reset(socket)
 	if err != nil || !inTime {
-		return nil, reach.Silent
+		return openedTunnel{}, reach.Silent
 	}
-	return nil, answer.reply()
+	return openedTunnel{}, answer.reply()
 }
 
 func (dialer *Dialer) call(socket *net.TCPConn, call openCall) (openAnswer, error) {
@@ -53,11 +53,17 @@
 	return readAnswer(socket)
 }
 
-// reply is what one host has answered.
+// openedTunnel is a tunnel that a host has opened. marksEnd means that it ends in order only if the upstream has ended it so.
+type openedTunnel struct {
+	socket   *net.TCPConn
+	marksEnd bool
+}
+
+// reply is what one host has answered, with the tunnel if it has opened one.
 type reply struct {
-	peer   cherrykeel.Peer
-	socket *net.TCPConn
-	reply  reach.Reply
+	openedTunnel
+	peer  cherrykeel.Peer
+	reply reach.Reply
 }
 
 // askedResult is the result of asking hosts for a connection: the one that has opened it, or what they replied instead.
@@ -83,8 +89,8 @@
 		peer := peers[asked]
 		asked++
 		go func() {
-			socket, answered := dialer.ask(ctx, peer, address, order)
-			results <- reply{peer: peer, socket: socket, reply: answered}
+			opened, answered := dialer.ask(ctx, peer, address, order)
+			results <- reply{openedTunnel: opened, peer: peer, reply: answered}
 		}()
 	}
 	askNext()
--- a/tunnel/copy.go
+++ b/tunnel/copy.go
@@ -16,6 +16,8 @@
 	copyBytes = 4096
 	// closingTime is how long a side that has ended orderly leaves the other one to end.
 	closingTime = 5 * time.Second
+	// defaultLinger makes the system deliver what is left when a socket is closed.
+	defaultLinger = -1
 )
 
 // buffers holds buffers of tunnels that have ended.
@@ -35,6 +37,7 @@
 	ended.Go(func() { copying.copy(copying.far, copying.near) })
 	ended.Go(func() { copying.copy(copying.near, copying.far) })
 	ended.Wait()
+	_ = copying.near.SetLinger(defaultLinger)
 	_ = copying.near.Close()
 	_ = copying.far.Close()
 }
--- a/tunnel/message.go
+++ b/tunnel/message.go
@@ -37,6 +37,9 @@
 	State state
 	// Links tells whether the links of the host that answers are the cause. Hosts of earlier builds do not tell.
 	Links linksState `json:",omitempty"`
+	// MarksEnd tells that the tunnel ends in order only if the upstream has ended the connection in order, and by a reset
+	// otherwise, also when the process of this host ends. Hosts of earlier builds do not tell, and do not reset.
+	MarksEnd bool `json:",omitempty"`
 }
 
 // linksState is the state of a host's links to the upstreams of a service.
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -111,7 +111,13 @@
 		server.decline(near, answer)
 		return
 	}
-	err = writeAnswer(near, answer)
+	// The system closes the sockets of a process that is killed in order, unless they linger for no time: an answer that ends
+	// with its connection would seem complete to the other host.
+	err = near.SetLinger(0)
+	if err == nil {
+		answer.MarksEnd = true
+		err = writeAnswer(near, answer)
+	}
 	if err != nil {
 		reset(near)
 		reset(far)
--- a/tunnel/suite_test.go
+++ b/tunnel/suite_test.go
@@ -21,6 +21,10 @@
 )
 
 func TestTunnel(t *testing.T) {
+	if os.Getenv(peerVariable) != "" {
+		serveForPeer()
+		return
+	}
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "tunnel")
 }
