An answer of another request where the request's own is due is skipped; the own one comes behind it

Cause: any answer with another ID ended the attempt, and with it the connection on which the own answer followed.

Now the host reads on behind an answer that names another request: two at the most, 1 MiB of body each, for as long as an answer is expected at the latest (twice the time that it takes, and 100 ms), then it fails as before. Since a connection carries an ID once, an answer with the request's ID is its own. "No ID" means that nothing tells whose answer it is: it is not skipped, and no refusal. An attempt whose own answer does not come is recorded as abandoned, which is no evidence of a crash.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -35,6 +35,7 @@
 	Header http.Header
 	// Length is the body's length in bytes, or -1 if the head does not state it.
 	Length     int64
+	ctx        context.Context
 	response   *http.Response
 	conn       *conn
 	pool       *Pool
@@ -124,6 +125,7 @@
 		return nil, progress, err
 	}
 	pool.recordArrival(conn)
+	answer.ctx = ctx
 	answer.pool = pool
 	answer.stopCancel = stop
 	return answer, AnswerBegun, nil
--- /dev/null
+++ b/conns/skip.go
@@ -0,0 +1,43 @@
+package conns
+
+import (
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrTooLongToSkip means that an answer of another request has more bytes than may be skipped.
+var ErrTooLongToSkip = errors.WithMessage(ErrBroken, "an answer of another request is too long")
+
+// Skip discards an answer that belongs to another request, and reads the head of the next one on the connection. That takes
+// the given time at most, and the skipped body has at most limit bytes. After an error the connection is not used again.
+func (answer *Answer) Skip(limit int64, within time.Duration) error {
+	conn := answer.conn
+	answer.complete = false
+	if isCloseDelimited(answer.response) {
+		return errors.WithStack(ErrCloseDelimited)
+	}
+	_ = conn.socket.SetReadDeadline(time.Now().Add(within))
+	skipped, err := io.Copy(io.Discard, io.LimitReader(answer.response.Body, limit+1))
+	if err != nil {
+		return brokenError(err)
+	}
+	if skipped > limit {
+		return errors.WithStack(ErrTooLongToSkip)
+	}
+	next, err := conn.readHead(answer.response.Request)
+	if err != nil {
+		return err
+	}
+	_ = conn.socket.SetReadDeadline(time.Time{})
+	if answer.ctx.Err() != nil || answer.pool.isBroken(conn) {
+		// Both set a deadline that may just have been removed.
+		_ = conn.socket.SetDeadline(pastTime)
+	}
+	if isCloseDelimited(next) && !(answer.pool.allowCloseDelimited && conn.marksEnd()) {
+		return errors.WithStack(ErrCloseDelimited)
+	}
+	answer.Status, answer.Header, answer.Length, answer.response = next.StatusCode, next.Header, next.ContentLength, next
+	return nil
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -10,9 +10,11 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"cherrykeel"
 	"cherrykeel/conns"
+	"cherrykeel/events"
 	"cherrykeel/flow"
 )
 
@@ -71,6 +73,12 @@
 	// An answer is late after lateAnswerFactor times the time that it is expected to take, and lateAnswerMargin.
 	lateAnswerFactor = 2
 	lateAnswerMargin = 100 * time.Millisecond
+	// maxSkippedAnswers is how many answers of other requests are skipped before the request's own, and maxSkippedBytes how
+	// long the body of each may be.
+	maxSkippedAnswers = 2
+	maxSkippedBytes   = 1 << 20
+	// maxLoggedID bounds what the log shows of an ID that another program has written.
+	maxLoggedID = 64
 )
 
 // errWrongRequest is the failure of an answer that names another request than the one sent.
@@ -148,7 +156,10 @@
 		return result
 	}
 	defer answer.Close()
-	reply := exchange.relay.dialect.ReadReply(answer.Status, answer.Header)
+	reply, err := exchange.readOwnReply(answer, options.AnswerWithin)
+	if err != nil {
+		return result{outcome: outcomeUnknown, abandoned: true, connection: answer.Connection(), via: answer.Via(), detail: errWrongRequest.Error() + ", and then: " + err.Error()}
+	}
 	exchange.recordStatements(slot, reply)
 	body, err := exchange.readAnswer(answer)
 	result := result{connection: answer.Connection(), via: answer.Via(), status: answer.Status, header: answer.Header, body: body, load: reply.Load, misdirected: reply.Misdirected}
@@ -185,6 +196,25 @@
 	return result
 }
 
+// readOwnReply reads the headers of the request's own answer. An upstream may send a second copy of another answer where this
+// one is due; its ID tells, and the request's own comes behind it. Answers without an ID are not skipped: an upstream that
+// names no request would be waited for in vain.
+func (exchange *exchange) readOwnReply(answer *conns.Answer, within time.Duration) (cherrykeel.ReplyHeaders, error) {
+	reply := exchange.relay.dialect.ReadReply(answer.Status, answer.Header)
+	for range maxSkippedAnswers {
+		if reply.ID == "" || reply.ID == exchange.headers.ID {
+			break
+		}
+		events.Log(exchange.relay.Logger, events.AnswerSkipped, append(exchange.logFields(), zap.Int64("Conn", answer.Connection()), zap.String("Names", reply.ID[:min(len(reply.ID), maxLoggedID)]))...)
+		err := answer.Skip(maxSkippedBytes, within)
+		if err != nil {
+			return reply, err
+		}
+		reply = exchange.relay.dialect.ReadReply(answer.Status, answer.Header)
+	}
+	return reply, nil
+}
+
 // isAnswerOf reports whether an answer shows something about the upstream that was sent the request. One that belongs to
 // another request does not, and neither does one of another upstream at the address. Any upstream at the address answers
 // a misdirected request, so such an answer has to name the upstream.
