A keeper bounds the unknown leases of all owners; it logs which order another upstream has answered

From reading the change: the end of an inherited lease was bounded by owner only if the ledger still had it, so that after an early release an owner counted as holding keys elsewhere for the rest of the term, and evidence at its next address would have been left.

--- a/grants/claim.go
+++ b/grants/claim.go
@@ -287,7 +287,8 @@
 	if keeper.unknownOwners != nil {
 		keeper.unknownOwners.until = until
 	}
-	for _, owner := range keeper.ledger.BoundUnknownLeases(until) {
-		keeper.contact(owner).boundUnknownLeases(until)
+	keeper.ledger.BoundUnknownLeases(until)
+	for _, contact := range keeper.contacts {
+		contact.boundUnknownLeases(until)
 	}
 }
--- a/grants/renew.go
+++ b/grants/renew.go
@@ -5,7 +5,10 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"cherrykeel"
+	"cherrykeel/events"
 	"cherrykeel/spans"
 )
 
@@ -217,6 +220,8 @@
 	if keeper.contact(upstream.ID).startedAt > upstream.StartedAt {
 		return
 	}
+	events.Log(keeper.logger, events.UpstreamEnded,
+		zap.String("Upstream", upstream.ID), zap.String("Address", upstream.Address), zap.Int64("Born", upstream.StartedAt), zap.String("EndedBy", "answer to an order"))
 	keeper.endProcess(upstream.ID, upstream.Address, now)
 	keeper.environment.NotifyEnded(upstream)
 }
--- a/relay/refusal_test.go
+++ b/relay/refusal_test.go
@@ -16,6 +16,20 @@
 	"cherrykeel/flow"
 )
 
+// attemptAt makes one attempt of a request with the ID "r", which has a minute, at an upstream "u" with the address.
+func attemptAt(relay *Relay, address string) result {
+	now := relay.clock.Now()
+	dispatcher := newDispatcher("s", false, "z", nil, func() cherrykeel.Bounds { return cherrykeel.Bounds{} }, func() {})
+	dispatcher.setUpstreams([]cherrykeel.Upstream{{ID: "u", Address: address, Slots: 1}}, now)
+	current := &exchange{
+		relay: relay, dispatcher: dispatcher, headers: cherrykeel.RequestHeaders{ID: "r"},
+		request: httptest.NewRequest(http.MethodPost, "http://h/", nil), route: &weightedRoute{}, deadline: now.Add(time.Minute),
+	}
+	ticket := &flow.Ticket{Key: cherrykeel.NoKey, Arrived: now, Deadline: now.Add(time.Minute), Target: now.Add(time.Minute)}
+	slot := (<-dispatcher.submit(ticket, now)).Slot
+	return current.attempt(context.Background(), slot)
+}
+
 var _ = Describe("an upstream's refusal", func() {
 	// Guards against callers who are told that a request has not run for bytes that belong to no request.
 	DescribeTable("counts as the request's own only if it names the request", func(reply cherrykeel.ReplyHeaders, expected outcome) {
@@ -28,16 +42,7 @@
 			Clock: cherrykeel.SystemClock(), Dialect: fixedReplyDialect{reply: reply}, Pool: conns.NewPool(), Logger: zap.NewNop(), Scope: tally.NoopScope,
 			OnUpstreamReplaced: func(cherrykeel.Upstream) {},
 		})
-		now := relay.clock.Now()
-		upstream := cherrykeel.Upstream{ID: "u", Address: server.Listener.Addr().String(), Slots: 1}
-		dispatcher := newDispatcher("s", false, "z", nil, func() cherrykeel.Bounds { return cherrykeel.Bounds{} }, func() {})
-		dispatcher.setUpstreams([]cherrykeel.Upstream{upstream}, now)
-		current := &exchange{
-			relay: relay, dispatcher: dispatcher, headers: cherrykeel.RequestHeaders{ID: "r"},
-			request: httptest.NewRequest(http.MethodPost, "http://h/", nil), route: &weightedRoute{}, deadline: now.Add(time.Minute),
-		}
-		slot := (<-dispatcher.submit(&flow.Ticket{Key: cherrykeel.NoKey, Arrived: now, Deadline: now.Add(time.Minute), Target: now.Add(time.Minute)}, now)).Slot
-		Expect(current.attempt(context.Background(), slot).outcome).To(Equal(expected))
+		Expect(attemptAt(relay, server.Listener.Addr().String()).outcome).To(Equal(expected))
 	},
 		Entry("the request's", cherrykeel.ReplyHeaders{ID: "r"}, notRun),
 		Entry("another request's", cherrykeel.ReplyHeaders{ID: "q"}, outcomeUnknown),
--- a/relay/skip_test.go
+++ b/relay/skip_test.go
@@ -2,14 +2,11 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
-	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -18,7 +15,6 @@
 
 	"cherrykeel"
 	"cherrykeel/conns"
-	"cherrykeel/flow"
 )
 
 // namedDialect reads which request an answer names, and takes each answer for signed.
@@ -50,15 +46,7 @@
 			_ = conn.Close()
 		}()
 		relay := New(Settings{Clock: cherrykeel.SystemClock(), Dialect: namedDialect{}, Pool: conns.NewPool(), Logger: zap.NewNop(), Scope: tally.NoopScope})
-		now := relay.clock.Now()
-		dispatcher := newDispatcher("s", false, "z", nil, func() cherrykeel.Bounds { return cherrykeel.Bounds{} }, func() {})
-		dispatcher.setUpstreams([]cherrykeel.Upstream{{ID: "u", Address: listener.Addr().String(), Slots: 1}}, now)
-		current := &exchange{
-			relay: relay, dispatcher: dispatcher, headers: cherrykeel.RequestHeaders{ID: "r"},
-			request: httptest.NewRequest(http.MethodGet, "http://h/", nil), route: &weightedRoute{}, deadline: now.Add(time.Minute),
-		}
-		slot := (<-dispatcher.submit(&flow.Ticket{Key: cherrykeel.NoKey, Arrived: now, Deadline: now.Add(time.Minute), Target: now.Add(time.Minute)}, now)).Slot
-		result := current.attempt(context.Background(), slot)
+		result := attemptAt(relay, listener.Addr().String())
 		Expect(result.outcome).To(Equal(expected))
 		Expect(result.unanswered).To(BeFalse(), "the connection did not break")
 		if expected == answered {
--- a/spans/ledger.go
+++ b/spans/ledger.go
@@ -120,17 +120,13 @@
 	ledger.leases = kept
 }
 
-// BoundUnknownLeases sets the end of all leases whose end was not known, since an earlier keeper may have granted
-// them, and returns their owners.
-func (ledger *Ledger) BoundUnknownLeases(until cherrykeel.Instant) []string {
-	var owners []string
+// BoundUnknownLeases sets the end of all leases whose end was not known, since an earlier keeper may have granted them.
+func (ledger *Ledger) BoundUnknownLeases(until cherrykeel.Instant) {
 	for i := range ledger.leases {
 		if ledger.leases[i].until == Never {
 			ledger.leases[i].until = until
-			owners = append(owners, ledger.leases[i].Owner)
 		}
 	}
-	return owners
 }
 
 // FreeAt returns when no upstream except the given one can hold any key of the span. It returns Never if that is not
