--- a/conns/carried.go
+++ b/conns/carried.go
@@ -3,8 +3,8 @@
 import "hash/maphash"
 
 // maxCarried is how many requests' IDs a connection remembers, the newest ones. A second answer comes where the next one is
-// due, and whoever reads it as the answer to another request closes the connection, so few are needed; this many outlast the
-// refusals that an upstream sends on one connection while a request waits to be sent again.
+// due, where another request skips it, so few are needed; this many outlast the refusals that an upstream sends on one
+// connection while a request waits to be sent again.
 const maxCarried = 1024
 
 // carriedSeed is the seed of the hashes of IDs.
