--- a/grants/standin_test.go
+++ b/grants/standin_test.go
@@ -55,6 +55,13 @@
 func (smallEnvironment) ReregistrationTime() time.Duration                    { return 0 }
 func (smallEnvironment) IsCorrupt() bool                                      { return false }
 
+// unidentified is a granter's part for upstreams that do not say who they are.
+type unidentified struct{}
+
+func (unidentified) Identify(context.Context, cherrykeel.Upstream, string) error {
+	return errors.WithStack(cherrykeel.ErrNoAnswer)
+}
+
 // storelessEnvironment is a smallEnvironment whose store is unavailable.
 type storelessEnvironment struct {
 	smallEnvironment
