A connection is closed after 1,024 requests, in place of forgetting the oldest

What callers could see: answered as not run, and run: a connection remembered its newest 1,024 requests, so that a repeat of an older one could be sent on it again, and the late second copy of the first refusal counted as its answer. Cause: the memory was bounded by forgetting. Why it works: what a connection has carried it remembers until it is closed. One more connection for 1,024 requests. A skipped answer's 'Connection: close' is heeded, too: the connection behind it was kept.

--- a/conns/carried.go
+++ b/conns/carried.go
@@ -2,9 +2,8 @@
 
 import "hash/maphash"
 
-// maxCarried is how many requests' IDs a connection remembers, the newest ones. A second answer comes where the next one is
-// due, where another request skips it, so few are needed; this many outlast the refusals that an upstream sends on one
-// connection while a request waits to be sent again.
+// maxCarried is how many requests with an ID a connection carries before it is closed. It remembers all of them: one that it
+// forgot could be sent on it again.
 const maxCarried = 1024
 
 // carriedSeed is the seed of the hashes of IDs.
@@ -17,21 +16,21 @@
 // which is running. So a connection carries an ID once.
 type carried struct {
 	hashes []uint64
-	next   int
+	// sends counts the requests, those without an ID included.
+	sends int
 }
 
-// add adds an ID, in place of the oldest one if there are too many.
+// add adds the ID of a request, or counts one that has none.
 func (carried *carried) add(id string) {
-	if id == "" {
-		return
-	}
-	hash := maphash.String(carriedSeed, id)
-	if len(carried.hashes) < maxCarried {
-		carried.hashes = append(carried.hashes, hash)
-		return
+	carried.sends++
+	if id != "" {
+		carried.hashes = append(carried.hashes, maphash.String(carriedSeed, id))
 	}
-	carried.hashes[carried.next] = hash
-	carried.next = (carried.next + 1) % maxCarried
+}
+
+// isFull reports whether the connection must not carry another request.
+func (carried *carried) isFull() bool {
+	return len(carried.hashes) >= maxCarried
 }
 
 // has reports whether an ID was carried. It may report so of one that was not, if two have the same hash.
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -41,8 +41,10 @@
 	pool       *Pool
 	stopCancel func() bool
 	complete   bool
-	closed     bool
-	onClose    func()
+	// closes means that a skipped answer said that the connection closes.
+	closes  bool
+	closed  bool
+	onClose func()
 }
 
 // OnClose sets a function that the first Close calls.
@@ -60,6 +62,11 @@
 	return answer.conn.serial
 }
 
+// Sends returns how many requests the connection has carried, with the answered one, for logs.
+func (answer *Answer) Sends() int {
+	return answer.conn.carried.sends
+}
+
 // Send writes the request and reads the head of its answer; the end of the context makes the connection fail. If Send
 // returns an error, Progress is how far the request got, and a connection on which it was sent is closed.
 func (pool *Pool) Send(ctx context.Context, address string, request *http.Request) (*Answer, Progress, error) {
@@ -205,7 +212,7 @@
 		defer answer.onClose()
 	}
 	untouched := answer.stopCancel()
-	reusable := answer.complete && untouched && !answer.response.Close && answer.conn.reader.Buffered() == 0
+	reusable := answer.complete && untouched && !answer.closes && !answer.response.Close && answer.conn.reader.Buffered() == 0 && !answer.conn.carried.isFull()
 	if !reusable {
 		answer.pool.discard(answer.conn)
 		return
