What an answer must name to show anything is said in one place; a 421 that names no request ends no upstream

Cause: each conclusion had a condition of its own on ID and instance, and some were looser than what follows from it. Why it works: origin.Shows has one table. A request's answer names the request, whatever it is to show, and no other upstream; headers that name several show nothing. All of attempt, statements, rest, limit, load and evidence of life ask it. A 421 that names another upstream and no request makes the host ask who listens there, on a connection of its own and once a second at the most (entry/doubt.go); only that answer ends the upstream. Bytes without an ID are skipped like those of another request, so that the own answer behind them is read: fewer 502. Ruled out: asking for an ID in orders and checks. Changed checks: 'a rest with no name' and 'leaving: a failure without an id' asked that bytes which name nobody are heeded. Two dialects of specs repeat the ID, as upstreams do.

--- a/dialect.go
+++ b/dialect.go
@@ -18,6 +18,9 @@
 type ReplyHeaders struct {
 	// ID names the request that the answer belongs to; empty if the headers don't give it.
 	ID string
+	// Contradictory is true if the headers name more than one request or upstream, or say that a request did not run which
+	// the status says was served.
+	Contradictory bool
 	// Signed is true if the answer carries the mark that only upstreams set.
 	Signed bool
 	// NotRun is true if the upstream did not act on the request and never will.
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -24,6 +24,7 @@
 	host.peersThrottle = &throttle{clock: host.clock, interval: peersInterval, run: host.applyPeers}
 	host.rateLimits = newRateLimits(host)
 	host.shortNames.Store(&shortNames{})
+	host.doubts = &doubts{askedAt: map[permit.Incarnation]cherrykeel.Instant{}}
 	host.schedulingDelay = newSchedulingDelay(host.clock)
 	host.spans = watch.NewSpans(host.clock, host.logger, host.onSpansChange, host.announceSpans)
 	host.mesh = share.New(host.self, host.clock, host.logger, &state{host: host}, host.reportsThrottle.trigger, host.countsThrottle.trigger, func(demand share.Demand) { host.keeper.RecordDemand(demand) }, host.receive)
@@ -44,6 +45,7 @@
 		Pool:   host.conns,
 		Logger: host.logger, Scope: host.scope, Owner: host.spans.Owner, OnKeyRequest: host.mesh.RecordKeyRequest, HostCount: host.mesh.HostCount,
 		OnMisdirected: host.onMisdirected, OnUpstreamReplaced: func(upstream cherrykeel.Upstream) { host.upstreams.MarkEnded(upstream) },
+		OnUpstreamDoubted: host.identify,
 		OnUpstreamLeaving: host.recordLeaving,
 		OnUpstreamLimit: func(upstream permit.Incarnation, heard permit.Statement, request string) {
 			host.recordLimit(upstream, heard, watch.Source{Request: request})
--- a/entry/bare_test.go
+++ b/entry/bare_test.go
@@ -15,7 +15,7 @@
 	"cherrykeel/events"
 )
 
-// noDialect is a dialect without headers.
+// noDialect is a dialect without headers, in which each answer repeats the request's ID.
 type noDialect struct{}
 
 func (noDialect) ReadRequest(*http.Request) cherrykeel.RequestHeaders {
@@ -24,7 +24,7 @@
 func (noDialect) MarkRequest(http.Header, cherrykeel.Upstream, time.Duration) {}
 func (noDialect) MarkAnswer(http.Header, string)                              {}
 func (noDialect) ReadReply(int, http.Header) cherrykeel.ReplyHeaders {
-	return cherrykeel.ReplyHeaders{}
+	return cherrykeel.ReplyHeaders{ID: "r"}
 }
 
 // emptyLog is a topic of the store without records.
--- a/entry/host.go
+++ b/entry/host.go
@@ -85,6 +85,7 @@
 	dialer           *tunnel.Dialer
 	tunnels          *tunnel.Server
 	granter          cherrykeel.SpanGranter
+	doubts           *doubts
 	server           *caller.Server
 	mesh             *share.Mesh
 	keeper           *grants.Keeper
--- a/events/events.go
+++ b/events/events.go
@@ -79,7 +79,7 @@
 	RequestPanicked     = define(511, zap.ErrorLevel, "this program panicked while it handled a request")
 	LoadUnreadable      = define(512, zap.WarnLevel, "load reported by an upstream is malformed")
 	AnswerEndless       = define(516, zap.WarnLevel, "upstream sent more bytes than an answer may have")
-	AnswerSkipped       = define(517, zap.WarnLevel, "answer of another request was skipped")
+	AnswerSkipped       = define(517, zap.WarnLevel, "answer that is not the request's own was skipped")
 	IdleConnsClosed     = define(515, zap.WarnLevel, "idle connections of callers were closed, since there are too many")
 	RetryAfterMalformed = define(520, zap.WarnLevel, "time for which an upstream wants no request is malformed")
 	LimitMalformed      = define(522, zap.WarnLevel, "limit named by an upstream is malformed")
--- a/layout_test.go
+++ b/layout_test.go
@@ -18,7 +18,7 @@
 }
 
 // purePackages get time, randomness and input as arguments, so that tests can run them deterministically.
-var purePackages = []string{"admit", "demand", "flow", "fold", "keeper", "lease", "member", "permit", "picker", "place", "poison", "reach", "retry", "route", "spans", "topo", "views"}
+var purePackages = []string{"admit", "demand", "flow", "fold", "keeper", "lease", "member", "origin", "permit", "picker", "place", "poison", "reach", "retry", "route", "spans", "topo", "views"}
 
 // impureImports are the imports with which a package could read a clock, wait, synchronize or do I/O.
 var impureImports = []string{"context", "crypto/rand", "io", "math/rand", "math/rand/v2", "net", "net/http", "os", "sync"}
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -149,6 +149,7 @@
 	events.Log(exchange.relay.Logger, events.AttemptEnded, append(exchange.logFields(),
 		zap.String("Upstream", slot.Upstream.ID), zap.String("Address", slot.Upstream.Address), zap.String("Via", result.via), zap.Int64("Conn", result.connection), zap.Int("Load", slot.Load), zap.Bool("Trial", slot.Probe),
 		zap.Int("Attempt", exchange.attempts), zap.Bool("MayHaveRun", result.outcome == outcomeUnknown), zap.Int("Status", result.status),
+		zap.Stringer("Names", result.names), zap.String("Instance", loggedID(result.instance)), zap.Int("Sends", result.sends),
 		zap.String("Detail", result.detail), zap.Duration("Took", exchange.relay.clock.Now().Sub(slot.StartedAt)))...)
 }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -16,6 +16,7 @@
 	"cherrykeel/conns"
 	"cherrykeel/events"
 	"cherrykeel/flow"
+	"cherrykeel/origin"
 )
 
 // outcome is what an attempt showed of whether the request ran.
@@ -51,8 +52,12 @@
 	// came.
 	reset     bool
 	abandoned bool
-	// connection is the serial number of the connection on which an answer came, or 0.
+	// connection is the serial number of the connection on which an answer came, or 0, and sends how many requests it had
+	// carried by then. names and instance are what the answer names.
 	connection int64
+	sends      int
+	names      origin.Names
+	instance   string
 	// via is the host through which the answer came, or empty.
 	via string
 	// endless means that the upstream sent more bytes than an answer may have.
@@ -81,11 +86,8 @@
 	maxLoggedID = 64
 )
 
-// errWrongRequest is the failure of an answer that names another request than the one sent.
-var errWrongRequest = errors.New("answer of another request")
-
-// errUnnamedRefusal is the failure of an answer that says that a request was not run, and not which one.
-var errUnnamedRefusal = errors.New("refusal that names no request")
+// errWrongRequest is the failure of an answer that does not name the request that was sent, or names another upstream.
+var errWrongRequest = errors.New("answer of another request, of none or of another upstream")
 
 // hopHeaders are the headers that belong to one connection and are not passed on.
 var hopHeaders = []string{
@@ -156,39 +158,24 @@
 		return result
 	}
 	defer answer.Close()
-	reply, err := exchange.readOwnReply(answer, options.AnswerWithin)
+	call := origin.Call{Kind: origin.Request, ID: exchange.headers.ID, Upstream: slot.Upstream.ID}
+	reply, err := exchange.readOwnReply(answer, slot.Upstream, call, options.AnswerWithin)
+	result := result{connection: answer.Connection(), sends: answer.Sends(), via: answer.Via(), names: origin.NamesOf(call, reply), instance: reply.Instance}
 	if err != nil {
-		return result{outcome: outcomeUnknown, abandoned: true, connection: answer.Connection(), via: answer.Via(), detail: errWrongRequest.Error() + ", and then: " + err.Error()}
+		result.outcome = outcomeUnknown
+		result.abandoned = true
+		result.detail = errWrongRequest.Error() + ", and then: " + err.Error()
+		return result
 	}
-	exchange.recordStatements(slot, reply)
+	exchange.recordStatements(slot, call, reply)
 	body, err := exchange.readAnswer(answer)
-	result := result{connection: answer.Connection(), via: answer.Via(), status: answer.Status, header: answer.Header, body: body, load: reply.Load, misdirected: reply.Misdirected}
+	result.status, result.header, result.body = answer.Status, answer.Header, body
 	result.unanswered = err != nil && ctx.Err() == nil && !isEndless(err)
 	result.endless = isEndless(err)
 	result.reset = errors.Is(err, conns.ErrReset)
-	result.fromTarget = err == nil && (reply.Instance == "" || reply.Instance == slot.Upstream.ID)
-	switch {
-	case reply.ID != "" && reply.ID != exchange.headers.ID:
-		result.outcome = outcomeUnknown
-		result.detail = errWrongRequest.Error()
-		result.fromTarget = false
-	case reply.Misdirected && reply.Instance != "" && reply.Instance != slot.Upstream.ID:
-		result.outcome = notRun
-		result.detail = "another upstream answered at the address"
+	result.conclude(call, reply, err)
+	if origin.Shows(origin.Replaced, call, reply) {
 		exchange.relay.OnUpstreamReplaced(slot.Upstream)
-	case reply.NotRun && reply.ID != exchange.headers.ID:
-		// A refusal of no request: it may be bytes that the upstream sent beyond an answer, and this one may be running.
-		result.outcome = outcomeUnknown
-		result.detail = errUnnamedRefusal.Error()
-		result.fromTarget = false
-	case reply.NotRun:
-		result.outcome = notRun
-		result.detail = "the upstream did not run the request: " + http.StatusText(answer.Status)
-	case err != nil:
-		result.outcome = outcomeUnknown
-		result.detail = err.Error()
-	default:
-		result.classify(reply)
 	}
 	if result.outcome == outcomeUnknown {
 		answer.DisableReuse()
@@ -196,16 +183,18 @@
 	return result
 }
 
-// readOwnReply reads the headers of the request's own answer. An upstream may send a second copy of another answer where this
-// one is due; its ID tells, and the request's own comes behind it. Answers without an ID are not skipped: an upstream that
-// names no request would be waited for in vain.
-func (exchange *exchange) readOwnReply(answer *conns.Answer, within time.Duration) (cherrykeel.ReplyHeaders, error) {
+// readOwnReply reads the headers of the request's own answer. An upstream may send a second copy of another answer, or bytes
+// that answer nothing, where this one is due; the ID tells, and the request's own answer comes behind them.
+func (exchange *exchange) readOwnReply(answer *conns.Answer, upstream cherrykeel.Upstream, call origin.Call, within time.Duration) (cherrykeel.ReplyHeaders, error) {
 	reply := exchange.relay.dialect.ReadReply(answer.Status, answer.Header)
 	for range maxSkippedAnswers {
-		if reply.ID == "" || reply.ID == exchange.headers.ID {
+		if !origin.IsForeign(call, reply) {
 			break
 		}
-		events.Log(exchange.relay.Logger, events.AnswerSkipped, append(exchange.logFields(), zap.Int64("Conn", answer.Connection()), zap.String("Names", reply.ID[:min(len(reply.ID), maxLoggedID)]))...)
+		if origin.Shows(origin.Doubtful, call, reply) {
+			exchange.relay.OnUpstreamDoubted(upstream)
+		}
+		events.Log(exchange.relay.Logger, events.AnswerSkipped, append(exchange.logFields(), zap.Int64("Conn", answer.Connection()), zap.Int("Status", answer.Status), zap.String("Names", loggedID(reply.ID)), zap.String("Instance", loggedID(reply.Instance)))...)
 		err := answer.Skip(maxSkippedBytes, within)
 		if err != nil {
 			return reply, err
@@ -215,17 +204,30 @@
 	return reply, nil
 }
 
-// isAnswerOf reports whether an answer shows something about the upstream that was sent the request. One that belongs to
-// another request does not, and neither does one of another upstream at the address. Any upstream at the address answers
-// a misdirected request, so such an answer has to name the upstream.
-func (exchange *exchange) isAnswerOf(upstream cherrykeel.Upstream, reply cherrykeel.ReplyHeaders) bool {
+// loggedID returns what the log shows of an ID that another program has written.
+func loggedID(id string) string {
+	return id[:min(len(id), maxLoggedID)]
+}
+
+// conclude decides what an answer shows of the attempt; err is the failure to read its body.
+func (result *result) conclude(call origin.Call, reply cherrykeel.ReplyHeaders, err error) {
+	result.fromTarget = err == nil && origin.Shows(origin.Alive, call, reply)
+	result.misdirected = origin.Shows(origin.Misdirected, call, reply)
+	if origin.Shows(origin.Load, call, reply) {
+		result.load = reply.Load
+	}
 	switch {
-	case reply.ID != "" && reply.ID != exchange.headers.ID:
-		return false
-	case reply.Instance != "":
-		return reply.Instance == upstream.ID
+	case origin.Shows(origin.NotRun, call, reply):
+		result.outcome = notRun
+		result.detail = "the upstream did not run the request: " + http.StatusText(result.status)
+	case !origin.Shows(origin.Answered, call, reply):
+		result.outcome = outcomeUnknown
+		result.detail = errWrongRequest.Error()
+	case err != nil:
+		result.outcome = outcomeUnknown
+		result.detail = err.Error()
 	default:
-		return !reply.Misdirected
+		result.classify(reply)
 	}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -39,6 +39,9 @@
 	OnMisdirected func()
 	// OnUpstreamReplaced is called with an upstream at whose address another one answers.
 	OnUpstreamReplaced func(upstream cherrykeel.Upstream)
+	// OnUpstreamDoubted is called with an upstream at whose address another one may listen, as an answer says that names no
+	// request of this host.
+	OnUpstreamDoubted func(upstream cherrykeel.Upstream)
 	// OnUpstreamLeaving is called with each upstream that states in an answer that it is leaving, and with the ID of the
 	// answered request, before the answer is passed on.
 	OnUpstreamLeaving func(upstream cherrykeel.Upstream, request string)
@@ -80,6 +83,9 @@
 	if settings.AnswerMemory == nil {
 		settings.AnswerMemory = memory.NewLimit(defaultAnswerMemory)
 	}
+	if settings.OnUpstreamDoubted == nil {
+		settings.OnUpstreamDoubted = func(cherrykeel.Upstream) {}
+	}
 	if settings.OnUpstreamLimit == nil {
 		settings.OnUpstreamLimit = func(permit.Incarnation, permit.Statement, string) {}
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -117,7 +117,7 @@
 	)
 })
 
-// emptyDialect reads and writes no headers.
+// emptyDialect reads and writes no headers; each answer repeats the request's ID.
 type emptyDialect struct{}
 
 func (emptyDialect) ReadRequest(*http.Request) cherrykeel.RequestHeaders {
@@ -126,7 +126,7 @@
 func (emptyDialect) MarkRequest(http.Header, cherrykeel.Upstream, time.Duration) {}
 func (emptyDialect) MarkAnswer(http.Header, string)                              {}
 func (emptyDialect) ReadReply(int, http.Header) cherrykeel.ReplyHeaders {
-	return cherrykeel.ReplyHeaders{}
+	return cherrykeel.ReplyHeaders{ID: "r"}
 }
 
 // fixedClock always shows the same time.
--- a/relay/rest.go
+++ b/relay/rest.go
@@ -8,13 +8,12 @@
 	"cherrykeel"
 	"cherrykeel/events"
 	"cherrykeel/flow"
+	"cherrykeel/origin"
 )
 
-// recordRest records and logs that an upstream wants no request from this host for a time. An answer that names another
-// request or another upstream says nothing of the one that was asked.
-func (exchange *exchange) recordRest(slot *flow.Slot, reply cherrykeel.ReplyHeaders) {
-	isOther := reply.ID != "" && reply.ID != exchange.headers.ID || reply.Instance != "" && reply.Instance != slot.Upstream.ID
-	if reply.RetryAfter <= 0 || isOther {
+// recordRest records and logs that an upstream wants no request from this host for a time.
+func (exchange *exchange) recordRest(slot *flow.Slot, call origin.Call, reply cherrykeel.ReplyHeaders) {
+	if reply.RetryAfter <= 0 || !origin.Shows(origin.Rest, call, reply) {
 		return
 	}
 	if !exchange.dispatcher.recordRest(slot.Upstream, reply.RetryAfter, exchange.relay.clock.Now()) {
--- a/relay/rest_test.go
+++ b/relay/rest_test.go
@@ -18,6 +18,7 @@
 	"cherrykeel/conns"
 	"cherrykeel/events"
 	"cherrykeel/flow"
+	"cherrykeel/origin"
 )
 
 var _ = Describe("an upstream that asked for a rest", func() {
@@ -101,6 +102,7 @@
 
 var _ = Describe("an answer that asks for a rest", func() {
 	const rest = 3 * time.Second
+	call := origin.Call{Kind: origin.Request, ID: "r", Upstream: "a"}
 	var (
 		server   *httptest.Server
 		requests atomic.Int64
@@ -131,13 +133,16 @@
 
 	// Guards against an upstream that is left alone since another one, or an answer that came late, asked for that.
 	DescribeTable("is heeded only if it belongs to the request and to the upstream that was asked", func(reply cherrykeel.ReplyHeaders, resting int) {
-		current.recordRest(slot, reply)
-		current.recordRest(slot, reply)
+		current.recordRest(slot, call, reply)
+		current.recordRest(slot, call, reply)
 		Expect(current.relay.RestingUpstreams()).To(Equal(resting))
 		Expect(lines.FilterMessage(events.RestBegan.Text).Len()).To(Equal(resting), "a line for each rest")
 	},
 		Entry("with both names", cherrykeel.ReplyHeaders{ID: "r", Instance: "a", RetryAfter: rest}, 1),
-		Entry("with no name", cherrykeel.ReplyHeaders{RetryAfter: rest}, 1),
+		Entry("of the request, by an upstream that is not named", cherrykeel.ReplyHeaders{ID: "r", RetryAfter: rest}, 1),
+		Entry("with no name", cherrykeel.ReplyHeaders{RetryAfter: rest}, 0),
+		Entry("of the upstream, without a request", cherrykeel.ReplyHeaders{Instance: "a", RetryAfter: rest}, 0),
+		Entry("of two requests", cherrykeel.ReplyHeaders{ID: "r", Contradictory: true, RetryAfter: rest}, 0),
 		Entry("of another request", cherrykeel.ReplyHeaders{ID: "other", Instance: "a", RetryAfter: rest}, 0),
 		Entry("of another upstream", cherrykeel.ReplyHeaders{ID: "r", Instance: "b", RetryAfter: rest}, 0),
 		Entry("without a time", cherrykeel.ReplyHeaders{ID: "r", Instance: "a"}, 0),
@@ -145,7 +150,7 @@
 
 	// Guards against a rest that is forgotten as the operator divides the service's keys among its upstreams, or no longer does.
 	It("is heeded by the scheduler that follows when the service's kind changes", func() {
-		current.recordRest(slot, cherrykeel.ReplyHeaders{RetryAfter: rest})
+		current.recordRest(slot, call, cherrykeel.ReplyHeaders{ID: "r", RetryAfter: rest})
 		current.relay.SetRoutes(cherrykeel.RouteSet{Version: 1, Services: map[string]cherrykeel.RoutedService{"s": {Name: "s", Keyed: true}}})
 		Expect(current.relay.dispatcher("s")).NotTo(BeIdenticalTo(current.dispatcher))
 		Expect(current.relay.RestingUpstreams()).To(Equal(1))
@@ -153,7 +158,7 @@
 
 	// Guards against requests that had a slot before the rest, and reach the upstream long after it began since their connection was slow to come.
 	It("withholds requests that are still waiting for their connection", func() {
-		current.recordRest(slot, cherrykeel.ReplyHeaders{RetryAfter: rest})
+		current.recordRest(slot, call, cherrykeel.ReplyHeaders{ID: "r", RetryAfter: rest})
 		result := current.attempt(context.Background(), slot)
 		Expect(result.outcome).To(Equal(notSent))
 		Expect(result.slotResult(false)).To(Equal(flow.Abandoned), "it can be reached")
--- a/relay/statement.go
+++ b/relay/statement.go
@@ -9,6 +9,7 @@
 	"cherrykeel"
 	"cherrykeel/events"
 	"cherrykeel/flow"
+	"cherrykeel/origin"
 	"cherrykeel/permit"
 )
 
@@ -26,19 +27,16 @@
 
 // recordStatements records all that an answer says of its sender, as soon as its headers are there: its body may come
 // late or never.
-func (exchange *exchange) recordStatements(slot *flow.Slot, reply cherrykeel.ReplyHeaders) {
+func (exchange *exchange) recordStatements(slot *flow.Slot, call origin.Call, reply cherrykeel.ReplyHeaders) {
 	exchange.logMalformed(events.LoadUnreadable, slot.Upstream, reply.Load.Malformed)
 	exchange.logMalformed(events.RetryAfterMalformed, slot.Upstream, reply.MalformedRetryAfter)
 	exchange.logMalformed(events.LimitMalformed, slot.Upstream, reply.Limit.Malformed)
-	exchange.recordRest(slot, reply)
-	if !exchange.isAnswerOf(slot.Upstream, reply) {
-		return
-	}
-	if reply.Leaving {
+	exchange.recordRest(slot, call, reply)
+	if reply.Leaving && origin.Shows(origin.Leaving, call, reply) {
 		exchange.relay.OnUpstreamLeaving(slot.Upstream, exchange.headers.ID)
 	}
 	heard, heardAny := exchange.limitStatement(slot, reply)
-	if heardAny {
+	if heardAny && origin.Shows(origin.Limit, call, reply) {
 		upstream := permit.Incarnation{ID: slot.Upstream.ID, StartedAt: slot.Upstream.StartedAt}
 		exchange.relay.OnUpstreamLimit(upstream, heard, exchange.headers.ID)
 	}
