--- a/relay/relay.go
+++ b/relay/relay.go
@@ -77,9 +77,6 @@
 
 // New returns a relay without routes, which refuses all requests.
 func New(settings Settings) *Relay {
-	if settings.DenyList == nil {
-		settings.DenyList = deny.New(deny.Settings{Clock: settings.Clock, Logger: settings.Logger})
-	}
 	if settings.AnswerMemory == nil {
 		settings.AnswerMemory = memory.NewLimit(defaultAnswerMemory)
 	}
@@ -95,6 +92,9 @@
 	if settings.Logger == nil {
 		settings.Logger = zap.NewNop()
 	}
+	if settings.DenyList == nil {
+		settings.DenyList = deny.New(deny.Settings{Clock: settings.Clock, Logger: settings.Logger})
+	}
 	return &Relay{
 		Settings:           settings,
 		dialect:            settings.Dialect,
