A host in between passes on nothing that its user has given up

A keeper gives a grant up after 0.6 s and counts its lease from 0.7 s; through another host that got no processor the grant was still passed on, up to 400 ms later (beyond that the guard of suspensions acts): the system hands out what arrived before a reset. Answers are passed on as before: an upstream may reset behind one. Left: the moment between the look and the write.

--- a/sock/readable.go
+++ b/sock/readable.go
@@ -21,6 +21,22 @@
 	return err == nil && ready > 0
 }
 
+// IsReset reports whether the peer has reset the connection, also while bytes that it had sent before can still be read. It
+// reports false for a closed socket.
+func IsReset(socket syscall.Conn) bool {
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	events := int16(0)
+	err = raw.Control(func(descriptor uintptr) {
+		polled := []unix.PollFd{{Fd: int32(descriptor)}}
+		_, _ = unix.Poll(polled, 0)
+		events = polled[0].Revents
+	})
+	return err == nil && events&(unix.POLLERR|unix.POLLHUP) != 0
+}
+
 // HasUnacknowledged reports whether the peer has not yet acknowledged all bytes that were written to the socket; false
 // for a closed socket.
 func HasUnacknowledged(socket syscall.Conn) bool {
--- a/tunnel/copy.go
+++ b/tunnel/copy.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"cherrykeel/events"
+	"cherrykeel/sock"
 )
 
 const (
@@ -53,6 +54,12 @@
 			copying.reset(true)
 			return
 		}
+		if count > 0 && from == copying.near && sock.IsReset(from) {
+			// The host that asked has given up what it sent, maybe long ago: an order among it would reach its upstream after
+			// the keeper has counted it as lost.
+			copying.reset(false)
+			return
+		}
 		if count > 0 {
 			_, writeErr := to.Write(buffer[:count])
 			if writeErr != nil {
