--- a/entry/doubt.go
+++ b/entry/doubt.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// identifyInterval is how often one upstream is asked who it is, at the most.
-	identifyInterval = time.Second
+	// identifyInterval is how often one upstream is asked who it is, at the most. The first doubt is asked about at once; each
+	// question costs a connection.
+	identifyInterval = 3 * time.Second
 	// identifyTimeout bounds one question.
 	identifyTimeout = 500 * time.Millisecond
 	// maxIdentifying bounds the questions under way.
