Bytes that are no answer are not the loss of an idle connection

What callers saw: more connections opened. A host that loses a request on an idle connection reuses idle ones for half as long, for 10 s and on; bytes that can't be read as an answer counted as such a loss, though the connection was there. Why it works: a loss is a request without one byte of an answer. It holds for heads that are too long as before. The spec failed before (two connections made in place of one).

--- a/conns/care_test.go
+++ b/conns/care_test.go
@@ -149,4 +149,41 @@
 		Expect(send(healthy)).To(Succeed())
 		Expect(made.Load()).To(BeEquivalentTo(1))
 	})
+
+	// Guards against twice the connections to no benefit: bytes that are no answer show that the upstream has the connection
+	// still, so no idle one was dropped.
+	It("keeps idle connections after an upstream has sent bytes that are no answer", func() {
+		garbled := serveConns(func(_ int64, conn *net.TCPConn) {
+			buffer := make([]byte, 4096)
+			_, _ = conn.Read(buffer)
+			_, _ = conn.Write([]byte(fullAnswer))
+			_, _ = conn.Read(buffer)
+			_, _ = conn.Write([]byte("220 ready\r\n\r\n"))
+			_, _ = conn.Read(buffer)
+		})
+		var made atomic.Int64
+		healthy := serveConns(func(_ int64, conn *net.TCPConn) {
+			made.Add(1)
+			buffer := make([]byte, 4096)
+			for {
+				_, err := conn.Read(buffer)
+				if err != nil {
+					return
+				}
+				_, _ = conn.Write([]byte(fullAnswer))
+			}
+		})
+		pool := conns.NewPool()
+		options := conns.SendOptions{MaxIdle: time.Minute}
+		send := func(address string) error {
+			_, err := sendWith(pool, address, options)
+			return err
+		}
+		Expect(send(garbled)).To(Succeed())
+		Expect(send(healthy)).To(Succeed())
+		time.Sleep(100 * time.Millisecond)
+		Expect(send(garbled)).NotTo(Succeed())
+		Expect(send(healthy)).To(Succeed())
+		Expect(made.Load()).To(BeEquivalentTo(1))
+	})
 })
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -126,7 +126,7 @@
 		if conn.closedUnderRequest && conn.via() == "" && ctx.Err() == nil {
 			pool.onClosed(conn.address)
 		}
-		if progress == Sent && ctx.Err() == nil && !pool.isBroken(conn) && !errors.Is(err, ErrHeadTooLong) {
+		if progress == Sent && ctx.Err() == nil && !pool.isBroken(conn) && !conn.source.hasRead() {
 			pool.recordLoss(idle)
 		}
 		return nil, progress, err
--- a/conns/head.go
+++ b/conns/head.go
@@ -45,6 +45,11 @@
 	headReader.exceeded = false
 }
 
+// hasRead reports whether bytes came since begin was called.
+func (headReader *headReader) hasRead() bool {
+	return headReader.left < maxHeadBytes
+}
+
 func (headReader *headReader) end() {
 	headReader.bounded = false
 }
