--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -163,7 +163,8 @@
 	result := result{connection: answer.Connection(), sends: answer.Sends(), via: answer.Via(), names: origin.NamesOf(call, reply), instance: reply.Instance}
 	if err != nil {
 		result.outcome = outcomeUnknown
-		result.abandoned = true
+		result.endless = isEndless(err)
+		result.abandoned = !result.endless
 		result.detail = errWrongRequest.Error() + ", and then: " + err.Error()
 		return result
 	}
--- a/relay/body.go
+++ b/relay/body.go
@@ -32,7 +32,7 @@
 
 // isEndless reports whether an attempt failed since the upstream sent more bytes than an answer may have.
 func isEndless(err error) bool {
-	return errors.Is(err, errAnswerTooLarge) || errors.Is(err, errNoAnswerMemory) || errors.Is(err, conns.ErrHeadTooLong)
+	return errors.Is(err, errAnswerTooLarge) || errors.Is(err, errNoAnswerMemory) || errors.Is(err, conns.ErrHeadTooLong) || errors.Is(err, conns.ErrTooLongToSkip)
 }
 
 // heldBody reads an answer's body into memory that is shared by all answers of this host. An upstream may send without
