A skipped answer is not waited behind once the caller has left

By reading: Skip sets a deadline of its own, which replaced the one that the context's end had just set, so that the request was held for the time of an answer.

--- a/conns/skip.go
+++ b/conns/skip.go
@@ -20,6 +20,7 @@
 		return errors.WithStack(ErrCloseDelimited)
 	}
 	_ = conn.socket.SetReadDeadline(time.Now().Add(within))
+	answer.breakIfOver()
 	skipped, err := io.Copy(io.Discard, io.LimitReader(answer.response.Body, limit+1))
 	if err != nil {
 		return brokenError(err)
@@ -32,13 +33,18 @@
 		return err
 	}
 	_ = conn.socket.SetReadDeadline(time.Time{})
-	if answer.ctx.Err() != nil || answer.pool.isBroken(conn) {
-		// Both set a deadline that may just have been removed.
-		_ = conn.socket.SetDeadline(pastTime)
-	}
+	answer.breakIfOver()
 	if isCloseDelimited(next) && !(answer.pool.allowCloseDelimited && conn.marksEnd()) {
 		return errors.WithStack(ErrCloseDelimited)
 	}
 	answer.Status, answer.Header, answer.Length, answer.response = next.StatusCode, next.Header, next.ContentLength, next
 	return nil
 }
+
+// breakIfOver makes the connection fail if the context has ended or the link is silent. Both have set a deadline for that,
+// which may just have been replaced.
+func (answer *Answer) breakIfOver() {
+	if answer.ctx.Err() != nil || answer.pool.isBroken(answer.conn) {
+		_ = answer.conn.socket.SetDeadline(pastTime)
+	}
+}
