--- a/conns/skip.go
+++ b/conns/skip.go
@@ -10,8 +10,9 @@
 // ErrTooLongToSkip means that an answer of another request has more bytes than may be skipped.
 var ErrTooLongToSkip = errors.WithMessage(ErrBroken, "an answer of another request is too long")
 
-// Skip discards an answer that is not the one to the request that was sent, and reads the head of the next one on the connection. That takes
-// the given time at most, and the skipped body has at most limit bytes. After an error the connection is not used again.
+// Skip discards an answer that is not the one to the request that was sent, and reads the head of the next one on the
+// connection. That takes the given time at most, and the skipped body has at most limit bytes. After an error the connection
+// is not used again.
 func (answer *Answer) Skip(limit int64, within time.Duration) error {
 	conn := answer.conn
 	answer.complete = false
