--- a/conns/care_test.go
+++ b/conns/care_test.go
@@ -32,6 +32,21 @@
 	return listener.Addr().String()
 }
 
+// serveHealthy answers each request, counts the connections made to it, and returns its address.
+func serveHealthy(made *atomic.Int64) string {
+	return serveConns(func(_ int64, conn *net.TCPConn) {
+		made.Add(1)
+		buffer := make([]byte, 4096)
+		for {
+			_, err := conn.Read(buffer)
+			if err != nil {
+				return
+			}
+			_, _ = conn.Write([]byte(fullAnswer))
+		}
+	})
+}
+
 func reset(conn *net.TCPConn) {
 	_ = conn.SetLinger(0)
 	_ = conn.Close()
@@ -124,17 +139,7 @@
 			}
 			reset(conn)
 		})
-		healthy := serveConns(func(_ int64, conn *net.TCPConn) {
-			made.Add(1)
-			buffer := make([]byte, 4096)
-			for {
-				_, err := conn.Read(buffer)
-				if err != nil {
-					return
-				}
-				_, _ = conn.Write([]byte(fullAnswer))
-			}
-		})
+		healthy := serveHealthy(&made)
 		pool := conns.NewPool()
 		options := conns.SendOptions{MaxIdle: time.Minute}
 		send := func(address string) error {
@@ -162,17 +167,7 @@
 			_, _ = conn.Read(buffer)
 		})
 		var made atomic.Int64
-		healthy := serveConns(func(_ int64, conn *net.TCPConn) {
-			made.Add(1)
-			buffer := make([]byte, 4096)
-			for {
-				_, err := conn.Read(buffer)
-				if err != nil {
-					return
-				}
-				_, _ = conn.Write([]byte(fullAnswer))
-			}
-		})
+		healthy := serveHealthy(&made)
 		pool := conns.NewPool()
 		options := conns.SendOptions{MaxIdle: time.Minute}
 		send := func(address string) error {
