A status that is none, or another protocol, is no answer

What callers saw: a server in trouble answered with the status 000, and the caller got a signed 200 with its body; 042 and +20 came as "HTTP/1.1 42" and "HTTP/1.1 20", and HTTP/2.0 and HTTP/0.9 as 200.

Cause: the HTTP library takes any three characters that make a number for a status and any version of the form HTTP/d.d. The relay believed what it had parsed, and package caller takes a status of 0 for one that is not yet set and writes 200.

Change: package heads decides whether a line is a status line at all (HTTP/1.0 or HTTP/1.1, 100 to 599). conns reads a head line by line, asks it for each, and only then gives the bytes to the library. What is none is conns.ErrMalformed: the connection is closed, the outcome is unknown (502; a safe request may be sent again, charged to the retry budget), nothing is read from the head, and event 518 says what was wrong, from which upstream and on which connection. So does everything else that the library refuses to parse. For the detection of crashes such a send counts like a server's 5xx: the server was alive and may have begun to run the request.

Why 600 to 999 are none: RFC 9110, 15 calls them invalid and has clients treat them as a 5xx; 502 is one, and the caller gets no status that it does not know. Why line by line: bytes that are no answer may never end a head, and are known as such by their first line.

--- a/conns/conn.go
+++ b/conns/conn.go
@@ -75,6 +75,11 @@
 	return ok && stale.IsStale()
 }
 
+// hasUnread reports whether bytes that have arrived were not read.
+func (conn *conn) hasUnread() bool {
+	return conn.reader.Buffered() > 0 || len(conn.source.unread) > 0
+}
+
 // idleTime returns how long the connection has been idle, or 0 for a new one.
 func (conn *conn) idleTime() time.Duration {
 	if conn.idleSince.IsZero() {
@@ -95,7 +100,7 @@
 // isOpenAndQuiet reports whether the connection is open and has nothing to read. Without this check, the next request could
 // be lost on a connection that the upstream has closed, or receive an unrequested answer or a late one to another request.
 func (conn *conn) isOpenAndQuiet() bool {
-	if conn.reader.Buffered() > 0 {
+	if conn.hasUnread() {
 		return false
 	}
 	source, ok := conn.socket.(syscall.Conn)
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -212,7 +212,7 @@
 		defer answer.onClose()
 	}
 	untouched := answer.stopCancel()
-	reusable := answer.complete && untouched && !answer.closes && !answer.response.Close && answer.conn.reader.Buffered() == 0 && !answer.conn.carried.isFull()
+	reusable := answer.complete && untouched && !answer.closes && !answer.response.Close && !answer.conn.hasUnread() && !answer.conn.carried.isFull()
 	if !reusable {
 		answer.pool.discard(answer.conn)
 		return
--- a/conns/head.go
+++ b/conns/head.go
@@ -1,10 +1,14 @@
 package conns
 
 import (
+	"bufio"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/pkg/errors"
+
+	"cherrykeel/heads"
 )
 
 // ErrHeadTooLong is an ErrBroken that means that the head of an answer, informational answers before it included, has
@@ -18,6 +22,8 @@
 // headReader reads from a connection. While a head is read, it returns a bounded number of bytes.
 type headReader struct {
 	source io.Reader
+	// unread is returned before what source has.
+	unread []byte
 	// bounded means that a head is read, for which left more bytes may be read. exceeded means that it asked for more.
 	bounded  bool
 	left     int
@@ -26,6 +32,11 @@
 
 // Read implements io.Reader.
 func (headReader *headReader) Read(buffer []byte) (int, error) {
+	if len(headReader.unread) > 0 {
+		count := copy(buffer, headReader.unread)
+		headReader.unread = headReader.unread[count:]
+		return count, nil
+	}
 	if !headReader.bounded {
 		return headReader.source.Read(buffer)
 	}
@@ -59,13 +70,12 @@
 	conn.source.begin()
 	defer conn.source.end()
 	for {
-		response, err := http.ReadResponse(conn.reader, request)
+		response, err := conn.readNextHead(request)
 		if err != nil && conn.source.exceeded {
 			return nil, errors.WithStack(ErrHeadTooLong)
 		}
 		if err != nil {
-			conn.closedUnderRequest = errors.Is(err, io.ErrUnexpectedEOF)
-			return nil, brokenError(err)
+			return nil, err
 		}
 		informational := response.StatusCode >= 100 && response.StatusCode < 200
 		if !informational || response.StatusCode == http.StatusSwitchingProtocols {
@@ -73,3 +83,65 @@
 		}
 	}
 }
+
+// readNextHead reads one head, which may be that of an informational answer.
+func (conn *conn) readNextHead(request *http.Request) (*http.Response, error) {
+	head, err := conn.readLines()
+	if errors.Is(err, heads.ErrMalformed) {
+		return nil, conn.malformedError(err)
+	}
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		conn.closedUnderRequest = errors.Is(err, io.ErrUnexpectedEOF)
+		return nil, brokenError(err)
+	}
+	conn.unread(head)
+	response, err := http.ReadResponse(conn.reader, request)
+	if err != nil {
+		return nil, conn.malformedError(err)
+	}
+	return response, nil
+}
+
+// readLines reads the lines of a head, including the empty one that ends it, and checks each as soon as it is there: what
+// sends bytes that are no answer may never end them.
+func (conn *conn) readLines() ([]byte, error) {
+	var head []byte
+	var answer heads.Answer
+	for {
+		begin := len(head)
+		var err error
+		head, err = conn.appendLine(head)
+		if err != nil {
+			return nil, err
+		}
+		line := strings.TrimSuffix(strings.TrimSuffix(string(head[begin:]), "\n"), "\r")
+		if line == "" && begin > 0 {
+			return head, nil
+		}
+		err = answer.AddLine(line)
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// appendLine reads a line and appends it.
+func (conn *conn) appendLine(head []byte) ([]byte, error) {
+	for {
+		part, err := conn.reader.ReadSlice('\n')
+		head = append(head, part...)
+		if err != bufio.ErrBufferFull {
+			return head, err
+		}
+	}
+}
+
+// unread makes the next reads return a head that was read, and what is buffered behind it.
+func (conn *conn) unread(head []byte) {
+	buffered, _ := conn.reader.Peek(conn.reader.Buffered())
+	conn.source.unread = append(append(head, buffered...), conn.source.unread...)
+	conn.reader.Reset(conn.source)
+}
--- a/events/events.go
+++ b/events/events.go
@@ -80,6 +80,7 @@
 	LoadUnreadable      = define(512, zap.WarnLevel, "load reported by an upstream is malformed")
 	AnswerEndless       = define(516, zap.WarnLevel, "upstream sent more bytes than an answer may have")
 	AnswerSkipped       = define(517, zap.WarnLevel, "answer that is not the request's own was skipped")
+	AnswerMalformed     = define(518, zap.WarnLevel, "upstream sent bytes that are no answer")
 	IdleConnsClosed     = define(515, zap.WarnLevel, "idle connections of callers were closed, since there are too many")
 	RetryAfterMalformed = define(520, zap.WarnLevel, "time for which an upstream wants no request is malformed")
 	LimitMalformed      = define(522, zap.WarnLevel, "limit named by an upstream is malformed")
--- /dev/null
+++ b/heads/heads_test.go
@@ -0,0 +1,71 @@
+package heads_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cherrykeel/heads"
+)
+
+func TestHeads(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "heads")
+}
+
+// check returns the first error of an answer's lines.
+func check(lines ...string) error {
+	var answer heads.Answer
+	for _, line := range lines {
+		err := answer.AddLine(line)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+var _ = Describe("a status line", func() {
+	// Guards against bytes that pass as an answer, since a number can be read from them: 000 became 200 on its way.
+	DescribeTable("is none of an answer", func(line, wrong string) {
+		err := check(line)
+		Expect(err).To(MatchError(heads.ErrMalformed))
+		Expect(err.Error()).To(ContainSubstring(wrong))
+	},
+		Entry("with status 000", "HTTP/1.1 000 OK", `status "000"`),
+		Entry("with status 042", "HTTP/1.1 042 OK", `status "042"`),
+		Entry("with status 099", "HTTP/1.1 099 OK", `status "099"`),
+		Entry("with status 600", "HTTP/1.1 600 OK", `status "600"`),
+		Entry("with status 999", "HTTP/1.1 999 OK", `status "999"`),
+		Entry("with a sign", "HTTP/1.1 +20 OK", `status "+20"`),
+		Entry("with a minus", "HTTP/1.1 -20 OK", `status "-20"`),
+		Entry("with two digits", "HTTP/1.1 20 OK", `status "20"`),
+		Entry("with four digits", "HTTP/1.1 2000 OK", `status "2000"`),
+		Entry("with a fraction", "HTTP/1.1 2.0 OK", `status "2.0"`),
+		Entry("with letters", "HTTP/1.1 2OO OK", `status "2OO"`),
+		Entry("with a control byte behind the status", "HTTP/1.1 200\x01 OK", `status "200\x01"`),
+		Entry("with two blanks", "HTTP/1.1  200 OK", `status ""`),
+		Entry("without a status", "HTTP/1.1", `status ""`),
+		Entry("of HTTP/2", "HTTP/2.0 200 OK", `version "HTTP/2.0"`),
+		Entry("of HTTP/0.9", "HTTP/0.9 200 OK", `version "HTTP/0.9"`),
+		Entry("of an unknown minor version", "HTTP/1.2 200 OK", `version "HTTP/1.2"`),
+		Entry("in small letters", "http/1.1 200 OK", `version "http/1.1"`),
+		Entry("behind a blank", " HTTP/1.1 200 OK", `version ""`),
+		Entry("of another protocol", "SSH-2.0-OpenSSH", `version "SSH-2.0-OpenSSH"`),
+		Entry("that is empty", "", `version ""`),
+	)
+
+	// Guards against rare answers that are given up.
+	DescribeTable("is one of an answer", func(line string) {
+		Expect(check(line)).To(Succeed())
+	},
+		Entry("with the lowest status", "HTTP/1.1 100 Continue"),
+		Entry("with the highest status", "HTTP/1.1 599 Rare"),
+		Entry("with status 299", "HTTP/1.1 299 Rare"),
+		Entry("without a reason", "HTTP/1.1 200"),
+		Entry("with an empty reason", "HTTP/1.1 200 "),
+		Entry("with a reason of several words", "HTTP/1.1 200 all is well"),
+		Entry("of HTTP/1.0", "HTTP/1.0 200 OK"),
+	)
+})
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -153,10 +153,10 @@
 		zap.String("Detail", result.detail), zap.Duration("Took", exchange.relay.clock.Now().Sub(slot.StartedAt)))...)
 }
 
-// logEndless logs an answer that has more bytes than any may have.
-func (exchange *exchange) logEndless(slot *flow.Slot, result result) {
-	events.Log(exchange.relay.Logger, events.AnswerEndless, append(exchange.logFields(),
-		zap.String("Upstream", slot.Upstream.ID), zap.String("Address", slot.Upstream.Address), zap.String("Via", result.via), zap.String("Detail", result.detail))...)
+// logBytes logs an event of bytes that an upstream sent as an answer.
+func (exchange *exchange) logBytes(event events.Event, slot *flow.Slot, result result) {
+	events.Log(exchange.relay.Logger, event, append(exchange.logFields(),
+		zap.String("Upstream", slot.Upstream.ID), zap.String("Address", slot.Upstream.Address), zap.String("Via", result.via), zap.Int64("Conn", result.connection), zap.String("Detail", result.detail))...)
 }
 
 // logPanic logs a panic with the request's id and panics again; the server of the connection recovers it.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -60,8 +60,9 @@
 	instance   string
 	// via is the host through which the answer came, or empty.
 	via string
-	// endless means that the upstream sent more bytes than an answer may have.
-	endless bool
+	// endless means that the upstream sent more bytes than an answer may have, malformed that it sent some that are none.
+	endless   bool
+	malformed bool
 	// withheld means that the request was not sent since the upstream's rest had begun meanwhile.
 	withheld bool
 }
@@ -152,9 +153,9 @@
 	answer, progress, err := exchange.relay.pool.SendWithOptions(ctx, slot.Upstream.Address, exchange.upstreamRequest(slot.Upstream, remaining), options)
 	if err != nil {
 		result := failedSend(progress, err)
-		result.endless = isEndless(err)
-		result.unanswered = progress.IsUnanswered() && ctx.Err() == nil && !result.endless
-		result.abandoned = progress.IsUnanswered() && ctx.Err() != nil
+		result.judgeBytes(err)
+		result.unanswered = progress.IsUnanswered() && ctx.Err() == nil && !result.endless && !result.malformed
+		result.abandoned = progress.IsUnanswered() && (ctx.Err() != nil || result.malformed)
 		return result
 	}
 	defer answer.Close()
@@ -163,7 +164,7 @@
 	result := result{connection: answer.Connection(), sends: answer.Sends(), via: answer.Via(), names: origin.NamesOf(call, reply), instance: reply.Instance}
 	if err != nil {
 		result.outcome = outcomeUnknown
-		result.endless = isEndless(err)
+		result.judgeBytes(err)
 		result.abandoned = !result.endless
 		result.detail = errWrongRequest.Error() + ", and then: " + err.Error()
 		return result
@@ -171,8 +172,9 @@
 	exchange.recordStatements(slot, call, reply)
 	body, err := exchange.readAnswer(answer)
 	result.status, result.header, result.body = answer.Status, answer.Header, body
-	result.unanswered = err != nil && ctx.Err() == nil && !isEndless(err)
-	result.endless = isEndless(err)
+	result.judgeBytes(err)
+	result.unanswered = err != nil && ctx.Err() == nil && !result.endless && !result.malformed
+	result.abandoned = result.malformed
 	result.reset = errors.Is(err, conns.ErrReset)
 	result.conclude(call, reply, err)
 	if origin.Shows(origin.Replaced, call, reply) {
@@ -210,6 +212,16 @@
 	return id[:min(len(id), maxLoggedID)]
 }
 
+// judgeBytes records what the failure to read an answer shows of the bytes that came.
+func (result *result) judgeBytes(err error) {
+	result.endless = isEndless(err)
+	var malformed *conns.MalformedError
+	result.malformed = errors.As(err, &malformed)
+	if result.malformed {
+		result.connection = malformed.Connection
+	}
+}
+
 // conclude decides what an answer shows of the attempt; err is the failure to read its body.
 func (result *result) conclude(call origin.Call, reply cherrykeel.ReplyHeaders, err error) {
 	result.fromTarget = err == nil && origin.Shows(origin.Alive, call, reply)
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -8,6 +8,7 @@
 
 	"cherrykeel"
 	"cherrykeel/deny"
+	"cherrykeel/events"
 	"cherrykeel/flow"
 )
 
@@ -145,7 +146,10 @@
 		now := exchange.relay.clock.Now()
 		exchange.recordEvidence(slot, result, now)
 		if result.endless {
-			exchange.logEndless(slot, result)
+			exchange.logBytes(events.AnswerEndless, slot, result)
+		}
+		if result.malformed {
+			exchange.logBytes(events.AnswerMalformed, slot, result)
 		}
 		if result.outcome == answered && !exchange.canRetryAtNewOwner(result, now) {
 			exchange.writeAnswer(slot, result)
