A head is checked in place

What callers saw: nothing; each answer that is passed on is read by line and then parsed.

ParseField and the answer's check share one loop over the bytes. Specs of heads, conns and caller pass unchanged.

--- a/conns/head.go
+++ b/conns/head.go
@@ -2,9 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net/http"
-	"strings"
 
 	"github.com/pkg/errors"
 
@@ -19,6 +19,9 @@
 // head into memory until it ends, and skips informational answers for ever.
 const maxHeadBytes = 32 << 10
 
+// usualHeadBytes is the size of a usual head.
+const usualHeadBytes = 512
+
 // headReader reads from a connection. While a head is read, it returns a bounded number of bytes.
 type headReader struct {
 	source io.Reader
@@ -108,7 +111,7 @@
 // readLines reads the lines of a head, including the empty one that ends it, and checks each as soon as it is there: what
 // sends bytes that are no answer may never end them.
 func (conn *conn) readLines() ([]byte, error) {
-	var head []byte
+	head := make([]byte, 0, usualHeadBytes)
 	var answer heads.Answer
 	for {
 		begin := len(head)
@@ -117,8 +120,8 @@
 		if err != nil {
 			return nil, err
 		}
-		line := strings.TrimSuffix(strings.TrimSuffix(string(head[begin:]), "\n"), "\r")
-		if line == "" && begin > 0 {
+		line := bytes.TrimSuffix(bytes.TrimSuffix(head[begin:], []byte("\n")), []byte("\r"))
+		if len(line) == 0 && begin > 0 {
 			return head, nil
 		}
 		err = answer.AddLine(line)
--- a/heads/answer.go
+++ b/heads/answer.go
@@ -26,11 +26,11 @@
 }
 
 // AddLine checks the next line, without its end. It returns ErrMalformed, with what is wrong, if there is no such answer.
-func (answer *Answer) AddLine(line string) error {
+func (answer *Answer) AddLine(line []byte) error {
 	if answer.version == "" {
-		return answer.addStatusLine(line)
+		return answer.addStatusLine(string(line))
 	}
-	_, err := ParseField(line)
+	_, err := checkField(line)
 	return err
 }
 
@@ -52,8 +52,3 @@
 	isNumber := len(text) == len(lowestStatus) && strings.Trim(text, "0123456789") == ""
 	return isNumber && text >= lowestStatus && text <= highestStatus
 }
-
-// told returns the beginning of a text.
-func told(text string) string {
-	return text[:min(len(text), maxToldBytes)]
-}
--- a/heads/field.go
+++ b/heads/field.go
@@ -17,13 +17,38 @@
 // the field would not be found under its name, so what it says of the body would be missed. A line that continues the one
 // before counts as such a name; HTTP leaves it to the recipient.
 func ParseField(line string) (Field, error) {
-	name, value, found := strings.Cut(line, ":")
-	if !found || !httpguts.ValidHeaderFieldName(name) {
-		return Field{}, errors.Wrapf(ErrMalformed, "the name of the field %q is invalid", told(line))
+	colon, err := checkField(line)
+	if err != nil {
+		return Field{}, err
 	}
-	value = strings.Trim(value, " \t")
-	if !httpguts.ValidHeaderFieldValue(value) {
-		return Field{}, errors.Wrapf(ErrMalformed, "the value of the field %q is invalid", told(name))
+	return Field{Name: line[:colon], Value: strings.Trim(line[colon+1:], " \t")}, nil
+}
+
+// text is a line of a head. Bytes are checked in place, as each answer that is passed on has a dozen lines.
+type text interface{ string | []byte }
+
+// checkField returns where a field's name ends.
+func checkField[T text](line T) (colon int, err error) {
+	for colon < len(line) && httpguts.IsTokenRune(rune(line[colon])) {
+		colon++
+	}
+	if colon == 0 || colon == len(line) || line[colon] != ':' {
+		return 0, errors.Wrapf(ErrMalformed, "the name of the field %q is invalid", told(line))
+	}
+	for i := colon + 1; i < len(line); i++ {
+		if !isValueByte(line[i]) {
+			return 0, errors.Wrapf(ErrMalformed, "the value of the field %q is invalid", told(line[:colon]))
+		}
 	}
-	return Field{Name: name, Value: value}, nil
+	return colon, nil
+}
+
+// isValueByte reports whether a value may have a byte; those beyond ASCII are not HTTP's to interpret.
+func isValueByte(char byte) bool {
+	return char == '\t' || char >= ' ' && char != 0x7f
+}
+
+// told returns the beginning of a text.
+func told[T text](text T) string {
+	return string(text[:min(len(text), maxToldBytes)])
 }
--- a/heads/heads_test.go
+++ b/heads/heads_test.go
@@ -18,7 +18,7 @@
 func check(lines ...string) error {
 	var answer heads.Answer
 	for _, line := range lines {
-		err := answer.AddLine(line)
+		err := answer.AddLine([]byte(line))
 		if err != nil {
 			return err
 		}
