Two lengths of one body make a head no answer

What callers saw: an answer with a length and "Transfer-Encoding: chunked" came as a 200 with the body of the chunks, and one of HTTP/1.0 with both came with the framing of the chunks as its body (by the spec; not seen in the field).

Cause: the library lets the coding win, and ignores it in HTTP/1.0. RFC 9112, 6.3 wants the first handled as an error, 6.1 the second: another parser on the way reads another body. Requests with both are refused since long.

Change: heads.Answer refuses both, with whichever field comes second. Two equal lengths stay an answer, two that differ were and are none (the library's rule).

--- a/heads/answer.go
+++ b/heads/answer.go
@@ -1,6 +1,7 @@
 package heads
 
 import (
+	"bytes"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -19,10 +20,17 @@
 	maxToldBytes = 32
 )
 
+var (
+	lengthName = []byte("Content-Length")
+	codingName = []byte("Transfer-Encoding")
+)
+
 // Answer checks the head of one answer, line by line, so that bytes that are none are known as such with their first line.
 // Its zero value expects the status line.
 type Answer struct {
-	version string
+	version   string
+	hasLength bool
+	hasCoding bool
 }
 
 // AddLine checks the next line, without its end. It returns ErrMalformed, with what is wrong, if there is no such answer.
@@ -30,8 +38,26 @@
 	if answer.version == "" {
 		return answer.addStatusLine(string(line))
 	}
-	_, err := checkField(line)
-	return err
+	colon, err := checkField(line)
+	if err != nil {
+		return err
+	}
+	return answer.addField(line[:colon])
+}
+
+// addField refuses what two parsers would read as different bodies: a length beside a transfer coding, and a coding in a
+// version that has none, where the library takes the framing of the chunks for the body.
+func (answer *Answer) addField(name []byte) error {
+	answer.hasLength = answer.hasLength || bytes.EqualFold(name, lengthName)
+	answer.hasCoding = answer.hasCoding || bytes.EqualFold(name, codingName)
+	switch {
+	case answer.hasCoding && answer.version == version10:
+		return errors.Wrap(ErrMalformed, "it has a Transfer-Encoding, which its version lacks")
+	case answer.hasCoding && answer.hasLength:
+		return errors.Wrap(ErrMalformed, "it has both a Content-Length and a Transfer-Encoding")
+	default:
+		return nil
+	}
 }
 
 func (answer *Answer) addStatusLine(line string) error {
--- a/heads/heads_test.go
+++ b/heads/heads_test.go
@@ -109,3 +109,23 @@
 		Entry("with colons in its value", "A: b:c", heads.Field{Name: "A", Value: "b:c"}),
 	)
 })
+
+var _ = Describe("the fields that give the body's length", func() {
+	// Guards against a body that is not the server's, as two parsers read different ones.
+	DescribeTable("make no answer", func(lines ...string) {
+		Expect(check(lines...)).To(MatchError(heads.ErrMalformed))
+	},
+		Entry("as a length and a coding", "HTTP/1.1 200 OK", "Content-Length: 2", "Transfer-Encoding: chunked"),
+		Entry("as a coding and a length", "HTTP/1.1 200 OK", "transfer-encoding: chunked", "content-length: 2"),
+		Entry("as a coding in HTTP/1.0", "HTTP/1.0 200 OK", "Transfer-Encoding: chunked"),
+	)
+
+	// Guards against answers that are given up for fields that are alone.
+	DescribeTable("make an answer", func(lines ...string) {
+		Expect(check(lines...)).To(Succeed())
+	},
+		Entry("as a length", "HTTP/1.0 200 OK", "Content-Length: 2"),
+		Entry("as a coding", "HTTP/1.1 200 OK", "Transfer-Encoding: chunked"),
+		Entry("if there is none", "HTTP/1.1 200 OK", "A: b"),
+	)
+})
