A trailer whose name has a blank makes an answer none

What callers saw: an answer in chunks with the trailer "Bad Name: y" came as a 200, the trailer left out; a refusal with one counted as not run, and an answer of another request with one was skipped.

Cause: the library reads trailers by itself at the end of the chunks, and keeps a name with a blank as it is.

Change: the end of a body is not believed when one of the trailers is none (heads.CheckNames): Answer.Read returns a MalformedError in place of the end. A skipped body is read through the same Read. A refusal whose trailer is none no longer shows that nothing ran.

Ruled out: a parser of ours for chunks; what the library reads besides, as a chunk without a size, is refused already.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"cherrykeel/heads"
 )
 
 var (
@@ -182,12 +184,24 @@
 
 // Read reads the body. It returns io.EOF only after the complete body, and ErrBroken or ErrReset if the connection fails.
 func (answer *Answer) Read(buffer []byte) (int, error) {
-	count, err := answer.response.Body.Read(buffer)
+	count, err := answer.readBody(buffer)
 	if err == io.EOF {
 		answer.complete = true
 	}
+	return count, err
+}
+
+// readBody reads the body. Its end is not believed if what comes behind it is no trailer.
+func (answer *Answer) readBody(buffer []byte) (int, error) {
+	count, err := answer.response.Body.Read(buffer)
 	if err != nil && err != io.EOF {
-		err = brokenError(err)
+		return count, brokenError(err)
+	}
+	if err == io.EOF {
+		wrong := heads.CheckNames(answer.response.Trailer)
+		if wrong != nil {
+			return count, answer.conn.malformedError(wrong)
+		}
 	}
 	return count, err
 }
--- a/conns/skip.go
+++ b/conns/skip.go
@@ -15,16 +15,16 @@
 // is not used again.
 func (answer *Answer) Skip(limit int64, within time.Duration) error {
 	conn := answer.conn
-	answer.complete = false
 	answer.closes = answer.closes || answer.response.Close
 	if isCloseDelimited(answer.response) {
 		return errors.WithStack(ErrCloseDelimited)
 	}
 	_ = conn.socket.SetReadDeadline(time.Now().Add(within))
 	answer.breakIfOver()
-	skipped, err := io.Copy(io.Discard, io.LimitReader(answer.response.Body, limit+1))
+	skipped, err := io.Copy(io.Discard, io.LimitReader(answer, limit+1))
+	answer.complete = false
 	if err != nil {
-		return brokenError(err)
+		return err
 	}
 	if skipped > limit {
 		return errors.WithStack(ErrTooLongToSkip)
--- a/heads/field.go
+++ b/heads/field.go
@@ -1,6 +1,7 @@
 package heads
 
 import (
+	"net/http"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -24,6 +25,16 @@
 	return Field{Name: line[:colon], Value: strings.Trim(line[colon+1:], " \t")}, nil
 }
 
+// CheckNames returns ErrMalformed if a parsed field's name is invalid; the library keeps a name with a blank as it is.
+func CheckNames(header http.Header) error {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Wrapf(ErrMalformed, "the name of the field %q is invalid", told(name))
+		}
+	}
+	return nil
+}
+
 // text is a line of a head. Bytes are checked in place, as each answer that is passed on has a dozen lines.
 type text interface{ string | []byte }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -230,6 +230,9 @@
 		result.load = reply.Load
 	}
 	switch {
+	case result.malformed:
+		result.outcome = outcomeUnknown
+		result.detail = err.Error()
 	case origin.Shows(origin.NotRun, call, reply):
 		result.outcome = notRun
 		result.detail = "the upstream did not run the request: " + http.StatusText(result.status)
