A Connection header that names a field for all recipients makes a head no answer

What callers saw: with "Connection: Server-Stamp" a success without its stamp, with "Connection: Request-Id" one without its ID.

Cause: the relay read the ID and the stamp, believed them, and then dropped them as fields of the connection. "Connection: close, Server-Stamp" was passed on whole, since the library removes a Connection header that says "close"; "Connection: Content-Encoding" would have passed encoded content off as plain had it been dropped sooner.

Package origin shows nothing of such an answer, to a request, an order or a check. conns gives the Connection header back that the library removes. The two copies of "drop what Connection names" (relay, edge) are one in heads. A Connection that names a field of its own is proper: the field is dropped, the answer passes.

Why not ignore the option and pass the field on: what a head says of itself contradicts itself then, and nothing tells which is meant.

--- a/conns/head.go
+++ b/conns/head.go
@@ -89,7 +89,8 @@
 
 // readNextHead reads one head, which may be that of an informational answer.
 func (conn *conn) readNextHead(request *http.Request) (*http.Response, error) {
-	head, err := conn.readLines()
+	var answer heads.Answer
+	head, err := conn.readLines(&answer)
 	if errors.Is(err, heads.ErrMalformed) {
 		return nil, conn.malformedError(err)
 	}
@@ -105,14 +106,16 @@
 	if err != nil {
 		return nil, conn.malformedError(err)
 	}
+	if len(answer.Connection()) > 0 {
+		response.Header["Connection"] = answer.Connection()
+	}
 	return response, nil
 }
 
 // readLines reads the lines of a head, including the empty one that ends it, and checks each as soon as it is there: what
 // sends bytes that are no answer may never end them.
-func (conn *conn) readLines() ([]byte, error) {
+func (conn *conn) readLines(answer *heads.Answer) ([]byte, error) {
 	head := make([]byte, 0, usualHeadBytes)
-	var answer heads.Answer
 	for {
 		begin := len(head)
 		var err error
--- a/conns/malformed.go
+++ b/conns/malformed.go
@@ -16,7 +16,7 @@
 
 // Error implements error.
 func (malformedError *MalformedError) Error() string {
-	return ErrMalformed.Error() + ": " + malformedError.Wrong
+	return "the bytes are no answer: " + malformedError.Wrong
 }
 
 // Unwrap returns ErrMalformed.
@@ -24,6 +24,11 @@
 	return ErrMalformed
 }
 
+// MalformedError returns the error of an answer that is none for a reason which only its reader can know.
+func (answer *Answer) MalformedError(wrong string) error {
+	return answer.conn.malformedError(errors.New(wrong))
+}
+
 func (conn *conn) malformedError(err error) error {
 	return errors.WithStack(&MalformedError{Connection: conn.serial, Wrong: err.Error()})
 }
--- a/dialect.go
+++ b/dialect.go
@@ -21,6 +21,8 @@
 	// Contradictory is true if the headers name more than one request or upstream, or say that a request did not run which
 	// the status says was served.
 	Contradictory bool
+	// Malformed tells what is wrong if the headers cannot be those of an answer; empty otherwise. Then nothing else counts.
+	Malformed string
 	// Signed is true if the answer carries the mark that only upstreams set.
 	Signed bool
 	// NotRun is true if the upstream did not act on the request and never will.
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -7,13 +7,13 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"cherrykeel"
 	"cherrykeel/conns"
+	"cherrykeel/heads"
 	"cherrykeel/retry"
 )
 
@@ -63,11 +63,7 @@
 }
 
 func removeHopByHopHeaders(header http.Header) {
-	for _, list := range header["Connection"] {
-		for _, name := range strings.Split(list, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
+	heads.DropConnectionFields(header)
 	for _, name := range hopByHopHeaders {
 		header.Del(name)
 	}
--- a/heads/answer.go
+++ b/heads/answer.go
@@ -21,8 +21,9 @@
 )
 
 var (
-	lengthName = []byte("Content-Length")
-	codingName = []byte("Transfer-Encoding")
+	lengthName     = []byte("Content-Length")
+	codingName     = []byte("Transfer-Encoding")
+	connectionName = []byte("Connection")
 )
 
 // Answer checks the head of one answer, line by line, so that bytes that are none are known as such with their first line.
@@ -31,6 +32,8 @@
 	version   string
 	hasLength bool
 	hasCoding bool
+	// connection has the values of the Connection header.
+	connection []string
 }
 
 // AddLine checks the next line, without its end. It returns ErrMalformed, with what is wrong, if there is no such answer.
@@ -42,12 +45,15 @@
 	if err != nil {
 		return err
 	}
-	return answer.addField(line[:colon])
+	return answer.addField(line[:colon], line[colon+1:])
 }
 
 // addField refuses what two parsers would read as different bodies: a length beside a transfer coding, and a coding in a
 // version that has none, where the library takes the framing of the chunks for the body.
-func (answer *Answer) addField(name []byte) error {
+func (answer *Answer) addField(name, value []byte) error {
+	if bytes.EqualFold(name, connectionName) {
+		return answer.addConnection(string(value))
+	}
 	answer.hasLength = answer.hasLength || bytes.EqualFold(name, lengthName)
 	answer.hasCoding = answer.hasCoding || bytes.EqualFold(name, codingName)
 	switch {
@@ -73,6 +79,30 @@
 	return nil
 }
 
+func (answer *Answer) addConnection(value string) error {
+	if describesContent(value) {
+		return errors.Wrapf(ErrMalformed, "its Connection %q names a field of the content", told(value))
+	}
+	answer.connection = append(answer.connection, value)
+	return nil
+}
+
+// Connection returns the values of the Connection header, all of which the library removes if one says "close".
+func (answer *Answer) Connection() []string {
+	return answer.connection
+}
+
+// describesContent reports whether a Connection header names a field that describes the content, which is for all
+// recipients. Such a field is not passed on: encoded content would look as if it were not.
+func describesContent(options string) bool {
+	for option := range strings.SplitSeq(options, ",") {
+		if strings.HasPrefix(strings.ToLower(strings.TrimSpace(option)), "content-") {
+			return true
+		}
+	}
+	return false
+}
+
 // isStatus reports whether a text is a status that HTTP defines, or leaves for later.
 func isStatus(text string) bool {
 	isNumber := len(text) == len(lowestStatus) && strings.Trim(text, "0123456789") == ""
--- a/heads/field.go
+++ b/heads/field.go
@@ -25,6 +25,24 @@
 	return Field{Name: line[:colon], Value: strings.Trim(line[colon+1:], " \t")}, nil
 }
 
+// ConnectionOptions returns the names in a parsed Connection header. The fields with these names belong to the connection.
+func ConnectionOptions(header http.Header) []string {
+	var options []string
+	for _, list := range header["Connection"] {
+		for option := range strings.SplitSeq(list, ",") {
+			options = append(options, strings.TrimSpace(option))
+		}
+	}
+	return options
+}
+
+// DropConnectionFields removes the fields that the Connection header names.
+func DropConnectionFields(header http.Header) {
+	for _, name := range ConnectionOptions(header) {
+		header.Del(name)
+	}
+}
+
 // CheckNames returns ErrMalformed if a parsed field's name is invalid; the library keeps a name with a blank as it is.
 func CheckNames(header http.Header) error {
 	for name := range header {
--- a/heads/heads_test.go
+++ b/heads/heads_test.go
@@ -1,6 +1,7 @@
 package heads_test
 
 import (
+	"net/http"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -129,3 +130,21 @@
 		Entry("if there is none", "HTTP/1.1 200 OK", "A: b"),
 	)
 })
+
+var _ = Describe("a Connection header", func() {
+	// Guards against a success that loses its length or its encoding on the way to the caller, as fields of a connection do.
+	DescribeTable("makes no answer", func(line string) {
+		Expect(check("HTTP/1.1 200 OK", line)).To(MatchError(heads.ErrMalformed))
+	},
+		Entry("that names the length", "Connection: Content-Length"),
+		Entry("that names the encoding among others", "connection: close , content-encoding"),
+	)
+
+	// Guards against answers that are given up, and against fields of a connection that are passed on.
+	It("names fields that are dropped", func() {
+		Expect(check("HTTP/1.1 200 OK", "Connection: keep-alive, X-Thing")).To(Succeed())
+		header := http.Header{"Connection": {"keep-alive, x-thing", "Y"}, "X-Thing": {"x"}, "Y": {"y"}, "Z": {"z"}}
+		heads.DropConnectionFields(header)
+		Expect(header).To(Equal(http.Header{"Connection": {"keep-alive, x-thing", "Y"}, "Z": {"z"}}))
+	})
+})
--- a/origin/conclude.go
+++ b/origin/conclude.go
@@ -128,7 +128,7 @@
 
 // Shows reports whether an answer to a call shows something.
 func Shows(conclusion Conclusion, call Call, reply cherrykeel.ReplyHeaders) bool {
-	if reply.Contradictory {
+	if reply.Contradictory || reply.Malformed != "" {
 		return false
 	}
 	for _, need := range needs[call.Kind][conclusion] {
--- a/origin/names.go
+++ b/origin/names.go
@@ -12,7 +12,7 @@
 	Own
 	// Another means that it names another request.
 	Another
-	// Several means that its headers contradict each other, so that it is unclear what it answers.
+	// Several means that its headers contradict each other or are malformed, so that it is unclear what it answers.
 	Several
 )
 
@@ -24,7 +24,7 @@
 // NamesOf returns which request an answer names.
 func NamesOf(call Call, reply cherrykeel.ReplyHeaders) Names {
 	switch {
-	case reply.Contradictory:
+	case reply.Contradictory, reply.Malformed != "":
 		return Several
 	case reply.ID == "":
 		return Nobody
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -75,6 +75,16 @@
 		}
 	})
 
+	// Guards against anything that is believed of bytes which are no answer.
+	It("shows nothing if its headers cannot be an answer's", func() {
+		for _, reply := range replies() {
+			reply.Malformed = "x"
+			for _, kind := range []Kind{Request, Order, Check} {
+				Expect(shows(Call{Kind: kind, ID: "r", Upstream: "u", Alone: true}, reply)).To(BeEmpty(), "%+v", reply)
+			}
+		}
+	})
+
 	// Guards against a running upstream that counts as ended.
 	It("ends an upstream only if it names another one, and the request or comes on a connection of its own", func() {
 		for _, kind := range []Kind{Request, Order, Check} {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -16,6 +16,7 @@
 	"cherrykeel/conns"
 	"cherrykeel/events"
 	"cherrykeel/flow"
+	"cherrykeel/heads"
 	"cherrykeel/origin"
 )
 
@@ -98,11 +99,7 @@
 
 // dropHopHeaders removes the headers that belong to one connection, also those that its Connection header names.
 func dropHopHeaders(header http.Header) {
-	for _, list := range header["Connection"] {
-		for _, name := range strings.Split(list, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
+	heads.DropConnectionFields(header)
 	for _, name := range hopHeaders {
 		header.Del(name)
 	}
@@ -166,7 +163,7 @@
 		result.outcome = outcomeUnknown
 		result.judgeBytes(err)
 		result.abandoned = !result.endless
-		result.detail = errWrongRequest.Error() + ", and then: " + err.Error()
+		result.detail = err.Error()
 		return result
 	}
 	exchange.recordStatements(slot, call, reply)
@@ -200,10 +197,13 @@
 		events.Log(exchange.relay.Logger, events.AnswerSkipped, append(exchange.logFields(), zap.Int64("Conn", answer.Connection()), zap.Int("Status", answer.Status), zap.String("Names", loggedID(reply.ID)), zap.String("Instance", loggedID(reply.Instance)))...)
 		err := answer.Skip(maxSkippedBytes, within)
 		if err != nil {
-			return reply, err
+			return reply, errors.WithMessage(err, "behind an answer of another request")
 		}
 		reply = exchange.relay.dialect.ReadReply(answer.Status, answer.Header)
 	}
+	if reply.Malformed != "" {
+		return reply, answer.MalformedError(reply.Malformed)
+	}
 	return reply, nil
 }
 
