Bytes that are no answer grant, release and end nothing

What callers saw: by the specs, a health check that was answered 000 with the server's name counted as healthy; 000 with another server's name, as the answer to the question who listens there, ended a server that runs; a release whose answer has "Bad Name: x" in its head counted as done, which frees keys on which requests may run; a grant counted as accepted, or as refused for a higher fence.

Cause: orders and checks go through net/http's client, which is as lenient as its parser.

Change: heads.NewTransport wraps the connections of a transport. The bytes of each request's answer (1xx and the final head) are checked by the same heads.Answer before the library has them; what is none closes the connection, and the call fails with what is wrong and this host's end of the connection. A Connection header beside "close" is removed by the library before the dialect can look at it: what counts is right then, since nothing is passed on.

Ruled out: a look at what the library has parsed, which hides continued lines and a length beside chunks; orders through conns.Pool, which neither repeats a call on a connection that was dropped idle nor checks the time once there is a connection.

--- a/cmd/cherrykeel/entry.go
+++ b/cmd/cherrykeel/entry.go
@@ -56,7 +56,7 @@
 	host := entry.New(settings, entry.Platform{
 		Dialect: adapter.Dialect(),
 		NewGranter: func(dial conns.DialFunc) cherrykeel.SpanGranter {
-			return adapter.NewGranter(newTransport(dial, grantIdleTimeout), clock)
+			return adapter.NewGranter(newTransport(dial, grantIdleTimeout), clock, adapter.WithLogger(logger))
 		},
 		Operator:         store.Topic(adapter.OperatorTopic),
 		Upstreams:        store.Topic(adapter.ServersTopic),
--- a/conns/head.go
+++ b/conns/head.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"io"
 	"net/http"
 
@@ -123,13 +122,9 @@
 		if err != nil {
 			return nil, err
 		}
-		line := bytes.TrimSuffix(bytes.TrimSuffix(head[begin:], []byte("\n")), []byte("\r"))
-		if len(line) == 0 && begin > 0 {
-			return head, nil
-		}
-		err = answer.AddLine(line)
-		if err != nil {
-			return nil, err
+		ended, err := answer.AddLine(head[begin:])
+		if ended || err != nil {
+			return head, err
 		}
 	}
 }
--- a/heads/answer.go
+++ b/heads/answer.go
@@ -16,6 +16,8 @@
 	// lowestStatus and highestStatus bound the statuses that HTTP defines; others mean nothing to callers.
 	lowestStatus  = "100"
 	highestStatus = "599"
+	// switchingProtocols is the informational status that no other answer follows.
+	switchingProtocols = "101"
 	// maxToldBytes bounds what an error tells of the bytes.
 	maxToldBytes = 32
 )
@@ -30,22 +32,33 @@
 // Its zero value expects the status line.
 type Answer struct {
 	version   string
+	status    string
 	hasLength bool
 	hasCoding bool
 	// connection has the values of the Connection header.
 	connection []string
 }
 
-// AddLine checks the next line, without its end. It returns ErrMalformed, with what is wrong, if there is no such answer.
-func (answer *Answer) AddLine(line []byte) error {
+// AddLine checks the next line and reports whether it is the empty one that ends the head. It returns ErrMalformed, with what
+// is wrong, if there is no such answer.
+func (answer *Answer) AddLine(line []byte) (ended bool, err error) {
+	line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
 	if answer.version == "" {
-		return answer.addStatusLine(string(line))
+		return false, answer.addStatusLine(string(line))
+	}
+	if len(line) == 0 {
+		return true, nil
 	}
 	colon, err := checkField(line)
 	if err != nil {
-		return err
+		return false, err
 	}
-	return answer.addField(line[:colon], line[colon+1:])
+	return false, answer.addField(line[:colon], line[colon+1:])
+}
+
+// IsInformational reports whether another answer follows, which may be the final one.
+func (answer *Answer) IsInformational() bool {
+	return strings.HasPrefix(answer.status, "1") && answer.status != switchingProtocols
 }
 
 // addField refuses what two parsers would read as different bodies: a length beside a transfer coding, and a coding in a
@@ -76,6 +89,7 @@
 		return errors.Wrapf(ErrMalformed, "the status %q is not one", told(status))
 	}
 	answer.version = version
+	answer.status = status
 	return nil
 }
 
--- /dev/null
+++ b/heads/conn.go
@@ -0,0 +1,103 @@
+package heads
+
+import (
+	"bytes"
+	"net"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// maxLineBytes bounds a line of a head that has not ended.
+const maxLineBytes = 64 << 10
+
+// scanner checks the heads of one request's answer in a stream of bytes: those of informational answers and that of the final
+// one. What comes behind it is not looked at.
+type scanner struct {
+	socket net.Conn
+	mutex  sync.Mutex
+	answer Answer
+	line   []byte
+	ended  bool
+	wrong  error
+}
+
+// add checks further bytes, and returns what is wrong with those so far.
+func (scanner *scanner) add(data []byte) error {
+	scanner.mutex.Lock()
+	defer scanner.mutex.Unlock()
+	for len(data) > 0 && !scanner.ended && scanner.wrong == nil {
+		end := bytes.IndexByte(data, '\n') + 1
+		if end == 0 {
+			scanner.addPart(data)
+			break
+		}
+		scanner.addLine(append(scanner.line, data[:end]...))
+		data = data[end:]
+	}
+	return scanner.wrong
+}
+
+// addPart keeps the beginning of a line.
+func (scanner *scanner) addPart(part []byte) {
+	scanner.line = append(scanner.line, part...)
+	if len(scanner.line) > maxLineBytes {
+		scanner.wrong = errors.Wrap(ErrMalformed, "a line of the head is too long")
+	}
+}
+
+func (scanner *scanner) addLine(line []byte) {
+	scanner.line = nil
+	ended, err := scanner.answer.AddLine(line)
+	scanner.wrong = err
+	if ended {
+		scanner.ended = !scanner.answer.IsInformational()
+		scanner.answer = Answer{}
+	}
+}
+
+// judge records what else is wrong with the answer, unless that is empty, and closes its connection.
+func (scanner *scanner) judge(wrong string) {
+	if wrong == "" {
+		return
+	}
+	_ = scanner.socket.Close()
+	scanner.mutex.Lock()
+	defer scanner.mutex.Unlock()
+	scanner.wrong = errors.Wrap(ErrMalformed, wrong)
+}
+
+// failure returns what is wrong with the bytes so far.
+func (scanner *scanner) failure() error {
+	scanner.mutex.Lock()
+	defer scanner.mutex.Unlock()
+	return scanner.wrong
+}
+
+// conn is a connection to a server. What it reads is checked by the scanner of the request that it carries, and closes it if
+// it is no answer.
+type conn struct {
+	net.Conn
+	mutex   sync.Mutex
+	scanner *scanner
+}
+
+// begin returns the scanner of another request's answer.
+func (conn *conn) begin() *scanner {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	conn.scanner = &scanner{socket: conn.Conn}
+	return conn.scanner
+}
+
+// Read implements net.Conn.
+func (conn *conn) Read(buffer []byte) (int, error) {
+	count, err := conn.Conn.Read(buffer)
+	conn.mutex.Lock()
+	scanner := conn.scanner
+	conn.mutex.Unlock()
+	if scanner != nil && scanner.add(buffer[:count]) != nil {
+		_ = conn.Conn.Close()
+	}
+	return count, err
+}
--- a/heads/heads_test.go
+++ b/heads/heads_test.go
@@ -19,7 +19,7 @@
 func check(lines ...string) error {
 	var answer heads.Answer
 	for _, line := range lines {
-		err := answer.AddLine([]byte(line))
+		_, err := answer.AddLine([]byte(line + "\r\n"))
 		if err != nil {
 			return err
 		}
