Bytes that are no answer are not the plain log's

What callers saw: nothing so far; by the specs, an append that was answered 000 counted as appended, and so did a lease that was granted by HTTP/2.0 or beside "Bad Name: x": the clients of the plain log, the list of hosts and the upstreams' control take each status below 400 for a success.

Change: heads.NewTransport in remote.newClient, which all three share.

--- a/remote/client.go
+++ b/remote/client.go
@@ -7,6 +7,8 @@
 
 	"github.com/go-resty/resty/v2"
 	"github.com/pkg/errors"
+
+	"cherrykeel/heads"
 )
 
 const (
@@ -18,7 +20,7 @@
 func newClient(base string, timeout time.Duration) *resty.Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: time.Minute}
 	client := resty.New()
-	client.SetTransport(transport)
+	client.SetTransport(heads.NewTransport(transport))
 	client.SetTimeout(timeout)
 	client.SetRetryCount(0)
 	client.SetBaseURL(base)
