Plain log: a key stays where it is while its upstream may work behind bytes that are no answer

What callers saw: nothing so far; by the specs, an upstream that checks no fences sends a broken head (a 103 with "Bad Name: x", say) and works on; the host closed the connection and gave the partition up at once, so that the next owner could be granted while the first one still ran the request. A success counted as the request's own by an ID that the Connection header names.

Cause: edge takes an end of the connection before an answer for the upstream's own, which has stopped working then. Bytes that are no answer end it from this side.

Change: such an attempt is one that this host gave up: the partition stays counted until the request's deadline at the upstream, and the detection of crashes takes it for abandoned. The fields that Connection names are dropped before anything is read.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -10,9 +10,11 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"cherrykeel"
 	"cherrykeel/conns"
+	"cherrykeel/events"
 	"cherrykeel/heads"
 	"cherrykeel/retry"
 )
@@ -54,6 +56,8 @@
 	// onStreamed is called when an answer that is larger than maxBufferedAnswer has been streamed, with the upstream's
 	// read error or nil.
 	onStreamed func(err error)
+	// err is the failure to read the answer, or nil.
+	err error
 }
 
 // hopByHopHeaders belong to one connection and are not forwarded.
@@ -118,14 +122,30 @@
 		result.abandoned = progress.IsUnanswered() && ctx.Err() != nil
 		result.connectionRefused = errors.Is(err, conns.ErrRefused)
 		result.connectionReset = errors.Is(err, conns.ErrReset)
+		result.err = err
 	} else {
 		result = forward.readAnswer(ctx, exchange, answer, attemptID)
 	}
+	forward.judgeBytes(exchange, slot, &result)
 	result.observed.duration = forward.clock.Now().Sub(startedAt)
 	result.observed.callerGone = exchange.Request.Context().Err() != nil
 	return result
 }
 
+// judgeBytes logs bytes that are no answer. This host closed their connection, so the upstream may still work on the request.
+func (forward *forward) judgeBytes(exchange *cherrykeel.Exchange, slot *slot, result *result) {
+	var malformed *conns.MalformedError
+	if !errors.As(result.err, &malformed) {
+		return
+	}
+	result.unanswered = false
+	result.abandoned = true
+	result.observed.abandoned = true
+	server := slot.upstream.server
+	events.Log(forward.logger, events.AnswerMalformed, zap.String("Request", exchange.ID), zap.String("Upstream", server.Name),
+		zap.String("Address", server.Address), zap.Int64("Conn", malformed.Connection), zap.String("Detail", malformed.Error()))
+}
+
 func resultOfError(progress conns.Progress, err error) result {
 	retryResult := retry.Result{Evidence: retry.Uncertain, Detail: err.Error()}
 	if progress == conns.NotSent {
@@ -138,6 +158,7 @@
 
 // readAnswer checks that an answer belongs to the request and reads its body, up to maxBufferedAnswer.
 func (forward *forward) readAnswer(ctx context.Context, exchange *cherrykeel.Exchange, answer *conns.Answer, attemptID string) result {
+	heads.DropConnectionFields(answer.Header)
 	result := result{status: answer.Status, header: answer.Header}
 	result.observed = observation{reached: true, reportedLoad: reportedLoad(answer.Header)}
 	echoed := answer.Header.Get(cherrykeel.HeaderRequest)
@@ -182,6 +203,7 @@
 		result.unanswered = ctx.Err() == nil
 		result.connectionReset = errors.Is(err, conns.ErrReset)
 		result.ownAnswer = false
+		result.err = err
 		return result
 	}
 	result.body = body
