Plain log: a key stays where it is while its upstream sends a head without end

What callers saw: nothing so far; by the spec, a host gives up a head of more than 32 KiB, closes the connection, and frees the partition at once, though an upstream that checks no fences may still run the request.

Change: a head without end counts as given up by this host, and no more as the connection's end, which the detection of crashes would look into. Evidence: the spec fails without the change and passes with it.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -117,8 +117,9 @@
 		result = resultOfError(progress, err)
 		// An upstream that closed the connection itself has stopped working on the request. If this host closed it, the
 		// upstream may still work on the request.
-		result.observed.abandoned = progress == conns.AnswerBegun || progress != conns.NotSent && ctx.Err() != nil
-		result.unanswered = progress.IsUnanswered() && ctx.Err() == nil
+		endless := errors.Is(err, conns.ErrHeadTooLong)
+		result.observed.abandoned = progress == conns.AnswerBegun || endless || progress != conns.NotSent && ctx.Err() != nil
+		result.unanswered = progress.IsUnanswered() && ctx.Err() == nil && !endless
 		result.abandoned = progress.IsUnanswered() && ctx.Err() != nil
 		result.connectionRefused = errors.Is(err, conns.ErrRefused)
 		result.connectionReset = errors.Is(err, conns.ErrReset)
--- a/edge/heads_test.go
+++ b/edge/heads_test.go
@@ -96,6 +96,15 @@
 		Entry("a blank in a name of a trailer", "HTTP/1.1 200 OK\r\nCherrykeel-Request: #ID\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nBad Name: x\r\n\r\n"),
 	)
 
+	// Guards against a second owner of a key while the upstream that sends a head without end still runs its request.
+	It("leave the partition where it is if their head has no end", func() {
+		host := newTestHost()
+		_, failure := host.sendTo(serveHeads("HTTP/1.1 200 OK\r\nA: "+strings.Repeat("x", 40<<10)), zap.NewNop())
+		Expect(failure).NotTo(BeNil())
+		Expect(failure.Outcome).To(Equal(cherrykeel.OutcomeUnknown))
+		Expect(host.replaceGrant(2)).To(ConsistOf(partition))
+	})
+
 	// Guards against an answer that counts as the request's own by a field which belongs to the connection.
 	It("say nothing by fields that the Connection header names", func() {
 		host := newTestHost()
