A 421 whose trailer is none ends no upstream

What callers saw: nothing so far; by the spec, a 421 of another server in chunks with the trailer "Bad Name: x" counted as unknown for its request, as it should, and still ended the upstream that was asked.

Change: an attempt whose answer is none ends there, before anything is concluded; what reads the answer is a function of its own.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -127,14 +127,15 @@
 	} else {
 		result = forward.readAnswer(ctx, exchange, answer, attemptID)
 	}
-	forward.judgeBytes(exchange, slot, &result)
+	forward.recordMalformed(exchange, slot, &result)
 	result.observed.duration = forward.clock.Now().Sub(startedAt)
 	result.observed.callerGone = exchange.Request.Context().Err() != nil
 	return result
 }
 
-// judgeBytes logs bytes that are no answer. This host closed their connection, so the upstream may still work on the request.
-func (forward *forward) judgeBytes(exchange *cherrykeel.Exchange, slot *slot, result *result) {
+// recordMalformed records and logs bytes that are no answer. This host closed their connection, so the upstream may still work
+// on the request.
+func (forward *forward) recordMalformed(exchange *cherrykeel.Exchange, slot *slot, result *result) {
 	var malformed *conns.MalformedError
 	if !errors.As(result.err, &malformed) {
 		return
--- a/heads/conn.go
+++ b/heads/conn.go
@@ -56,8 +56,8 @@
 	}
 }
 
-// judge records what else is wrong with the answer, unless that is empty, and closes its connection.
-func (scanner *scanner) judge(wrong string) {
+// reject records what else is wrong with the answer, unless that is empty, and closes its connection.
+func (scanner *scanner) reject(wrong string) {
 	if wrong == "" {
 		return
 	}
--- a/heads/transport.go
+++ b/heads/transport.go
@@ -62,7 +62,7 @@
 		return response, err
 	}
 	if response != nil {
-		scanner.judge(transport.check(response.Header))
+		scanner.reject(transport.check(response.Header))
 	}
 	wrong := scanner.failure()
 	switch {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -150,28 +150,36 @@
 	answer, progress, err := exchange.relay.pool.SendWithOptions(ctx, slot.Upstream.Address, exchange.upstreamRequest(slot.Upstream, remaining), options)
 	if err != nil {
 		result := failedSend(progress, err)
-		result.judgeBytes(err)
+		result.recordReadFailure(err)
 		result.unanswered = progress.IsUnanswered() && ctx.Err() == nil && !result.endless && !result.malformed
 		result.abandoned = progress.IsUnanswered() && (ctx.Err() != nil || result.malformed)
 		return result
 	}
 	defer answer.Close()
+	return exchange.receive(ctx, slot, answer, options.AnswerWithin)
+}
+
+// receive reads a whole answer and concludes from it what it shows.
+func (exchange *exchange) receive(ctx context.Context, slot *flow.Slot, answer *conns.Answer, within time.Duration) result {
 	call := origin.Call{Kind: origin.Request, ID: exchange.headers.ID, Upstream: slot.Upstream.ID}
-	reply, err := exchange.readOwnReply(answer, slot.Upstream, call, options.AnswerWithin)
+	reply, err := exchange.readOwnReply(answer, slot.Upstream, call, within)
 	result := result{connection: answer.Connection(), sends: answer.Sends(), via: answer.Via(), names: origin.NamesOf(call, reply), instance: reply.Instance}
 	if err != nil {
-		result.outcome = outcomeUnknown
-		result.judgeBytes(err)
+		result.recordReadFailure(err)
+		result.outcome, result.detail = outcomeUnknown, err.Error()
 		result.abandoned = !result.endless
-		result.detail = err.Error()
 		return result
 	}
 	exchange.recordStatements(slot, call, reply)
 	body, err := exchange.readAnswer(answer)
 	result.status, result.header, result.body = answer.Status, answer.Header, body
-	result.judgeBytes(err)
-	result.unanswered = err != nil && ctx.Err() == nil && !result.endless && !result.malformed
-	result.abandoned = result.malformed
+	result.recordReadFailure(err)
+	if result.malformed {
+		result.outcome, result.detail = outcomeUnknown, err.Error()
+		result.abandoned = true
+		return result
+	}
+	result.unanswered = err != nil && ctx.Err() == nil && !result.endless
 	result.reset = errors.Is(err, conns.ErrReset)
 	result.conclude(call, reply, err)
 	if origin.Shows(origin.Replaced, call, reply) {
@@ -212,8 +220,8 @@
 	return id[:min(len(id), maxLoggedID)]
 }
 
-// judgeBytes records what the failure to read an answer shows of the bytes that came.
-func (result *result) judgeBytes(err error) {
+// recordReadFailure records what the failure to read an answer shows of the bytes that came.
+func (result *result) recordReadFailure(err error) {
 	result.endless = isEndless(err)
 	var malformed *conns.MalformedError
 	result.malformed = errors.As(err, &malformed)
@@ -230,9 +238,6 @@
 		result.load = reply.Load
 	}
 	switch {
-	case result.malformed:
-		result.outcome = outcomeUnknown
-		result.detail = err.Error()
 	case origin.Shows(origin.NotRun, call, reply):
 		result.outcome = notRun
 		result.detail = "the upstream did not run the request: " + http.StatusText(result.status)
