An invalid name is told without the value behind it

The detail of event 518 had the first 32 bytes of the line, which may reach into a value; now what stands before the colon. The specs ask for the whole name.

--- a/heads/field.go
+++ b/heads/field.go
@@ -62,7 +62,7 @@
 		colon++
 	}
 	if colon == 0 || colon == len(line) || line[colon] != ':' {
-		return 0, errors.Wrapf(ErrMalformed, "the name of the field %q is invalid", told(line))
+		return 0, errors.Wrapf(ErrMalformed, "the name of the field %q is invalid", told(beforeColon(line)))
 	}
 	for i := colon + 1; i < len(line); i++ {
 		if !isValueByte(line[i]) {
@@ -72,6 +72,16 @@
 	return colon, nil
 }
 
+// beforeColon returns what stands in place of a name; a value is not told.
+func beforeColon[T text](line T) T {
+	for i := range len(line) {
+		if line[i] == ':' {
+			return line[:i]
+		}
+	}
+	return line
+}
+
 // isValueByte reports whether a value may have a byte; those beyond ASCII are not HTTP's to interpret.
 func isValueByte(char byte) bool {
 	return char == '\t' || char >= ' ' && char != 0x7f
