Specs' hosts get different ports

Cause: a spec's host gets three addresses before it listens on the first, and FreeAddress draws each from 20,000 ports without reserving it, so two of one process can be the same: 3 in 20,000 for each host, and the specs of platform start some hundreds. That this was the port's other taker is worked out, not seen: the failed host's addresses are not logged. Another process that looks at the same port at the same moment remains possible.

Change: FreeAddress returns no port twice in a process.

--- a/fakes/address.go
+++ b/fakes/address.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync"
 )
 
 // firstPort and lastPort bound the ports that FreeAddress returns. They lie below the system's range for outgoing
@@ -13,11 +14,22 @@
 	lastPort  = 32000
 )
 
-// FreeAddress returns a loopback address whose port is unused over TCP and UDP. It does not reserve the port.
+// returnedPorts are the ports that FreeAddress has returned in this process.
+var returnedPorts = struct {
+	mutex sync.Mutex
+	ports map[int]bool
+}{ports: map[int]bool{}}
+
+// FreeAddress returns a loopback address whose port is unused over TCP and UDP, and which it has not returned before: a host
+// gets several before it listens on the first. It does not reserve the port.
 func FreeAddress() string {
+	returnedPorts.mutex.Lock()
+	defer returnedPorts.mutex.Unlock()
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
-		if isFree(address) {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if !returnedPorts.ports[port] && isFree(address) {
+			returnedPorts.ports[port] = true
 			return address
 		}
 	}
