Operators' commands read nothing from bytes that are no answer

What operators saw: the commands that ask hosts (status, owner, and publish, which waits until a change is in force) took bytes with status 000, with HTTP/2.0 or with a blank in a name for a host's answer; an owner so read is none.

Cause: opctl has a client of its own for hosts, the last one that did not ask the heads package.

Why this works: opctl uses the plain log's client, whose connections look at each head; what is none is an error, which status shows and owner answers by asking the next host.

Ruled out: a second copy of the raw server in the specs; that of remote moved to fakes, its checks are as they were.

--- a/opctl/client.go
+++ b/opctl/client.go
@@ -78,7 +78,7 @@
 	client := &Client{
 		log:      remote.NewLog(log, host.Stream),
 		hostList: remote.NewHostList(hosts),
-		http:     resty.New().SetTimeout(statusTimeout),
+		http:     remote.NewClient("", statusTimeout),
 		clock:    clock,
 		timeout:  timeout,
 	}
--- a/remote/client.go
+++ b/remote/client.go
@@ -16,8 +16,9 @@
 	maxIdlePerHost = 16
 )
 
-// newClient returns a client for the given base URL that never retries a request.
-func newClient(base string, timeout time.Duration) *resty.Client {
+// NewClient returns a client for a base URL that never retries a request, and whose calls fail with heads.ErrMalformed if what
+// comes back is no answer.
+func NewClient(base string, timeout time.Duration) *resty.Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: time.Minute}
 	client := resty.New()
 	client.SetTransport(heads.NewTransport(transport))
--- a/remote/grant.go
+++ b/remote/grant.go
@@ -22,7 +22,7 @@
 
 // NewGranter returns a Granter that sends grants and queries to the upstreams' control endpoints over HTTP.
 func NewGranter() cherrykeel.Granter {
-	return &granter{client: newClient("", controlTimeout)}
+	return &granter{client: NewClient("", controlTimeout)}
 }
 
 // Grant implements cherrykeel.Granter.
--- a/remote/hosts.go
+++ b/remote/hosts.go
@@ -19,7 +19,7 @@
 
 // NewHostList returns a client of the platform's list of hosts at base, an http URL.
 func NewHostList(base string) cherrykeel.HostList {
-	return &remoteHostList{client: newClient(base, controlTimeout)}
+	return &remoteHostList{client: NewClient(base, controlTimeout)}
 }
 
 // Members implements cherrykeel.HostList.
--- a/remote/log.go
+++ b/remote/log.go
@@ -47,7 +47,7 @@
 
 // NewLog returns a client of the named log stream at base, an http URL.
 func NewLog(base, stream string) cherrykeel.Log {
-	return &remoteLog{client: newClient(base, logTimeout), stream: stream, wait: readWait}
+	return &remoteLog{client: NewClient(base, logTimeout), stream: stream, wait: readWait}
 }
 
 func (log *remoteLog) url() string {
--- a/remote/remote_test.go
+++ b/remote/remote_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
-	"net"
 	"testing"
 	"time"
 
@@ -12,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"cherrykeel"
+	"cherrykeel/fakes"
 	"cherrykeel/heads"
 	"cherrykeel/remote"
 )
@@ -23,26 +21,10 @@
 
 // serveRaw answers each request with a head and the body, and returns the address.
 func serveRaw(head, body string) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	server, err := fakes.NewRawServer(head, body)
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(listener.Close)
-	answer := fmt.Sprintf("%sContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", head, len(body), body)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				_, err := conn.Read(make([]byte, 64<<10))
-				if err == nil {
-					_, _ = io.WriteString(conn, answer)
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	DeferCleanup(server.Close)
+	return server.Address()
 }
 
 var _ = Describe("bytes that look like an answer and are none", func() {
