Orders: a Connection header that says close hides no other name

What a keeper took: an answer with "Connection: close, Handover", or with that in two headers, counted as a proper one to an order or a check, so a release gave a handover that its own head says is not for the recipient; without "close" it was none.

Cause: net/http removes the whole Connection header when one of its values says "close", so the platform's check of the parsed head saw none. Reads through conns restore it from the lines; the transport of the clients did not.

Why this works: the scanner of the connection has read each line anyway; it keeps the final answer's Connection values, and the check gets them as they were sent.

Ruled out: giving up each answer that names a field beside "close": names of other fields are proper.

--- a/heads/conn.go
+++ b/heads/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net"
+	"net/http"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -17,9 +18,11 @@
 	socket net.Conn
 	mutex  sync.Mutex
 	answer Answer
-	line   []byte
-	ended  bool
-	wrong  error
+	// connection has the values of the final answer's Connection header.
+	connection []string
+	line       []byte
+	ended      bool
+	wrong      error
 }
 
 // add checks further bytes, and returns what is wrong with those so far.
@@ -52,10 +55,20 @@
 	scanner.wrong = err
 	if ended {
 		scanner.ended = !scanner.answer.IsInformational()
+		scanner.connection = scanner.answer.Connection()
 		scanner.answer = Answer{}
 	}
 }
 
+// restoreConnection returns the Connection header to a parsed head; the library removes all of it if one value says "close".
+func (scanner *scanner) restoreConnection(header http.Header) {
+	scanner.mutex.Lock()
+	defer scanner.mutex.Unlock()
+	if len(scanner.connection) > 0 {
+		header["Connection"] = scanner.connection
+	}
+}
+
 // reject records what else is wrong with the answer, unless that is empty, and closes its connection.
 func (scanner *scanner) reject(wrong string) {
 	if wrong == "" {
--- a/heads/transport.go
+++ b/heads/transport.go
@@ -62,6 +62,7 @@
 		return response, err
 	}
 	if response != nil {
+		scanner.restoreConnection(response.Header)
 		scanner.reject(transport.check(response.Header))
 	}
 	wrong := scanner.failure()
