--- a/review/_world/main.go
+++ b/review/_world/main.go
@@ -25,6 +25,8 @@
 	stableWindow = 3 * time.Second
 	recovery     = 15 * time.Second
 	readyTimeout = 20 * time.Second
+	// longest bounds a case; one that takes longer could not run.
+	longest = 110 * time.Second
 )
 
 // verdict is the result of a case.
@@ -140,6 +142,9 @@
 		return result
 	case <-interrupted:
 		return notRun
+	case <-time.After(longest):
+		fmt.Fprintln(os.Stderr, "could not run: it took longer than", longest)
+		return notRun
 	}
 }
 
